--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Targets for developers and CI. Tools are pinned in tools/go.mod.
+TOOL = go tool -modfile=$(CURDIR)/tools/go.mod
+SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.connect\.go$$' -e '_string\.go$$')
+
+.PHONY: all build test check format lint generate demo clean
+
+all: check build test
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -count=1 ./...
+
+# check fails where the formatter or the linter has anything to say.
+check: format lint
+
+format:
+	@found="$$($(TOOL) gofumpt -l $(SOURCES))"; \
+	if [ -n "$$found" ]; then echo "not formatted by gofumpt:"; echo "$$found"; exit 1; fi
+
+lint:
+	go vet ./...
+	$(TOOL) revive -config revive.toml -formatter friendly -exclude 'wire/*.go' ./...
+
+# generate needs the tools of tools/go.mod and tools/buf/go.mod; its output is
+# committed, so that a build does not need it.
+generate:
+	go generate ./...
+	mkdir -p bin/tools
+	cd tools && go build -o ../bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH="$(CURDIR)/bin/tools:$$PATH" go tool -modfile=tools/buf/go.mod buf generate
+
+demo: build
+	./demo.sh
+
+clean:
+	rm -rf bin
