--- /dev/null
+++ b/audit/entry.go
@@ -0,0 +1,19 @@
+package audit
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Entry is one change. Its ID is made of what changed and of the revision or
+// serial that came of it, so that an entry written twice is one entry.
+type Entry struct {
+	ID      string          `json:"id"`
+	At      time.Time       `json:"at"`
+	Who     string          `json:"who"`     // operator or daemon
+	Action  string          `json:"action"`  // such as "edit", "drain", "place", "take over"
+	Subject string          `json:"subject"` // such as "accounts", "fabric/f1", "replica desk-3"
+	Before  json.RawMessage `json:"before,omitempty"`
+	After   json.RawMessage `json:"after,omitempty"`
+	Cause   string          `json:"cause"`
+}
