--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,160 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// MaxAnswer bounds the size of an answer that is not a stream, in bytes.
+const MaxAnswer = 4 << 20
+
+// maxReason bounds what is kept of the text of a refusal, in bytes.
+const maxReason = 512
+
+// Client calls endpoints. Do sends a request; it is http.Client.Do but in
+// tests. Limits gives the limits that new streams start with; nil stands for
+// none. A Client is safe for concurrent use.
+type Client struct {
+	Do     func(*http.Request) (*http.Response, error)
+	Limits func() Limits
+}
+
+// Limits bound the silence of an endpoint; 0 stands for no limit. First also
+// bounds the wait for the headers of an answer to Open and Resume.
+type Limits struct {
+	First time.Duration // from dispatch to the first event
+	Gap   time.Duration // between two events
+}
+
+// New returns a client that sends with do.
+func New(do func(*http.Request) (*http.Response, error)) *Client {
+	return &Client{Do: do}
+}
+
+func (c *Client) limits() Limits {
+	if c.Limits == nil {
+		return Limits{}
+	}
+	return c.Limits()
+}
+
+// call describes one call to an endpoint.
+type call struct {
+	op      string
+	address string
+	method  string
+	path    string
+	header  http.Header
+	body    []byte
+}
+
+func (k call) fault(kind Kind, status int, err error) *Error {
+	return &Error{Op: k.op, Address: k.address, Kind: kind, Status: status, Err: err}
+}
+
+// request leaves GetBody unset, so that no transport sends the request twice.
+func (k call) request(ctx context.Context) (*http.Request, error) {
+	var body io.Reader
+	if k.body != nil {
+		body = io.NopCloser(bytes.NewReader(k.body))
+	}
+	request, err := http.NewRequestWithContext(ctx, k.method, "http://"+k.address+k.path, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range k.header {
+		request.Header[name] = values
+	}
+	if k.body != nil {
+		request.ContentLength = int64(len(k.body))
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+// send makes one attempt and returns the response when its status is 2xx.
+func (c *Client) send(ctx context.Context, k call) (*http.Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, k.fault(Unsent, 0, err)
+	}
+	traced, sent := trace(ctx)
+	request, err := k.request(traced)
+	if err != nil {
+		return nil, k.fault(Unsent, 0, oops.In("engine").Wrap(err))
+	}
+	response, err := c.Do(request)
+	if err != nil {
+		return nil, k.fault(sent.kind(), 0, err)
+	}
+	if response.StatusCode/100 == 2 {
+		return response, nil
+	}
+	defer response.Body.Close()
+	return nil, k.refusal(response)
+}
+
+// refusal reads an answer whose status is not 2xx.
+func (k call) refusal(response *http.Response) *Error {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxReason))
+	reason := strings.TrimSpace(string(text))
+	if reason == "" {
+		reason = response.Status
+	}
+	cause := errors.Join(errors.New(reason), err)
+	return k.fault(k.kind(response), response.StatusCode, cause)
+}
+
+// kind says what an answer whose status is not 2xx tells of the request. What
+// the endpoint does not vouch for may have run.
+func (k call) kind(response *http.Response) Kind {
+	status := response.StatusCode
+	if status == http.StatusNotFound && k.op != opOpen {
+		return Gone
+	}
+	if status == http.StatusConflict && k.op == opOrder {
+		return Stale
+	}
+	if response.Header.Get(HeaderRan) != ranNo {
+		return Broken
+	}
+	switch status {
+	case http.StatusConflict:
+		return Stale
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return Invalid
+	default:
+		return Refused
+	}
+}
+
+// ranNo is the value of HeaderRan that says that a request was not run.
+const ranNo = "no"
+
+// fetch makes a call whose answer is one JSON value, or nothing where out is
+// nil.
+func (c *Client) fetch(ctx context.Context, k call, out any) error {
+	response, err := c.send(ctx, k)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswer))
+	if err != nil {
+		return k.fault(Broken, response.StatusCode, err)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return k.fault(Broken, response.StatusCode, oops.In("engine").Wrap(err))
+	}
+	return nil
+}
