--- /dev/null
+++ b/fakes/handle.go
@@ -0,0 +1,35 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// buffer reads a request's body at once: only then does a server notice that
+// the caller leaves, and end the request's context. A body that breaks off
+// aborts the handler.
+func buffer(r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+}
+
+// sleep waits for d and reports whether the context lasted as long.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
