Count usage by hour and merge it by maximum

Sheets are cumulative for a boot, so a repeated one does no harm; a peer that lacks one answers with a lower sequence and gets all.

--- /dev/null
+++ b/tally/tally.go
@@ -0,0 +1,77 @@
+package tally
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"clementinehead.example/chead/wire"
+)
+
+// Tally counts the requests that one boot of one daemon has answered. It is
+// safe for concurrent use.
+type Tally struct {
+	boot Boot
+	from time.Time
+
+	mutex    sync.Mutex
+	sequence uint64 // of the next sheet
+	counters map[label]*counter
+	closed   bool
+}
+
+// New returns an empty tally of a boot that began at from.
+func New(boot Boot, from time.Time) *Tally {
+	return &Tally{boot: boot, from: from, sequence: 1, counters: map[label]*counter{}}
+}
+
+// Count adds a request that has had its final answer.
+func (t *Tally) Count(s Sample) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	l := labelOf(s)
+	c := t.counters[l]
+	if c == nil {
+		c = newCounter()
+		t.counters[l] = c
+	}
+	c.add(s)
+	c.changed = t.sequence
+}
+
+// Close marks the sheets that follow as the last ones of this boot.
+func (t *Tally) Close() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.closed = true
+}
+
+// Sheet returns the counts that changed after the sheet of a sequence, or all
+// for 0. It is complete for the requests answered before now.
+func (t *Tally) Sheet(after uint64, now time.Time) (*wire.Sheet, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	sheet := &wire.Sheet{
+		Daemon:   t.boot.Daemon,
+		Boot:     t.boot.Boot,
+		Sequence: t.sequence,
+		From:     t.from.UnixNano(),
+		Until:    now.UnixNano(),
+		Closed:   t.closed,
+		Whole:    after == 0,
+		After:    after,
+	}
+	for l, c := range t.counters {
+		if c.changed <= after {
+			continue
+		}
+		count, err := c.message(l)
+		if err != nil {
+			return nil, err
+		}
+		sheet.Counts = append(sheet.Counts, count)
+	}
+	slices.SortFunc(sheet.Counts, compareCounts)
+	t.sequence++
+	return sheet, nil
+}
