--- /dev/null
+++ b/fakes/engine_test.go
@@ -0,0 +1,295 @@
+package fakes_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/engine"
+	"clementinehead.example/chead/fakes"
+)
+
+// bench is one replica of engines on hosts e0, e1, ..., and a client on host
+// a.
+type bench struct {
+	network *fakes.Network
+	engines []*fakes.Engine
+	client  *engine.Client
+}
+
+const first = "e0:80"
+
+func withEngines(t *testing.T, size int, options fakes.EngineOptions, test func(t *testing.T, is *is.I, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &bench{network: fakes.NewNetwork()}
+		b.client = engine.New(b.network.Client("a").Do)
+		var members []string
+		for i := range size {
+			host := fmt.Sprintf("e%d", i)
+			members = append(members, host+":80")
+			options.ID = host
+			options.Member = engine.New(b.network.Client(host).Do).Probe
+			b.engines = append(b.engines, fakes.NewEngine(options))
+			b.network.Serve(host+":80", b.engines[i])
+		}
+		defer b.close()
+		for rank, member := range members {
+			_, err := b.client.Order(t.Context(), member, engine.Order{
+				Fence: 5, Replica: "r1", Model: "m", Version: "1", Rank: rank, Members: members,
+			})
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		test(t, is, b)
+	})
+}
+
+func (b *bench) close() {
+	for _, e := range b.engines {
+		e.Close()
+	}
+	b.network.Close()
+}
+
+// request returns a request for 4 tokens.
+func request(id string) engine.Request {
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":4,"stream":true}`, id)
+	return engine.Request{ID: id, Path: "/v1/completions", Body: []byte(body), Fence: 5}
+}
+
+// run opens a request and reads its answer to the end.
+func (b *bench) run(ctx context.Context, r engine.Request) (string, error) {
+	stream, err := b.client.Open(ctx, first, r)
+	if err != nil {
+		return "", err
+	}
+	stream.First, stream.Gap = 2*time.Second, time.Second
+	defer stream.Close()
+	return text(stream)
+}
+
+// text reads a stream to its end and returns its tokens.
+func text(stream *engine.Stream) (string, error) {
+	var all strings.Builder
+	for {
+		chunk, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return all.String(), nil
+		}
+		if err != nil {
+			return all.String(), err
+		}
+		var event struct {
+			Choices []struct{ Text string }
+		}
+		if json.Unmarshal(chunk.Data, &event) == nil && len(event.Choices) > 0 {
+			all.WriteString(event.Choices[0].Text)
+		}
+	}
+}
+
+// faultOf returns the kind of an engine error, or -1 for none.
+func faultOf(err error) engine.Kind {
+	var fault *engine.Error
+	if errors.As(err, &fault) {
+		return fault.Kind
+	}
+	return -1
+}
+
+func TestEngineFaults(t *testing.T) {
+	const none = engine.Kind(-1)
+	same := func(r engine.Request) engine.Request { return r }
+	tests := []struct {
+		name  string
+		fault func(b *bench)
+		alter func(r engine.Request) engine.Request
+		kind  engine.Kind
+		runs  int
+	}{
+		{name: "none", kind: none, runs: 1},
+		{name: "nobody listens", fault: func(b *bench) { b.network.Kill("e0") }, kind: engine.Unsent},
+		{name: "unreachable", fault: func(b *bench) { b.network.Cut("a", "e0"); b.network.Reset("a", "e0") }, kind: engine.Unsent},
+		{name: "dead", fault: func(b *bench) { b.engines[0].Kill() }, kind: engine.Broken},
+		{name: "restarted", fault: func(b *bench) { b.engines[0].Restart() }, kind: engine.Refused},
+		{name: "cold again", fault: func(b *bench) { b.engines[0].Cool() }, kind: none, runs: 1},
+		{name: "paused", fault: func(b *bench) { b.engines[0].Pause() }, kind: engine.Broken},
+		{name: "straggling", fault: func(b *bench) { b.engines[0].Straggle(1000) }, kind: engine.Broken, runs: 1},
+		{name: "a member is dead", fault: func(b *bench) { b.engines[1].Kill() }, kind: engine.Broken},
+		{name: "silent connection", fault: func(b *bench) { b.network.Silence("a", "e0") }, kind: engine.Broken},
+		{name: "old fence", alter: func(r engine.Request) engine.Request { r.Fence = 4; return r }, kind: engine.Stale},
+		{name: "bad body", alter: func(r engine.Request) engine.Request { r.Body = []byte("{"); return r }, kind: engine.Invalid},
+		{
+			name:  "crashing request",
+			alter: func(r engine.Request) engine.Request { r.Body = []byte(`{"user":"crash"}`); return r },
+			kind:  engine.Broken,
+			runs:  1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withEngines(t, 2, fakes.EngineOptions{}, func(t *testing.T, is *is.I, b *bench) {
+				if test.fault != nil {
+					test.fault(b)
+					time.Sleep(500 * time.Millisecond)
+				}
+				if test.alter == nil {
+					test.alter = same
+				}
+				b.client.Limits = func() engine.Limits { return engine.Limits{First: time.Second} }
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				answer, err := b.run(ctx, test.alter(request("q1")))
+				is.Equal(faultOf(err), test.kind)
+				if err == nil {
+					is.Equal(answer, fakes.Answer("q1", 4))
+				}
+				is.Equal(b.engines[0].Runs("q1"), test.runs)
+			})
+		})
+	}
+}
+
+func TestEngineSlowStart(t *testing.T) {
+	options := fakes.EngineOptions{Start: 1, Step: 2, Full: 4}
+	withEngines(t, 1, options, func(t *testing.T, is *is.I, b *bench) {
+		at := func(n int) (failed int) {
+			results := make(chan error, n)
+			for i := range n {
+				go func() {
+					_, err := b.run(t.Context(), request(fmt.Sprint(i)))
+					results <- err
+				}()
+			}
+			for range n {
+				if <-results != nil {
+					failed++
+				}
+			}
+			return failed
+		}
+		is.Equal(at(1), 0)
+		is.Equal(at(1), 0)
+		is.Equal(at(2), 0) // two are done: it bears two
+		is.Equal(at(3), 0)
+		is.Equal(len(b.engines[0].Violations()), 0)
+		b.engines[0].Cool()
+		is.True(at(2) > 0) // cold again: it bears one
+		is.Equal(b.engines[0].Violations()[0].Breach, fakes.Overload)
+	})
+}
+
+func TestEngineResumeAndCancel(t *testing.T) {
+	withEngines(t, 1, fakes.EngineOptions{}, func(t *testing.T, is *is.I, b *bench) {
+		ctx := t.Context()
+		stream, err := b.client.Open(ctx, first, request("q1"))
+		is.NoErr(err)
+		_, err = stream.Next()
+		is.NoErr(err)
+		b.network.Silence("a", "e0")
+		stream.Gap = time.Second
+		_, err = stream.Next()
+		is.Equal(faultOf(err), engine.Broken)
+		is.NoErr(stream.Close())
+		stream, err = b.client.Resume(ctx, first, "q1", 1, 5)
+		is.NoErr(err)
+		rest, err := text(stream)
+		is.NoErr(err)
+		is.NoErr(stream.Close())
+		is.Equal(rest, fakes.Answer("q1", 4)[9:])
+		is.Equal(b.engines[0].Runs("q1"), 1)
+		is.NoErr(b.client.Cancel(ctx, first, "q1"))
+		is.Equal(faultOf(b.client.Cancel(ctx, first, "q1")), engine.Gone)
+		_, err = b.client.Resume(ctx, first, "q1", 0, 5)
+		is.Equal(faultOf(err), engine.Gone)
+	})
+}
+
+func TestEngineForgetsWhenTheCallerLeaves(t *testing.T) {
+	withEngines(t, 1, fakes.EngineOptions{Token: time.Minute}, func(t *testing.T, is *is.I, b *bench) {
+		stream, err := b.client.Open(t.Context(), first, request("q1"))
+		is.NoErr(err)
+		is.NoErr(stream.Close())
+		time.Sleep(time.Second)
+		report, err := b.client.Probe(t.Context(), first)
+		is.NoErr(err)
+		is.Equal(report.Running, 1)
+		time.Sleep(2 * time.Second)
+		report, err = b.client.Probe(t.Context(), first)
+		is.NoErr(err)
+		is.Equal(report.Running, 0)
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	for _, ignore := range []bool{false, true} {
+		t.Run(fmt.Sprint("ignore ", ignore), func(t *testing.T) {
+			options := fakes.EngineOptions{Ignore: ignore, Load: fakes.NewLoader(1).Weights(10)}
+			withEngines(t, 1, options, func(t *testing.T, is *is.I, b *bench) {
+				report, err := b.client.Probe(t.Context(), first)
+				is.NoErr(err)
+				is.Equal(report.State, engine.Loading)
+				time.Sleep(10 * time.Second)
+				report, err = b.client.Probe(t.Context(), first)
+				is.NoErr(err)
+				is.Equal(report.State, engine.Ready)
+				_, err = b.client.Order(t.Context(), first, engine.Order{Fence: 4})
+				is.Equal(faultOf(err) == engine.Stale, !ignore)
+				report, err = b.client.Probe(t.Context(), first)
+				is.NoErr(err)
+				is.Equal(report.State == engine.Idle, ignore)
+			})
+		})
+	}
+}
+
+func TestEngineCacheEventsAreLateAndHaveGaps(t *testing.T) {
+	options := fakes.EngineOptions{Delay: 3 * time.Second, Skip: 2}
+	withEngines(t, 1, options, func(t *testing.T, is *is.I, b *bench) {
+		r := request(strings.Repeat("x", 3*engine.BlockSize))
+		_, err := b.run(t.Context(), r)
+		is.NoErr(err)
+		feed, err := b.client.Feed(t.Context(), first, 0)
+		is.NoErr(err)
+		is.Equal(len(feed.Events), 0)
+		time.Sleep(3 * time.Second)
+		feed, err = b.client.Feed(t.Context(), first, 0)
+		is.NoErr(err)
+		is.Equal(len(feed.Events), 2)
+		is.Equal(feed.Events[1].Sequence, uint64(3))
+	})
+}
+
+func TestPlainCountsRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakes.NewNetwork()
+		defer n.Close()
+		p := fakes.NewPlain()
+		n.Serve("p:80", p)
+		call := func() error {
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://p:80/file", strings.NewReader("x"))
+			is.NoErr(err)
+			r.Header.Set(fakes.HeaderOnce, "k")
+			response, err := n.Client("a").Do(r)
+			if err != nil {
+				return err
+			}
+			return response.Body.Close()
+		}
+		is.NoErr(call())
+		p.LoseAnswers(1)
+		is.True(call() != nil)
+		is.True(p.Runs("k") >= 2)
+	})
+}
--- a/fakes/handle.go
+++ b/fakes/handle.go
@@ -19,6 +19,17 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 }
 
+// sleepOr waits for d, the channel or the context, whichever is first.
+func sleepOr(ctx context.Context, done <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // sleep waits for d and reports whether the context lasted as long.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/fakes/list.go
+++ b/fakes/list.go
@@ -19,8 +19,7 @@
 	lag    time.Duration
 	expire time.Duration // after the last registration, 0 for never
 	rows   map[string]row
-	shown  []store.Instance
-	queue  []snapshot
+	shown  delayed[[]store.Instance]
 }
 
 // row is an instance with when it was last registered; zero for one that does
@@ -30,12 +29,6 @@
 	at       time.Time
 }
 
-// snapshot is a state of the list and when it becomes visible.
-type snapshot struct {
-	at        time.Time
-	instances []store.Instance
-}
-
 func newList() *list { return &list{rows: map[string]row{}} }
 
 // change changes the rows; the change becomes visible after the lag.
@@ -53,7 +46,7 @@
 		instances = append(instances, row.instance)
 	}
 	slices.SortFunc(instances, func(a, b store.Instance) int { return strings.Compare(a.ID, b.ID) })
-	l.queue = append(l.queue, snapshot{at: time.Now().Add(l.lag), instances: instances})
+	l.shown.set(instances, l.lag)
 }
 
 // renew notes a registration, which changes the list only where it differs.
@@ -83,11 +76,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.drop()
-	for len(l.queue) > 0 && !l.queue[0].at.After(time.Now()) {
-		l.shown = l.queue[0].instances
-		l.queue = l.queue[1:]
-	}
-	return l.shown
+	return l.shown.get()
 }
 
 // SetInstances sets the platform's list; it shows after the lag.
--- /dev/null
+++ b/fakes/run.go
@@ -0,0 +1,87 @@
+package fakes
+
+import "time"
+
+// run runs a job from its place in the queue to its end.
+func (l *life) run(j *job) {
+	defer l.leave(j)
+	select {
+	case <-j.admitted:
+	case <-j.ctx.Done():
+		return
+	}
+	l.reproach(j)
+	if !l.together(j.ctx) || !l.engine.awake(j.ctx, l) {
+		return
+	}
+	l.engine.began(j)
+	if !l.wait(j.ctx, l.prefill(j)) {
+		return
+	}
+	if j.user == Crasher {
+		l.engine.crash(l)
+		return
+	}
+	l.generate(j)
+}
+
+// prefill returns the time to the first token and puts the prompt's blocks
+// into the cache.
+func (l *life) prefill(j *job) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	missed := l.cache.touch(j.prompt)
+	l.measure()
+	o := l.engine.options
+	return o.First + time.Duration(missed)*o.Prefill
+}
+
+func (l *life) generate(j *job) {
+	for i := range j.tokens {
+		if i > 0 && !l.wait(j.ctx, l.gap()) {
+			return
+		}
+		if !l.together(j.ctx) {
+			return
+		}
+		j.append(false, j.event(i))
+	}
+	l.mu.Lock()
+	l.done++
+	l.mu.Unlock()
+	j.append(true, j.tail()...)
+}
+
+// gap returns the time between two tokens at the present size of the batch.
+func (l *life) gap() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.engine.options
+	return o.Token + time.Duration(max(0, len(l.batch.running)-1))*o.Share
+}
+
+// leave takes a job out of the batch.
+func (l *life) leave(j *job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.batch.remove(j)
+	l.measure()
+}
+
+// forget ends a job and drops its answer.
+func (l *life) forget(j *job) {
+	j.cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.jobs[j.id] == j {
+		delete(l.jobs, j.id)
+	}
+}
+
+// drop ends all jobs. It is called with the lock held.
+func (l *life) drop() {
+	for _, j := range l.jobs {
+		j.cancel()
+	}
+	clear(l.jobs)
+}
