--- /dev/null
+++ b/relay/watch.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"clementinehead.example/chead/store"
+)
+
+const (
+	poll       = 5 * time.Second        // one waiting watch
+	answering  = 2 * time.Second        // for an answer of the store
+	firstRetry = 500 * time.Millisecond // after a failed call to the store
+	lastRetry  = 5 * time.Second
+	batching   = 100 * time.Millisecond // between two calls, so that one answer brings several changes
+	idle       = time.Second      // between looks at the roster by a daemon that does not watch
+	orphaned   = 30 * time.Second // without vouching, any daemon asks the store itself
+	askPeers   = 5                // peers asked at the start while the store is down
+)
+
+// start gets the documents from the store or, while it is down, from peers,
+// and reports false when the context ended before one of them answered.
+func (r *Relay) start(ctx context.Context) bool {
+	wait := firstRetry
+	for {
+		err := r.listAll(ctx)
+		if err == nil || r.fetchAny(ctx) || r.Ready() {
+			r.options.Log.Info("documents known", "fromstore", err == nil)
+			return true
+		}
+		if !sleep(ctx, r.jitter(wait)) {
+			return false
+		}
+		wait = min(2*wait, lastRetry)
+	}
+}
+
+func (r *Relay) listAll(ctx context.Context) error {
+	for _, prefix := range prefixes {
+		if _, err := r.list(ctx, prefix); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ready = true
+	return nil
+}
+
+// list reads all documents under a prefix and returns the revision up to which
+// they are complete.
+func (r *Relay) list(ctx context.Context, prefix string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, answering)
+	defer cancel()
+	sent := time.Now()
+	listing, err := r.options.Store.List(ctx, prefix)
+	r.metrics.watches.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
+		return 0, &Error{Op: "list", Kind: Store, Err: err}
+	}
+	r.mu.Lock()
+	deleted := r.shelf.absent(prefix, listing)
+	r.mu.Unlock()
+	r.learn("store", 0, append(listing.Entries, deleted...)...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.vouch(sent, prefix)
+	return listing.Revision, nil
+}
+
+// fetchAny asks a few peers, or the seeds while none is known, and reports
+// whether a ready one answered. It asks all of them, since some may be behind.
+func (r *Relay) fetchAny(ctx context.Context) bool {
+	var addresses []string
+	for _, daemon := range r.pick(askPeers) {
+		addresses = append(addresses, daemon.PeerAddress)
+	}
+	if len(addresses) == 0 {
+		addresses = r.options.Seeds
+	}
+	var ready atomic.Bool
+	var group errgroup.Group
+	for _, address := range addresses {
+		group.Go(func() error {
+			if r.fetch(ctx, address) {
+				ready.Store(true)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // its functions return nil
+	return ready.Load()
+}
+
+// watch follows the store's changes under a prefix while this daemon is one of
+// its failure domain's watchers. While nobody vouches for the documents, any
+// daemon lists them from time to time.
+func (r *Relay) watch(ctx context.Context, prefix string) error {
+	var after uint64 // 0: list first
+	wait := firstRetry
+	for {
+		pause := idle
+		switch {
+		case r.chosen():
+			next, err := r.follow(ctx, prefix, after)
+			pause = batching
+			if err != nil {
+				pause = r.jitter(wait)
+				wait = min(2*wait, lastRetry)
+			} else {
+				after, wait = next, firstRetry
+			}
+		case time.Since(r.Confirmed()) > orphaned:
+			after = 0
+			_, _ = r.list(ctx, prefix) // tried again after the pause
+			pause = r.jitter(orphaned)
+		default:
+			after = 0
+		}
+		if !sleep(ctx, pause) {
+			return nil
+		}
+	}
+}
+
+// chosen reports whether this daemon is one of its failure domain's watchers.
+func (r *Relay) chosen() bool {
+	for _, daemon := range Chosen(r.options.Daemons(), r.options.Domain, "relay", Watchers) {
+		if daemon.Id == r.options.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// follow makes one call: a list at first, else a watch. It returns the
+// revision to go on from.
+func (r *Relay) follow(ctx context.Context, prefix string, after uint64) (uint64, error) {
+	if after == 0 {
+		return r.list(ctx, prefix)
+	}
+	ctx, cancel := context.WithTimeout(ctx, poll+answering)
+	defer cancel()
+	sent := time.Now()
+	listing, err := r.options.Store.Watch(ctx, prefix, after, poll)
+	r.metrics.watches.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
+		return 0, &Error{Op: "watch", Kind: Store, Err: err}
+	}
+	if listing.Compact {
+		return 0, nil
+	}
+	r.learn("store", 0, listing.Entries...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.vouch(answered(sent, listing), prefix)
+	return max(after, listing.Revision), nil
+}
+
+// answered is a moment by which the store had not yet answered a watch: it
+// waits in full before it says that nothing changed.
+func answered(sent time.Time, listing store.Listing) time.Time {
+	if len(listing.Entries) == 0 && time.Since(sent) >= poll {
+		return sent.Add(poll)
+	}
+	return sent
+}
+
+func (r *Relay) jitter(d time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return d/2 + time.Duration(r.random.Int64N(int64(d)))
+}
+
+// sleep waits and reports whether the context is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
