--- a/cmd/chfake/main.go
+++ b/cmd/chfake/main.go
@@ -1,11 +1,20 @@
 // Command chfake runs small stand-ins for the systems around clementinehead,
-// for demonstrations and tests on one machine.
+// for demonstrations and tests on one machine, and a client that sends a load
+// and checks what comes of it.
 package main
 
 import "github.com/alecthomas/kong"
 
-type commands struct{}
+type commands struct {
+	Store  storeCommand  `cmd:"" help:"Run the platform's key-value service, its list of instances and the weight store."`
+	Engine engineCommand `cmd:"" help:"Run the model engine of one instance."`
+	Plain  plainCommand  `cmd:"" help:"Run a plain service."`
+	Client clientCommand `cmd:"" help:"Send a load, check each answer and print what came of it."`
+}
 
 func main() {
-	kong.Parse(&commands{}, kong.Name("chfake"))
+	var c commands
+	context := kong.Parse(&c, kong.Name("chfake"), kong.UsageOnError(),
+		kong.Description("Stand-ins for the systems around clementinehead."))
+	context.FatalIfErrorf(context.Run())
 }
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"clementinehead.example/chead/engine"
 )
 
@@ -110,9 +113,10 @@
 
 // PromptRuns returns how often a request with a prompt began to run, over all
 // boots.
-func (e *Engine) PromptRuns(prompt string) int { return e.ledger.Count(promptKey(prompt)) }
+func (e *Engine) PromptRuns(prompt string) int { return e.ledger.Count(PromptKey(prompt)) }
 
-func promptKey(prompt string) string { return "prompt " + prompt }
+// PromptKey returns the key under which engines count the runs of a prompt.
+func PromptKey(prompt string) string { return fmt.Sprintf("prompt-%016x", xxhash.Sum64String(prompt)) }
 
 func (e *Engine) current() *life {
 	e.mu.Lock()
--- a/fakes/power.go
+++ b/fakes/power.go
@@ -124,7 +124,7 @@
 
 // began notes that a job runs from now on.
 func (e *Engine) began(j *job) {
-	e.ledger.Add(j.id, promptKey(j.prompt))
+	e.ledger.Add(j.id, PromptKey(j.prompt))
 	if e.options.Began != nil {
 		e.options.Began(j.id, j.prompt)
 	}
