--- a/fleet/fabric.go
+++ b/fleet/fabric.go
@@ -11,6 +11,7 @@
 	Domain   string    `json:"domain"` // failure domain
 	Fence    uint64    `json:"fence"`  // the last fencing number given out
 	Keeper   string    `json:"keeper"` // daemon that wrote this value
+	Fit      int       `json:"fit"`    // instances that may be members, as its keeper counts
 	Replicas []Replica `json:"replicas"`
 	Cause    string    `json:"cause"` // why this value differs from the one before
 	At       time.Time `json:"at"`
--- /dev/null
+++ b/fleet/gates.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"clementinehead.example/chead/chart"
+)
+
+// name gives replicas a new gate whose daemon is lost. While most daemons seem
+// lost at once it may be the keeper that is cut off; then it names one gate a
+// step.
+func (p *plan) name() {
+	renamed := 0
+	for i := range p.next.Replicas {
+		r := &p.next.Replicas[i]
+		if r.State == chart.Gone || !p.gateLost(r.Gate) {
+			continue
+		}
+		gate, ok := p.candidate(r.ID)
+		if !ok || (p.storm() && renamed > 0) {
+			return
+		}
+		p.note("rename", r.ID, r.Group, because(Gateless, "gate %s lost, now %s", cmp.Or(r.Gate, "none"), gate))
+		r.Gate = gate
+		r.Fence = p.fence()
+		renamed++
+	}
+}
+
+// gateLost reports whether a gate has to be named. A daemon that the roster
+// has never heard of is not lost.
+func (p *plan) gateLost(gate string) bool {
+	if gate == "" {
+		return true
+	}
+	return slices.ContainsFunc(p.in.Daemons, func(d Daemon) bool { return d.ID == gate && d.Lost })
+}
+
+func (p *plan) storm() bool {
+	lost := 0
+	for _, d := range p.in.Daemons {
+		lost += truth(d.Lost)
+	}
+	return 2*lost > len(p.in.Daemons)
+}
+
+func (p *plan) candidate(replica string) (string, bool) {
+	region := p.in.Document.Domains[p.next.Domain].Region
+	ranked := Rendezvous(replica, p.next.Domain, region, p.in.Daemons)
+	if len(ranked) == 0 {
+		return "", false
+	}
+	return ranked[0], true
+}
+
+// Rendezvous ranks the daemons that are alive for a key: those of the failure
+// domain first, then those of the region, then all others; by hash among
+// equals, so that few keys move when a daemon comes or goes.
+func Rendezvous(key, domain, region string, daemons []Daemon) []string {
+	distance := func(d Daemon) int {
+		return truth(d.Domain != domain) + truth(d.Domain != domain && d.Region != region)
+	}
+	alive := slices.DeleteFunc(slices.Clone(daemons), func(d Daemon) bool { return !d.Alive })
+	slices.SortFunc(alive, func(x, y Daemon) int {
+		return cmp.Or(
+			cmp.Compare(distance(x), distance(y)),
+			cmp.Compare(hash(key, x.ID), hash(key, y.ID)),
+			cmp.Compare(x.ID, y.ID),
+		)
+	})
+	ids := make([]string, 0, len(alive))
+	for _, d := range alive {
+		ids = append(ids, d.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/fleet/orders.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"clementinehead.example/chead/chart"
+	"clementinehead.example/chead/engine"
+)
+
+// Command is an order with the instance that it goes to.
+type Command struct {
+	Instance string
+	Address  string // host:port of its endpoint
+	Checks   bool   // it refuses an order with an old fencing number
+	Order    engine.Order
+}
+
+// Orders returns the orders that make the instances what a fabric domain's
+// value says, for those that answered their last probe and report something
+// else. None goes to an instance that holds a higher fencing number: the value
+// would be an old one.
+func Orders(fabric Fabric, seen map[string]Seen) []Command {
+	var commands []Command
+	owned := map[string]bool{}
+	for _, replica := range fabric.Replicas {
+		for rank, member := range replica.Members {
+			owned[member.Instance] = true
+			if command, due := replica.order(rank, seen[member.Instance]); due {
+				commands = append(commands, command)
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(seen)) {
+		if s := seen[id]; !owned[id] && s.Fresh() && s.Report.Replica != "" && s.Report.Fence <= fabric.Fence {
+			commands = append(commands, s.command(engine.Order{Fence: fabric.Fence}))
+		}
+	}
+	return commands
+}
+
+// order returns the order of the member of a rank, if it is due. A replica
+// that serves or drains is only given its new fencing number.
+func (r Replica) order(rank int, seen Seen) (Command, bool) {
+	if !seen.Fresh() || r.State == chart.Broken || seen.Report.Fence > r.Fence {
+		return Command{}, false
+	}
+	if Holds(seen.Report, &r) && seen.Report.Rank == rank {
+		return Command{}, false
+	}
+	if r.State != chart.Loading && seen.Report.Replica != r.ID {
+		return Command{}, false
+	}
+	order := engine.Order{
+		Fence:   r.Fence,
+		Replica: r.ID,
+		Model:   r.Model,
+		Adapter: r.Adapter,
+		Version: r.Version,
+		Rank:    rank,
+	}
+	for _, member := range r.Members {
+		order.Members = append(order.Members, member.Address)
+	}
+	return seen.command(order), true
+}
+
+func (s Seen) command(order engine.Order) Command {
+	return Command{
+		Instance: s.Instance.ID,
+		Address:  s.Instance.Address,
+		Checks:   s.Instance.Checks,
+		Order:    order,
+	}
+}
+
+// Fresh reports whether an instance answered its last probe.
+func (s Seen) Fresh() bool { return !s.At.IsZero() && s.Missed == 0 }
--- /dev/null
+++ b/fleet/share.go
@@ -0,0 +1,262 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementinehead.example/chead/chart"
+	"clementinehead.example/chead/conf"
+)
+
+// Share is how many replicas of each group each fabric domain should hold, by
+// fabric domain and group.
+type Share map[string]map[string]int
+
+// Total returns how many replicas of a group all fabric domains should hold.
+func (s Share) Total(group string) int {
+	total := 0
+	for _, groups := range s {
+		total += groups[group]
+	}
+	return total
+}
+
+// Apportion shares the wanted replicas out among the fabric domains. Every
+// keeper works it out alike from the document and the values of all fabric
+// domains, and applies only its own part. Replicas stay where they stand while
+// that serves the document; groups of higher priority are served first.
+func Apportion(document conf.Document, fabrics map[string]Fabric) Share {
+	a := newApportionment(document, fabrics)
+	for _, name := range byPriority(document) {
+		a.group(name, document.Groups[name])
+	}
+	return a.share
+}
+
+// apportionment is the state of Apportion's work.
+type apportionment struct {
+	document conf.Document
+	fabrics  map[string]Fabric
+	names    []string
+	share    Share
+	room     map[string]int // instances not yet claimed
+	loose    map[string]int // of these, the ones in no replica that goes on
+}
+
+func newApportionment(document conf.Document, fabrics map[string]Fabric) *apportionment {
+	a := &apportionment{
+		document: document,
+		fabrics:  fabrics,
+		names:    slices.Sorted(maps.Keys(fabrics)),
+		share:    Share{},
+		room:     map[string]int{},
+		loose:    map[string]int{},
+	}
+	for _, name := range a.names {
+		fabric := fabrics[name]
+		a.share[name] = map[string]int{}
+		a.room[name] = Room(document, fabric)
+		a.loose[name] = a.room[name]
+		for _, replica := range fabric.Replicas {
+			if replica.State != chart.Draining {
+				a.loose[name] -= len(replica.Members)
+			}
+		}
+	}
+	return a
+}
+
+// Room returns how many instances of a fabric domain may be members.
+func Room(document conf.Document, fabric Fabric) int {
+	if document.Domains[fabric.Domain].Out {
+		return 0
+	}
+	return fabric.Fit
+}
+
+// byPriority returns the groups' names, the highest priority first.
+func byPriority(document conf.Document) []string {
+	names := slices.Sorted(maps.Keys(document.Groups))
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(document.Groups[b].Priority, document.Groups[a].Priority)
+	})
+	return names
+}
+
+func (a *apportionment) group(name string, group conf.Group) {
+	if group.Size <= 0 {
+		return
+	}
+	want := group.Replicas
+	if rolling(a.fabrics, name, group) {
+		want++
+	}
+	held := incumbents(a.fabrics, name, group)
+	ceiling := max(1, want-(a.document.Capacity.Spread-1))
+	capped := a.keep(name, group, held, want, ceiling)
+	a.fill(name, group, group.Replicas, 0)
+	a.keep(name, group, capped, want, want)
+	a.fill(name, group, want, group.Size)
+}
+
+// fill claims room for more replicas of a group until it has want, in fabric
+// domains that have at least loose instances in no replica.
+func (a *apportionment) fill(name string, group conf.Group, want, loose int) {
+	for a.share.Total(name) < want {
+		fabric, ok := a.choose(name, group, loose)
+		if !ok {
+			return
+		}
+		a.claim(fabric, name, group.Size)
+		a.loose[fabric] -= group.Size
+	}
+}
+
+// keep claims the room of replicas that stand already, at most ceiling of them
+// in one failure domain, and returns the ones above that.
+func (a *apportionment) keep(name string, group conf.Group, held []incumbent, want, ceiling int) []incumbent {
+	var capped []incumbent
+	for _, s := range held {
+		if a.share.Total(name) >= want {
+			break
+		}
+		if a.room[s.fabric] < group.Size {
+			continue
+		}
+		if a.inDomain(name, s.domain) >= ceiling {
+			capped = append(capped, s)
+			continue
+		}
+		a.claim(s.fabric, name, group.Size)
+	}
+	return capped
+}
+
+func (a *apportionment) claim(fabric, group string, size int) {
+	a.share[fabric][group]++
+	a.room[fabric] -= size
+}
+
+func (a *apportionment) inDomain(group, domain string) int {
+	count := 0
+	for _, name := range a.names {
+		if a.fabrics[name].Domain == domain {
+			count += a.share[name][group]
+		}
+	}
+	return count
+}
+
+// choose returns the fabric domain for one more replica of a group.
+func (a *apportionment) choose(name string, group conf.Group, loose int) (string, bool) {
+	var fit []string
+	for _, fabric := range a.names {
+		enough := a.room[fabric]-a.document.Capacity.Spares >= group.Size
+		if enough && a.loose[fabric] >= loose {
+			fit = append(fit, fabric)
+		}
+	}
+	if len(fit) == 0 {
+		return "", false
+	}
+	best := slices.MinFunc(fit, func(x, y string) int { return a.compare(name, group, x, y) })
+	return best, true
+}
+
+// compare orders two fabric domains by their merit for one more replica: a
+// failure domain that the group lacks, instances that are free now, the
+// failure domain with fewer of its replicas, the larger room.
+func (a *apportionment) compare(name string, group conf.Group, x, y string) int {
+	inX := a.inDomain(name, a.fabrics[x].Domain)
+	inY := a.inDomain(name, a.fabrics[y].Domain)
+	narrow := a.spread(name) < a.document.Capacity.Spread
+	return cmp.Or(
+		cmp.Compare(truth(narrow && inX > 0), truth(narrow && inY > 0)),
+		cmp.Compare(truth(a.loose[x] < group.Size), truth(a.loose[y] < group.Size)),
+		cmp.Compare(inX, inY),
+		cmp.Compare(a.room[y], a.room[x]),
+		cmp.Compare(hash(name, x), hash(name, y)),
+	)
+}
+
+// spread counts the failure domains that a group is shared out to so far.
+func (a *apportionment) spread(group string) int {
+	domains := map[string]bool{}
+	for _, name := range a.names {
+		if a.share[name][group] > 0 {
+			domains[a.fabrics[name].Domain] = true
+		}
+	}
+	return len(domains)
+}
+
+// incumbent is a replica that stands already, as Apportion weighs it.
+type incumbent struct {
+	replica  Replica
+	fabric   string
+	domain   string
+	outdated bool
+}
+
+// incumbents returns a group's replicas that could be kept, the best first.
+func incumbents(fabrics map[string]Fabric, name string, group conf.Group) []incumbent {
+	var found []incumbent
+	for _, fabric := range fabrics {
+		for _, replica := range fabric.Replicas {
+			if replica.Group == name && replica.State != chart.Draining {
+				found = append(found, incumbent{replica, fabric.Name, fabric.Domain, Outdated(replica, group)})
+			}
+		}
+	}
+	slices.SortFunc(found, func(x, y incumbent) int {
+		return cmp.Or(
+			cmp.Compare(rank(x.replica.State), rank(y.replica.State)),
+			cmp.Compare(truth(x.outdated), truth(y.outdated)),
+			x.replica.Since.Compare(y.replica.Since),
+			cmp.Compare(x.replica.ID, y.replica.ID),
+		)
+	})
+	return found
+}
+
+// rank orders the states of a replica by what giving it up would lose.
+func rank(state string) int {
+	return slices.Index([]string{chart.Serving, chart.Loading, chart.Draining, chart.Broken}, state)
+}
+
+// Outdated reports whether a replica offers something else than its group's
+// configuration says, or has another size.
+func Outdated(replica Replica, group conf.Group) bool {
+	return replica.Model != group.Model || replica.Adapter != group.Adapter ||
+		replica.Version != group.Version || len(replica.Members) != group.Size
+}
+
+func rolling(fabrics map[string]Fabric, name string, group conf.Group) bool {
+	for _, fabric := range fabrics {
+		for _, replica := range fabric.Replicas {
+			if replica.Group == name && Outdated(replica, group) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func truth(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func hash(parts ...string) uint64 {
+	digest := xxhash.New()
+	for _, part := range parts {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
