--- /dev/null
+++ b/admin/accept.go
@@ -0,0 +1,109 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+
+	"clementinehead.example/chead/audit"
+	"clementinehead.example/chead/conf"
+	"clementinehead.example/chead/edit"
+	"clementinehead.example/chead/fleet"
+)
+
+// accept commits a change, spreads it, records it and answers with the daemons
+// that have not confirmed it.
+func (a *Admin) accept(w http.ResponseWriter, request *http.Request, change change) {
+	// An operator who goes away must not leave the edit half settled.
+	ctx := context.WithoutCancel(request.Context())
+	c := &commit{change: change, store: a.options.Store}
+	done, err := c.run(ctx)
+	if err != nil {
+		a.edits.WithLabelValues("refused").Inc()
+		refuse(w, change.id, err)
+		return
+	}
+	a.edits.WithLabelValues("accepted").Inc()
+	a.options.Learn(done.entry)
+	a.record(change.action, done)
+	a.confirm(ctx, w, change.id, done)
+}
+
+// confirm answers with the daemons that have not confirmed an edit in time.
+func (a *Admin) confirm(ctx context.Context, w http.ResponseWriter, id string, done result) {
+	ctx, cancel := context.WithTimeout(ctx, confirming)
+	defer cancel()
+	unconfirmed := a.options.Confirm(ctx, fleet.Conf, done.entry.Revision)
+	answer(w, http.StatusOK, Accepted{
+		ID:          id,
+		Serial:      serial(done),
+		Revision:    done.entry.Revision,
+		Unchanged:   done.unchanged,
+		Unconfirmed: append([]string{}, unconfirmed...),
+	})
+}
+
+func serial(done result) uint64 {
+	if done.unchanged {
+		return done.after.Serial
+	}
+	return done.stamp.Serial
+}
+
+// record puts an edit into the audit trail, an entry for each section.
+func (a *Admin) record(action string, done result) {
+	if done.unchanged {
+		return
+	}
+	for _, section := range slices.Sorted(maps.Keys(done.stamp.Hashes)) {
+		e := entryOf(done.stamp, section)
+		e.Action = action
+		if done.known {
+			before, _ := conf.Section(done.before.Document, section)
+			after, _ := conf.Section(done.after.Document, section)
+			e.Before, e.After = audit.Diff(before, after)
+		}
+		a.options.Record(e)
+	}
+	a.options.Log.Info("edit accepted", "edit", done.stamp.ID, "serial", done.stamp.Serial,
+		"who", done.stamp.Who, "action", action)
+}
+
+// entryOf is what the configuration itself remembers of an edit.
+func entryOf(stamp edit.Stamp, section string) audit.Entry {
+	return audit.Entry{
+		ID:      fmt.Sprintf("edit-%d-%s", stamp.Serial, section),
+		At:      stamp.At,
+		Who:     stamp.Who,
+		Action:  "edit",
+		Subject: section,
+		Cause:   stamp.Cause,
+	}
+}
+
+// getEdit tells what became of an edit, by its id.
+func (a *Admin) getEdit(w http.ResponseWriter, request *http.Request) {
+	id := request.PathValue("id")
+	entry, envelope, err := read(request.Context(), a.options.Store)
+	fresh := err == nil
+	if !fresh {
+		entry, _ = a.options.Get(fleet.Conf)
+		envelope, err = edit.Read(entry.Value)
+		if err != nil {
+			refuse(w, id, err)
+			return
+		}
+	}
+	stamp, ok := envelope.Find(id)
+	switch {
+	case ok:
+		a.confirm(request.Context(), w, id, result{entry: entry, after: envelope, stamp: stamp})
+	case fresh:
+		refuse(w, id, &Error{Op: "get edit", Kind: Missing, Err: errors.New("no such edit is in force or remembered")})
+	default:
+		refuse(w, id, &Error{Op: "get edit", Kind: Unsettled, Err: errors.New("the store does not answer")})
+	}
+}
--- /dev/null
+++ b/admin/message.go
@@ -0,0 +1,86 @@
+package admin
+
+import (
+	"encoding/json"
+
+	"clementinehead.example/chead/audit"
+	"clementinehead.example/chead/conf"
+	"clementinehead.example/chead/edit"
+)
+
+// Config is the answer to GET /admin/v1/config. Where a section was asked for,
+// Document holds only that.
+type Config struct {
+	Serial   uint64                `json:"serial"`   // to base an edit on
+	Revision uint64                `json:"revision"` // of the store
+	Sections map[string]edit.Stamp `json:"sections"` // the last edit of each
+	Document json.RawMessage       `json:"document"`
+}
+
+// Put is the body of PUT /admin/v1/config: either a whole document, in which an
+// absent section is an empty one, or some sections.
+type Put struct {
+	ID       string                     `json:"id"`   // chosen by the sender, kept when it asks again
+	Base     uint64                     `json:"base"` // the serial that the edit is based on
+	Who      string                     `json:"who"`
+	Cause    string                     `json:"cause,omitempty"`
+	Document json.RawMessage            `json:"document,omitempty"`
+	Sections map[string]json.RawMessage `json:"sections,omitempty"`
+}
+
+// Move is the body of POST /admin/v1/drain and /admin/v1/restore. It names a
+// failure domain or an instance.
+type Move struct {
+	ID       string `json:"id"`
+	Who      string `json:"who"`
+	Cause    string `json:"cause,omitempty"`
+	Domain   string `json:"domain,omitempty"`
+	Instance string `json:"instance,omitempty"`
+}
+
+// Accepted is the answer to an edit, a drain or a restoration, and to
+// GET /admin/v1/edits/ID.
+type Accepted struct {
+	ID          string   `json:"id"`
+	Serial      uint64   `json:"serial"`
+	Revision    uint64   `json:"revision"`
+	Unchanged   bool     `json:"unchanged,omitempty"` // it was so before
+	Unconfirmed []string `json:"unconfirmed"`         // live daemons that may not have it in force yet
+}
+
+// Checked is the answer to POST /admin/v1/config/check.
+type Checked struct {
+	Faults []Fault `json:"faults"`
+}
+
+// Fault is one fault of a document.
+type Fault struct {
+	Kind    string `json:"kind"`
+	Section string `json:"section"`
+	Path    string `json:"path"`
+	Reason  string `json:"reason"`
+}
+
+// Trail is the answer to GET /admin/v1/audit.
+type Trail struct {
+	Entries []audit.Entry `json:"entries"`
+}
+
+// Refusal is the body of every answer that is not 2xx.
+type Refusal struct {
+	Code     string      `json:"code"`
+	Message  string      `json:"message"`
+	Ran      string      `json:"ran"` // "no", or "unknown" for an edit that may be in force
+	ID       string      `json:"id,omitempty"`
+	Faults   []Fault     `json:"faults,omitempty"`
+	Section  string      `json:"section,omitempty"` // of a conflict
+	Conflict *edit.Stamp `json:"conflict,omitempty"`
+}
+
+func faults(errors []*conf.Error) []Fault {
+	faults := make([]Fault, 0, len(errors))
+	for _, e := range errors {
+		faults = append(faults, Fault{Kind: e.Kind.String(), Section: e.Section, Path: e.Path, Reason: e.Reason})
+	}
+	return faults
+}
--- a/conf/error.go
+++ b/conf/error.go
@@ -1,6 +1,9 @@
 package conf
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Kind says what is wrong with a document or with settings.
 type Kind int
@@ -29,12 +32,14 @@
 
 // Error names the operation, the place and the fault.
 func (e *Error) Error() string {
-	place := e.Section
-	if e.Path != "" {
-		place += "." + e.Path
-	}
+	return fmt.Sprintf("conf: %s: %s: %s: %s", e.Op, e.Place(), e.Kind, e.Reason)
+}
+
+// Place is the section and the path in one, such as "groups.coast.size".
+func (e *Error) Place() string {
+	place := strings.Trim(e.Section+"."+e.Path, ".")
 	if place == "" {
-		place = "document"
+		return "document"
 	}
-	return fmt.Sprintf("conf: %s: %s: %s: %s", e.Op, place, e.Kind, e.Reason)
+	return place
 }
--- /dev/null
+++ b/conf/settings_check.go
@@ -0,0 +1,45 @@
+package conf
+
+import (
+	"net/url"
+	"strconv"
+)
+
+// CheckSettings returns every fault of a daemon's settings, in the order of
+// the fields.
+func CheckSettings(s Settings) []*Error {
+	c := &checker{}
+	c.given("domain", s.Domain)
+	c.given("region", s.Region)
+	c.address("caller", s.Caller)
+	c.address("peer", s.Peer)
+	c.address("operator", s.Operator)
+	c.url("store", s.Store)
+	c.url("platform", s.Platform)
+	for i, seed := range s.Seeds {
+		c.address("seeds."+strconv.Itoa(i), seed)
+	}
+	if s.Secret != "" {
+		c.hash("", "secret", s.Secret)
+	}
+	return c.faults
+}
+
+func (c *checker) given(path, value string) {
+	if value == "" {
+		c.add(Missing, "", path, "must be given")
+	}
+}
+
+func (c *checker) address(path, value string) {
+	if reason := addressFault(value); reason != "" {
+		c.add(Range, "", path, "%s", reason)
+	}
+}
+
+func (c *checker) url(path, value string) {
+	at, err := url.Parse(value)
+	if err != nil || at.Scheme != "http" && at.Scheme != "https" || at.Host == "" {
+		c.add(Range, "", path, "must be an URL such as http://127.0.0.1:9000, is %q", value)
+	}
+}
