--- a/relay/handler.go
+++ b/relay/handler.go
@@ -18,10 +18,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, document := range request.Documents {
-		response.Versions = append(response.Versions, r.inForce(document.Key))
+		response.Versions = append(response.Versions, r.version(document.Key))
 	}
 	for _, offered := range request.Offered {
-		response.Versions = append(response.Versions, r.inForce(offered.Key))
+		response.Versions = append(response.Versions, r.version(offered.Key))
 		if r.wants(offered, now) {
 			response.Wanted = append(response.Wanted, offered.Key)
 		}
@@ -29,9 +29,9 @@
 	return response, nil
 }
 
-// inForce is the version of a document that the view is made of.
-func (r *Relay) inForce(key string) *wire.Version {
-	return &wire.Version{Key: key, Revision: r.good[key].Revision}
+// version is that of a document as far as the view is made of it.
+func (r *Relay) version(key string) *wire.Version {
+	return &wire.Version{Key: key, Revision: r.inForce[key]}
 }
 
 func (r *Relay) wants(offered *wire.Version, now time.Time) bool {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,7 +41,7 @@
 
 	mu      sync.Mutex
 	shelf   *shelf
-	good    map[string]store.Entry // the newest that can be read, by key
+	inForce map[string]uint64 // by key: the revision that the view is made of
 	view    *view.View
 	changed chan struct{}
 	ready   bool
@@ -59,7 +59,7 @@
 		offers:  make(chan offer, backlog),
 		behind:  make(chan string, 1),
 		shelf:   newShelf(),
-		good:    map[string]store.Entry{},
+		inForce: map[string]uint64{},
 		view:    empty,
 		changed: make(chan struct{}),
 		vouched: map[string]time.Time{},
@@ -192,28 +192,19 @@
 func (r *Relay) renew(fresh []store.Entry) {
 	before := r.view.Serial
 	for _, entry := range fresh {
-		if entry.Deleted {
-			delete(r.good, entry.Key)
-			continue
-		}
-		if _, err := view.New(map[string]store.Entry{entry.Key: entry}); err != nil {
+		next, err := r.view.With(entry)
+		if err != nil {
 			r.metrics.unreadable.Inc()
-			failure := &Error{Op: "read", Kind: Unreadable, Err: err}
-			r.options.Log.Error(failure, "document passed over", "key", entry.Key, "revision", entry.Revision)
+			r.options.Log.Error(&Error{Op: "read", Kind: Unreadable, Err: err}, "document passed over")
 			continue
 		}
-		r.good[entry.Key] = entry
-	}
-	next, err := view.New(r.good)
-	if err != nil {
-		r.options.Log.Error(&Error{Op: "view", Kind: Unreadable, Err: err}, "view kept")
-		return
+		r.view = next
+		r.inForce[entry.Key] = entry.Revision
 	}
-	r.view = next
 	close(r.changed)
 	r.changed = make(chan struct{})
-	r.metrics.revision.Set(float64(next.Revision))
-	if next.Serial != before {
-		r.options.Log.Info("configuration in force", "serial", next.Serial, "revision", next.Revision)
+	r.metrics.revision.Set(float64(r.view.Revision))
+	if r.view.Serial != before {
+		r.options.Log.Info("configuration in force", "serial", r.view.Serial, "revision", r.view.Revision)
 	}
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -16,9 +16,9 @@
 	firstRetry = 500 * time.Millisecond // after a failed call to the store
 	lastRetry  = 5 * time.Second
 	batching   = 100 * time.Millisecond // between two calls, so that one answer brings several changes
-	idle       = time.Second      // between looks at the roster by a daemon that does not watch
-	orphaned   = 30 * time.Second // without vouching, any daemon asks the store itself
-	askPeers   = 5                // peers asked at the start while the store is down
+	idle       = time.Second            // between looks at the roster by a daemon that does not watch
+	orphaned   = 30 * time.Second       // without vouching, any daemon asks the store itself
+	askPeers   = 5                      // peers asked at the start while the store is down
 )
 
 // start gets the documents from the store or, while it is down, from peers,
@@ -99,26 +99,26 @@
 // its failure domain's watchers. While nobody vouches for the documents, any
 // daemon lists them from time to time.
 func (r *Relay) watch(ctx context.Context, prefix string) error {
-	var after uint64 // 0: list first
+	var place position
 	wait := firstRetry
 	for {
 		pause := idle
 		switch {
 		case r.chosen():
-			next, err := r.follow(ctx, prefix, after)
+			err := r.follow(ctx, prefix, &place)
 			pause = batching
 			if err != nil {
 				pause = r.jitter(wait)
 				wait = min(2*wait, lastRetry)
 			} else {
-				after, wait = next, firstRetry
+				wait = firstRetry
 			}
 		case time.Since(r.Confirmed()) > orphaned:
-			after = 0
+			place.listed = false
 			_, _ = r.list(ctx, prefix) // tried again after the pause
 			pause = r.jitter(orphaned)
 		default:
-			after = 0
+			place.listed = false
 		}
 		if !sleep(ctx, pause) {
 			return nil
@@ -126,6 +126,12 @@
 	}
 }
 
+// position is how far a watcher has followed the store.
+type position struct {
+	listed bool
+	after  uint64 // revision up to which all changes are known
+}
+
 // chosen reports whether this daemon is one of its failure domain's watchers.
 func (r *Relay) chosen() bool {
 	for _, daemon := range Chosen(r.options.Daemons(), r.options.Domain, "relay", Watchers) {
@@ -136,28 +142,32 @@
 	return false
 }
 
-// follow makes one call: a list at first, else a watch. It returns the
-// revision to go on from.
-func (r *Relay) follow(ctx context.Context, prefix string, after uint64) (uint64, error) {
-	if after == 0 {
-		return r.list(ctx, prefix)
+// follow makes one call, a list at first and then a watch, and moves the
+// position on.
+func (r *Relay) follow(ctx context.Context, prefix string, place *position) error {
+	if !place.listed {
+		revision, err := r.list(ctx, prefix)
+		place.listed, place.after = err == nil, revision
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, poll+answering)
 	defer cancel()
 	sent := time.Now()
-	listing, err := r.options.Store.Watch(ctx, prefix, after, poll)
+	listing, err := r.options.Store.Watch(ctx, prefix, place.after, poll)
 	r.metrics.watches.WithLabelValues(outcome(err)).Inc()
 	if err != nil {
-		return 0, &Error{Op: "watch", Kind: Store, Err: err}
+		return &Error{Op: "watch", Kind: Store, Err: err}
 	}
 	if listing.Compact {
-		return 0, nil
+		place.listed = false
+		return nil
 	}
 	r.learn("store", 0, listing.Entries...)
+	place.after = max(place.after, listing.Revision)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.vouch(answered(sent, listing), prefix)
-	return max(after, listing.Revision), nil
+	return nil
 }
 
 // answered is a moment by which the store had not yet answered a watch: it
--- a/view/view.go
+++ b/view/view.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -32,49 +34,104 @@
 // New makes a view of the newest entries known, by key. Entries of other keys
 // are passed over. The error says which value can't be read.
 func New(entries map[string]store.Entry) (*View, error) {
-	v := &View{
+	v := empty()
+	for _, entry := range entries {
+		if err := v.add(entry); err != nil {
+			return nil, err
+		}
+	}
+	return v, nil
+}
+
+func empty() *View {
+	return &View{
 		Document: conf.Fill(conf.Document{}),
 		Fabrics:  map[string]fleet.Fabric{},
 		places:   map[string]Place{},
 		groups:   map[string][]string{},
 	}
-	for key, entry := range entries {
-		if err := v.add(key, entry); err != nil {
-			return nil, fmt.Errorf("view: %s at revision %d: %w", key, entry.Revision, err)
-		}
+}
+
+// With returns the view that follows from one newer entry. It costs little
+// beside New, since it reads only that entry. The deletion of a fabric domain
+// takes it out; that of the configuration is an error.
+func (v *View) With(entry store.Entry) (*View, error) {
+	next := *v
+	next.Fabrics = maps.Clone(v.Fabrics)
+	next.places = maps.Clone(v.places)
+	next.groups = maps.Clone(v.groups)
+	if err := next.add(entry); err != nil {
+		return nil, err
 	}
-	for _, ids := range v.groups {
-		slices.Sort(ids)
+	return &next, nil
+}
+
+func (v *View) add(entry store.Entry) error {
+	var err error
+	switch {
+	case entry.Key == fleet.Conf:
+		err = v.addConf(entry)
+	case strings.HasPrefix(entry.Key, fleet.Prefix):
+		err = v.addFabric(entry)
 	}
-	return v, nil
+	if err != nil {
+		return fmt.Errorf("view: %s at revision %d: %w", entry.Key, entry.Revision, err)
+	}
+	return nil
 }
 
-func (v *View) add(key string, entry store.Entry) error {
-	if key == fleet.Conf {
-		var envelope edit.Envelope
-		if err := json.Unmarshal(entry.Value, &envelope); err != nil {
+func (v *View) addConf(entry store.Entry) error {
+	if entry.Deleted {
+		return errors.New("the configuration was deleted")
+	}
+	var envelope edit.Envelope
+	if err := json.Unmarshal(entry.Value, &envelope); err != nil {
+		return err
+	}
+	v.Revision = entry.Revision
+	v.Serial = envelope.Serial
+	v.Document = conf.Fill(envelope.Document)
+	return nil
+}
+
+func (v *View) addFabric(entry store.Entry) error {
+	var fabric fleet.Fabric
+	if !entry.Deleted {
+		if err := json.Unmarshal(entry.Value, &fabric); err != nil {
 			return err
 		}
-		v.Revision = entry.Revision
-		v.Serial = envelope.Serial
-		v.Document = conf.Fill(envelope.Document)
-		return nil
 	}
-	if !strings.HasPrefix(key, fleet.Prefix) {
+	v.remove(strings.TrimPrefix(entry.Key, fleet.Prefix))
+	if entry.Deleted {
 		return nil
 	}
-	var fabric fleet.Fabric
-	if err := json.Unmarshal(entry.Value, &fabric); err != nil {
-		return err
-	}
 	v.Fabrics[fabric.Name] = fabric
 	for _, replica := range fabric.Replicas {
 		v.places[replica.ID] = Place{Replica: replica, Fabric: fabric.Name, Domain: fabric.Domain}
-		v.groups[replica.Group] = append(v.groups[replica.Group], replica.ID)
+		v.groups[replica.Group] = inserted(v.groups[replica.Group], replica.ID)
 	}
 	return nil
 }
 
+// remove takes a fabric domain's replicas out. The lists of other views are
+// left as they are.
+func (v *View) remove(fabric string) {
+	for _, replica := range v.Fabrics[fabric].Replicas {
+		delete(v.places, replica.ID)
+		v.groups[replica.Group] = slices.DeleteFunc(
+			slices.Clone(v.groups[replica.Group]),
+			func(id string) bool { return id == replica.ID },
+		)
+	}
+	delete(v.Fabrics, fabric)
+}
+
+// inserted returns a new sorted list with one more id.
+func inserted(ids []string, id string) []string {
+	at, _ := slices.BinarySearch(ids, id)
+	return slices.Insert(slices.Clone(ids), at, id)
+}
+
 // Place returns where a replica stands.
 func (v *View) Place(replica string) (Place, bool) {
 	place, ok := v.places[replica]
