--- a/view/view.go
+++ b/view/view.go
@@ -54,7 +54,8 @@
 
 // With returns the view that follows from one newer entry. It costs little
 // beside New, since it reads only that entry. The deletion of a fabric domain
-// takes it out; that of the configuration is an error.
+// takes it out. That of the configuration is an error, as is a configuration
+// whose serial went back.
 func (v *View) With(entry store.Entry) (*View, error) {
 	next := *v
 	next.Fabrics = maps.Clone(v.Fabrics)
@@ -88,6 +89,9 @@
 	if err := json.Unmarshal(entry.Value, &envelope); err != nil {
 		return err
 	}
+	if envelope.Serial < v.Serial {
+		return fmt.Errorf("serial %d is behind %d", envelope.Serial, v.Serial)
+	}
 	v.Revision = entry.Revision
 	v.Serial = envelope.Serial
 	v.Document = conf.Fill(envelope.Document)
