--- /dev/null
+++ b/gate/bounds.go
@@ -0,0 +1,30 @@
+package gate
+
+import "time"
+
+// The times that the proofs of the package rest on.
+const (
+	// ProbeEvery is the time between probes of a member.
+	ProbeEvery = 400 * time.Millisecond
+	// ProbeTimeout ends a probe that is not answered.
+	ProbeTimeout = 400 * time.Millisecond
+	// ProbeFresh is how long the answer to a probe counts, from its sending.
+	ProbeFresh = time.Second
+	// PermitLife is the time from the giving of a permit to the last moment at
+	// which it may be dispatched.
+	PermitLife = 500 * time.Millisecond
+	// ReportLag is how old the load in an endpoint's report may be.
+	ReportLag = time.Second
+	// ClaimWait is the time for which a gate waits after all members reported
+	// its fencing number: by then the gate before has stopped, its permits
+	// have lapsed, and what they started stands in the reports.
+	ClaimWait = ProbeFresh + PermitLife + ReportLag
+)
+
+const (
+	reconcileWindow = 10 * time.Second // for which reports must show fewer than are held
+	lifeMargin      = 5 * time.Second  // beyond the longest request, for a permit's life
+	minRetryAfter   = 50 * time.Millisecond
+	maxRetryAfter   = 30 * time.Second
+	idleRetryAfter  = time.Second // for a replica that doesn't serve
+)
--- /dev/null
+++ b/gate/claim.go
@@ -0,0 +1,63 @@
+package gate
+
+import "time"
+
+// claim is a gate's right to give permits under one fencing number.
+type claim struct {
+	fence uint64
+	whole time.Time // when all members were first seen with the fence
+	held  bool      // the wait is over, or was not needed
+	last  time.Time // when a held claim last stood, of this fence or one before
+	prior uint64    // the fence under which it last stood
+}
+
+// renew begins a claim for another fencing number. The claim before is
+// remembered in last.
+func (c *claim) renew(fence uint64) {
+	if fence == c.fence {
+		return
+	}
+	c.fence = fence
+	c.whole = time.Time{}
+	c.held = false
+}
+
+// drop gives the claim up, because another daemon is named.
+func (c *claim) drop() {
+	c.whole = time.Time{}
+	c.held = false
+}
+
+// doubt gives the claim up because another gate may have stood beside it.
+func (c *claim) doubt() {
+	c.drop()
+	c.last = time.Time{}
+}
+
+// see notes that all members report the fence. The claim is held at once when
+// this gate stood so lately that no other can have stood in between.
+func (c *claim) see(now time.Time) {
+	if !c.whole.IsZero() {
+		return
+	}
+	c.whole = now
+	c.held = c.held || c.recent(now)
+}
+
+// recent reports whether the claim stood so lately that no other gate can have
+// come to hold one since, even one that goes by its last probes.
+func (c *claim) recent(now time.Time) bool {
+	return !c.last.IsZero() && now.Sub(c.last) < ClaimWait-ProbeFresh
+}
+
+// due reports whether the wait for the gate before is over.
+func (c *claim) due(now time.Time) bool {
+	return !c.whole.IsZero() && now.Sub(c.whole) >= ClaimWait
+}
+
+// stand notes that all members reported the fence, at a moment at which the
+// claim was held.
+func (c *claim) stand(moment time.Time) {
+	c.last = moment
+	c.prior = c.fence
+}
--- /dev/null
+++ b/gate/metrics.go
@@ -0,0 +1,71 @@
+package gate
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the counters and gauges of a gate.
+type metrics struct {
+	answers *prometheus.CounterVec
+	probes  *prometheus.CounterVec
+	load    *prometheus.GaugeVec
+	limit   *prometheus.GaugeVec
+	queued  *prometheus.GaugeVec
+	lost    *prometheus.GaugeVec
+	weak    *prometheus.GaugeVec
+}
+
+// newMetrics returns metrics, registered unless the registry is nil.
+func newMetrics(registry prometheus.Registerer) metrics {
+	m := metrics{
+		answers: counter("answers_total", "Answers to requests for a permit.", "verdict"),
+		probes:  counter("probes_total", "Probes of members.", "result"),
+		load:    gauge("load", "Requests in progress."),
+		limit:   gauge("limit", "Requests that may be in progress."),
+		queued:  gauge("queued", "Requests waiting for a permit."),
+		lost:    gauge("lost", "Requests in progress whose permits nobody will release."),
+		weak:    gauge("weak", "1 while only half of the limit is used."),
+	}
+	if registry != nil {
+		registry.MustRegister(m.answers, m.probes, m.load, m.limit, m.queued, m.lost, m.weak)
+	}
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "chead", Subsystem: "gate", Name: name, Help: help,
+	}, labels)
+}
+
+func gauge(name, help string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: "chead", Subsystem: "gate", Name: name, Help: help,
+	}, []string{"replica"})
+}
+
+func (m *metrics) probe(err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	m.probes.WithLabelValues(result).Inc()
+}
+
+func (m *metrics) set(status Status) {
+	m.load.WithLabelValues(status.Replica).Set(float64(status.Load))
+	m.limit.WithLabelValues(status.Replica).Set(float64(status.Limit))
+	m.queued.WithLabelValues(status.Replica).Set(float64(status.Queued))
+	m.lost.WithLabelValues(status.Replica).Set(float64(status.Lost))
+	weak := 0.0
+	if status.Weak || status.Interim {
+		weak = 1
+	}
+	m.weak.WithLabelValues(status.Replica).Set(weak)
+}
+
+// forget drops the gauges of a replica that this daemon is no longer the gate
+// of.
+func (m *metrics) forget(replica string) {
+	for _, vector := range []*prometheus.GaugeVec{m.load, m.limit, m.queued, m.lost, m.weak} {
+		vector.DeleteLabelValues(replica)
+	}
+}
--- /dev/null
+++ b/gate/standing.go
@@ -0,0 +1,121 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementinehead.example/chead/conf"
+	"clementinehead.example/chead/fleet"
+	"clementinehead.example/chead/wire"
+)
+
+const (
+	confirmLife = 5 * time.Second  // how long the store's word for the view counts
+	pauseLimit  = time.Second      // between looks, above which this process was paused
+	pauseDoubt  = 10 * time.Second // after a pause, in which the roster isn't trusted
+)
+
+// standing is what this daemon knows of its own place among the daemons.
+//
+// While the store is up, gates are named there and the standing plays no part.
+// While it is down nobody can name a gate, and a dead gate is stood in for by
+// another daemon. Only a daemon that sees most of the daemons alive does so,
+// and a gate that does not see most of them alive uses half of its limit: two
+// gates of one replica are never on the same side of a partition, and their
+// halves make up the whole limit.
+type standing struct {
+	self      string
+	daemons   map[string]*wire.Daemon
+	confirmed bool // the store vouched for the view lately
+	most      bool // most daemons are seen alive
+	weak      bool
+	looked    time.Time
+	woken     time.Time // when this process last woke from a pause
+}
+
+func (s *standing) update(now time.Time, self string, daemons []*wire.Daemon, confirmed time.Time) {
+	if !s.looked.IsZero() && now.Sub(s.looked) > pauseLimit {
+		s.woken = now
+	}
+	s.looked = now
+	s.self = self
+	s.daemons = make(map[string]*wire.Daemon, len(daemons))
+	alive := 0
+	for _, daemon := range daemons {
+		s.daemons[daemon.Id] = daemon
+		if daemon.Id == self || daemon.Standing == wire.Standing_STANDING_ALIVE {
+			alive++
+		}
+	}
+	s.most = 2*alive > len(daemons) || len(daemons) <= 1
+	s.confirmed = now.Sub(confirmed) <= confirmLife
+	s.weak = !s.confirmed && (!s.most || s.doubtful(now))
+}
+
+// doubtful reports whether a pause makes the roster untrustworthy.
+func (s *standing) doubtful(now time.Time) bool {
+	return !s.woken.IsZero() && now.Sub(s.woken) < pauseDoubt
+}
+
+func (s *standing) find(id string) (*wire.Daemon, bool) {
+	daemon, ok := s.daemons[id]
+	return daemon, ok
+}
+
+func (s *standing) dead(id string) bool {
+	daemon, ok := s.daemons[id]
+	return ok && daemon.Standing == wire.Standing_STANDING_DEAD
+}
+
+// standsIn reports whether this daemon has to stand in for a replica's gate.
+func (s *standing) standsIn(now time.Time, replica fleet.Replica, domain string, document conf.Document) bool {
+	if s.confirmed || !s.most || s.doubtful(now) || !s.dead(replica.Gate) {
+		return false
+	}
+	return s.substitute(replica.ID, domain, document) == s.self
+}
+
+// substitute returns the living daemon that comes first for a replica: one of
+// its failure domain before one of its region before any, and among these the
+// first in rendezvous order.
+func (s *standing) substitute(replica, domain string, document conf.Document) string {
+	region := document.Domains[domain].Region
+	var best string
+	var bestTier int
+	var bestWeight uint64
+	for _, id := range s.living() {
+		tier := nearness(s.daemons[id], domain, region)
+		weight := xxhash.Sum64String(replica + "/" + id)
+		if best == "" || tier < bestTier || (tier == bestTier && weight > bestWeight) {
+			best, bestTier, bestWeight = id, tier, weight
+		}
+	}
+	return best
+}
+
+// living returns the ids of the daemons that are alive, sorted.
+func (s *standing) living() []string {
+	var ids []string
+	for id, daemon := range s.daemons {
+		if id == s.self || daemon.Standing == wire.Standing_STANDING_ALIVE {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// nearness is 0 for a daemon of the failure domain, 1 for one of the region
+// and 2 for any other.
+func nearness(daemon *wire.Daemon, domain, region string) int {
+	switch {
+	case daemon.Domain == domain:
+		return 0
+	case daemon.Region == region:
+		return 1
+	default:
+		return 2
+	}
+}
