--- a/gate/bar.go
+++ b/gate/bar.go
@@ -9,6 +9,7 @@
 	Unnamed               // another daemon is the gate
 	NotServing            // the replica's state is another one
 	TakenOut              // operators took a member or its failure domain out
+	Waking                // this process was paused, and its view may be old
 	Silent                // a member has not answered a probe lately
 	OtherFence            // a member has another fencing number
 	OtherBoot             // a member started again
--- a/gate/bar_string.go
+++ b/gate/bar_string.go
@@ -12,17 +12,18 @@
 	_ = x[Unnamed-1]
 	_ = x[NotServing-2]
 	_ = x[TakenOut-3]
-	_ = x[Silent-4]
-	_ = x[OtherFence-5]
-	_ = x[OtherBoot-6]
-	_ = x[NotReady-7]
-	_ = x[PriorGate-8]
-	_ = x[Unreported-9]
+	_ = x[Waking-4]
+	_ = x[Silent-5]
+	_ = x[OtherFence-6]
+	_ = x[OtherBoot-7]
+	_ = x[NotReady-8]
+	_ = x[PriorGate-9]
+	_ = x[Unreported-10]
 }
 
-const _Bar_name = "OpenUnnamedNotServingTakenOutSilentOtherFenceOtherBootNotReadyPriorGateUnreported"
+const _Bar_name = "OpenUnnamedNotServingTakenOutWakingSilentOtherFenceOtherBootNotReadyPriorGateUnreported"
 
-var _Bar_index = [...]uint8{0, 4, 11, 21, 29, 35, 45, 54, 62, 71, 81}
+var _Bar_index = [...]uint8{0, 4, 11, 21, 29, 35, 41, 51, 60, 68, 77, 87}
 
 func (i Bar) String() string {
 	idx := int(i) - 0
--- a/gate/core.go
+++ b/gate/core.go
@@ -11,16 +11,17 @@
 
 // Setup is what the view and the roster say of a replica.
 type Setup struct {
-	Replica  fleet.Replica
-	Serving  bool // the replica's state is that of one that serves
-	TakenOut bool // a member or its failure domain is out of service
-	Named    bool // this daemon is the gate
-	Interim  bool // this daemon stands in for the gate, which is dead
-	Weak     bool // another gate may stand, so only half of the limit is used
-	Ramp     conf.Ramp
-	Limits   conf.Limits
-	Accounts map[string]conf.Account
-	Parts    map[string]float64 // of each account's rate that this replica may use
+	Replica   fleet.Replica
+	Confirmed time.Time // when the store last vouched for the view
+	Serving   bool      // the replica's state is that of one that serves
+	TakenOut  bool      // a member or its failure domain is out of service
+	Named     bool      // this daemon is the gate
+	Interim   bool      // this daemon stands in for the gate, which is dead
+	Weak      bool      // another gate may stand, so only half of the limit is used
+	Ramp      conf.Ramp
+	Limits    conf.Limits
+	Accounts  map[string]conf.Account
+	Parts     map[string]float64 // of each account's rate that this replica may use
 }
 
 // Answer is the answer to an Ask.
@@ -33,6 +34,8 @@
 // return the answers that fall due. It is not safe for concurrent use.
 type Core struct {
 	setup   Setup
+	set     time.Time // when Set was last called
+	woken   time.Time // when the core was last told of a view after a pause
 	members []member
 	claim   claim
 	ledger  ledger
@@ -74,6 +77,10 @@
 
 // Set tells the core of a new view or roster.
 func (c *Core) Set(now time.Time, setup Setup) []Answer {
+	if !c.set.IsZero() && now.Sub(c.set) > pauseLimit {
+		c.woken = now
+	}
+	c.set = now
 	regained := c.setup.Weak && !setup.Weak
 	c.setup = setup
 	c.members = match(c.members, setup.Replica.Members)
@@ -168,6 +175,9 @@
 	case c.setup.TakenOut:
 		return TakenOut
 	}
+	if c.asleep(now) {
+		return Waking
+	}
 	for i := range c.members {
 		if bar := c.members[i].bar(now, c.setup.Replica.Fence); bar != Open {
 			return bar
@@ -182,6 +192,19 @@
 	return Open
 }
 
+// asleep reports whether the view may be old, because this process was paused:
+// from then until the store vouched for the view, or the peers have had the
+// time to bring a newer one.
+func (c *Core) asleep(now time.Time) bool {
+	if now.Sub(c.set) > pauseLimit {
+		return true
+	}
+	if c.woken.IsZero() || c.setup.Confirmed.After(c.woken) {
+		return false
+	}
+	return now.Sub(c.woken) < wakeWait
+}
+
 // advance moves the claim on.
 func (c *Core) advance(now time.Time) {
 	if !c.setup.Named && !c.setup.Interim {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"clementinehead.example/chead/chart"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/view"
 	"clementinehead.example/chead/wire"
@@ -107,9 +108,10 @@
 	now := time.Now()
 	v := g.options.View()
 	daemons := g.options.Daemons()
+	confirmed := g.options.Confirmed()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.standing.update(now, g.options.Self, daemons, g.options.Confirmed())
+	g.standing.update(now, g.options.Self, daemons, confirmed)
 	g.parts.update(v)
 	g.open(v, now)
 	for id, p := range g.posts {
@@ -162,22 +164,20 @@
 	named := place.Replica.Gate == g.options.Self
 	p.interim = p.interim && !named && g.standing.dead(place.Replica.Gate)
 	return Setup{
-		Replica:  place.Replica,
-		Serving:  place.Replica.State == serving,
-		TakenOut: takenOut(v, place),
-		Named:    named,
-		Interim:  p.interim,
-		Weak:     g.standing.weak,
-		Ramp:     v.Document.Capacity.Ramp,
-		Limits:   v.Document.Limits,
-		Accounts: v.Document.Accounts,
-		Parts:    g.parts.parts,
+		Replica:   place.Replica,
+		Confirmed: g.standing.confirmed,
+		Serving:   place.Replica.State == chart.Serving,
+		TakenOut:  takenOut(v, place),
+		Named:     named,
+		Interim:   p.interim,
+		Weak:      g.standing.weak,
+		Ramp:      v.Document.Capacity.Ramp,
+		Limits:    v.Document.Limits,
+		Accounts:  v.Document.Accounts,
+		Parts:     g.parts.parts,
 	}
 }
 
-// serving is the state of a replica that takes requests.
-const serving = "serving"
-
 func takenOut(v *view.View, place view.Place) bool {
 	for _, member := range place.Replica.Members {
 		if !v.InService(place.Domain, member.Instance) {
--- /dev/null
+++ b/gate/main_test.go
@@ -0,0 +1,17 @@
+package gate
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/gate/model_test.go
@@ -0,0 +1,247 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"clementinehead.example/chead/engine"
+)
+
+// action is one event of a script.
+type action struct {
+	Pause  time.Duration // before it
+	Kind   string
+	Daemon int
+	Span   time.Duration // of what ends by itself
+}
+
+// script is a drawn history.
+type script struct {
+	Seed    uint64
+	Checks  bool
+	Lag     time.Duration
+	Loss    float64
+	Actions []action
+}
+
+var kinds = []string{
+	"rename", "crash", "pause", "cut", "isolate", "store", "restart", "member", "miss", "out", "rest",
+}
+
+const modelDaemons = 3
+
+func drawScript(t *rapid.T) script {
+	span := rapid.Custom(func(t *rapid.T) time.Duration {
+		return time.Duration(rapid.IntRange(50, 8000).Draw(t, "ms")) * time.Millisecond
+	})
+	one := rapid.Custom(func(t *rapid.T) action {
+		return action{
+			Pause:  span.Draw(t, "pause") / 2,
+			Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
+			Daemon: rapid.IntRange(0, modelDaemons-1).Draw(t, "daemon"),
+			Span:   span.Draw(t, "span"),
+		}
+	})
+	return script{
+		Seed:    rapid.Uint64().Draw(t, "seed"),
+		Checks:  rapid.Bool().Draw(t, "checks"),
+		Lag:     time.Duration(rapid.IntRange(0, 990).Draw(t, "lag")) * time.Millisecond,
+		Loss:    rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss"),
+		Actions: rapid.SliceOfN(one, 3, 14).Draw(t, "actions"),
+	}
+}
+
+// play runs a script and returns the first violation and how many requests
+// were served.
+func play(s script) (string, int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := newWorld(ctx, s.Seed, modelDaemons)
+	w.mu.Lock()
+	w.checks, w.lag, w.loss = s.Checks, s.Lag, s.Loss
+	w.mu.Unlock()
+	w.group.Go(func() { w.keep() })
+	time.Sleep(5 * time.Second)
+	for _, a := range s.Actions {
+		time.Sleep(a.Pause)
+		w.act(a)
+	}
+	time.Sleep(10 * time.Second)
+	cancel()
+	w.group.Wait()
+	return w.fault, w.served
+}
+
+// act brings one event about.
+func (w *world) act(a action) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := w.daemons[a.Daemon]
+	switch a.Kind {
+	case "rename":
+		w.rename(d)
+	case "crash":
+		w.crash(d, a.Span)
+	case "pause":
+		w.pause(d, a.Span)
+	case "cut":
+		w.sever(d, w.daemons[(a.Daemon+1)%modelDaemons], a.Span)
+	case "isolate":
+		w.sever(d, w.daemons[(a.Daemon+1)%modelDaemons], a.Span)
+		w.sever(d, w.daemons[(a.Daemon+2)%modelDaemons], a.Span)
+	case "store":
+		w.store = false
+		w.later(4*a.Span, func() { w.store = true })
+	case "restart":
+		w.hosts[0].start(w.hosts[0].boot + 10)
+		w.hosts[0].state = engine.Ready // as the worst of endpoints would
+	case "member":
+		w.hosts[1].start(w.hosts[1].boot + 10)
+	case "miss":
+		h := &w.hosts[1]
+		h.missing = true
+		h.wrong[h.fence] = time.Now()
+		w.later(a.Span, func() { h.missing = false; delete(h.wrong, h.fence) })
+	case "out":
+		w.takeOut(a.Span)
+	}
+}
+
+// later does something under the lock.
+func (w *world) later(delay time.Duration, do func()) {
+	w.after(delay, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		do()
+	})
+}
+
+func (w *world) takeOut(span time.Duration) {
+	if !w.store || !w.out.IsZero() {
+		return
+	}
+	w.out = time.Now()
+	w.spread()
+	w.later(span+drainBound, func() {
+		w.out = time.Time{}
+		w.spread()
+	})
+}
+
+// rename names another gate: the members get an order with a higher number.
+func (w *world) rename(d *daemon) {
+	if !w.store || w.replica.Gate == d.id {
+		return
+	}
+	w.replica.Gate = d.id
+	w.order()
+}
+
+// order gives the members a new order and records it.
+func (w *world) order() {
+	w.replica.Fence++
+	w.replica.Members = append(w.replica.Members[:0:0], w.replica.Members...)
+	fence := w.replica.Fence
+	for i := range w.hosts {
+		h := &w.hosts[i]
+		w.replica.Members[i].Boot = h.boot
+		w.later(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), func() {
+			if h.fence < fence && !h.missing {
+				h.take(fence)
+				h.state = engine.Ready
+			}
+		})
+	}
+	w.spread()
+}
+
+func (w *world) crash(d *daemon, span time.Duration) {
+	if !d.crashed.IsZero() {
+		return
+	}
+	d.crashed = time.Now()
+	d.cancel()
+	w.later(span, func() { w.launch(d) })
+}
+
+func (w *world) pause(d *daemon, span time.Duration) {
+	if d.resume != nil {
+		return
+	}
+	d.resume = make(chan struct{})
+	w.later(span, func() {
+		close(d.resume)
+		d.resume = nil
+		for id := range d.reached {
+			d.reached[id] = time.Now() // it has not noticed yet
+		}
+	})
+}
+
+func (w *world) sever(a, b *daemon, span time.Duration) {
+	a.cut[b.id] = true
+	w.later(span, func() { delete(a.cut, b.id) })
+}
+
+// keep is the keeper: it orders members that differ from their orders, and
+// names another gate when the gate's daemon is dead.
+func (w *world) keep() {
+	for sleep(w.ctx, 500*time.Millisecond) {
+		w.mu.Lock()
+		if w.store {
+			w.vouched = time.Now()
+			w.mend()
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (w *world) mend() {
+	for i := range w.hosts {
+		h := &w.hosts[i]
+		if !h.missing && (h.boot != w.replica.Members[i].Boot || h.fence != w.replica.Fence) {
+			w.order()
+			return
+		}
+	}
+	for _, d := range w.daemons {
+		if d.id != w.replica.Gate || d.crashed.IsZero() || time.Since(d.crashed) < 3*time.Second {
+			continue
+		}
+		for _, other := range w.daemons {
+			if other.crashed.IsZero() {
+				w.rename(other)
+				return
+			}
+		}
+	}
+}
+
+// TestLimitHolds proves, over random histories of renames, crashes, pauses,
+// cuts, restarts and lost releases, that an endpoint never runs more than its
+// ramp allows, that nothing goes to a replica of which a member left its
+// order, and that nothing goes to a domain that was taken out.
+func TestLimitHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScript(rt)
+		var fault string
+		synctest.Test(t, func(*testing.T) { fault, _ = play(s) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// TestServes shows that the model serves when nothing fails.
+func TestServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fault, served := play(script{Seed: 1, Actions: []action{{Kind: "rest", Pause: 20 * time.Second}}})
+		if fault != "" || served < 100 {
+			t.Fatalf("served %d, fault %q", served, fault)
+		}
+	})
+}
+
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -1,6 +1,9 @@
 package gate
 
-import "clementinehead.example/chead/view"
+import (
+	"clementinehead.example/chead/chart"
+	"clementinehead.example/chead/view"
+)
 
 // parts is the part of each client account's rate that one replica may use:
 // an even share among the serving replicas that the account may use.
@@ -19,7 +22,7 @@
 	for key, group := range v.Document.Groups {
 		count := 0
 		for _, place := range v.Replicas(key) {
-			if place.Replica.State == serving && !takenOut(v, place) {
+			if place.Replica.State == chart.Serving && !takenOut(v, place) {
 				count++
 			}
 		}
--- a/route/router.go
+++ b/route/router.go
@@ -6,14 +6,12 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/chart"
 	"clementinehead.example/chead/fleet"
 	"clementinehead.example/chead/view"
 	"clementinehead.example/chead/wire"
 )
 
-// Serving is the state of a replica that takes requests.
-const Serving = "serving"
-
 const (
 	anchorBlocks = 4               // prefix blocks that decide a request's home
 	loadLife     = 3 * time.Second // how long a gate's word on its load counts
@@ -150,7 +148,7 @@
 }
 
 func usable(v *view.View, place view.Place) bool {
-	if place.Replica.State != Serving {
+	if place.Replica.State != chart.Serving {
 		return false
 	}
 	return !slices.ContainsFunc(place.Replica.Members, func(m fleet.Member) bool {
