--- /dev/null
+++ b/entry/job.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"clementinehead.example/chead/conf"
+	"clementinehead.example/chead/view"
+)
+
+// job is one admitted request.
+type job struct {
+	id       string // the caller's request id, or one made here
+	account  string
+	settings conf.Account
+	view     *view.View
+	accepted time.Time
+	deadline time.Time
+	priority int
+	body     []byte
+	print    string // fingerprint of account, path and body
+	once     bool   // not repeatable
+	key      string // under which it runs at most once
+	at       time.Time
+	attempt  int // 1, or more when the caller sends it again
+
+	prompt prompt // of a completion
+}
+
+// maxID bounds the length of a request id, in bytes.
+const maxID = 200
+
+// identify reads the headers that every request may carry.
+func (e *Entry) identify(j *job, r *http.Request) *Error {
+	readers := []func(*job, http.Header) *Error{
+		readID, readDeadline, readPriority, readTime, readAttempt, readRepeatable,
+	}
+	for _, read := range readers {
+		if err := read(j, r.Header); err != nil {
+			return err
+		}
+	}
+	if j.id == "" {
+		j.id = e.name()
+	}
+	if j.key == "" {
+		j.key = j.id
+	}
+	return nil
+}
