--- a/entry/code.go
+++ b/entry/code.go
@@ -31,6 +31,7 @@
 	Unkept                  // unkept
 	Reused                  // reused
 	Expired                 // expired
+	Replayed                // replayed
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Code -linecomment -output=code_string.go
@@ -77,6 +78,7 @@
 	Unkept:      {http.StatusConflict, typeRequest, "an earlier attempt ran; its answer was too large to keep"},
 	Reused:      {http.StatusUnprocessableEntity, typeRequest, "the request id stands for another body"},
 	Expired:     {http.StatusUnprocessableEntity, typeRequest, "the request's own time lies outside the window"},
+	Replayed:    {http.StatusOK, "", "an earlier attempt's answer was sent again"},
 }
 
 // statusCancelled is the usual status for a request whose caller went away. No
--- /dev/null
+++ b/entry/complete.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"clementinehead.example/chead/engine"
+	"clementinehead.example/chead/tally"
+	"clementinehead.example/chead/view"
+	"clementinehead.example/chead/wire"
+)
+
+// complete answers a completion or a chat completion.
+func (e *Entry) complete(w http.ResponseWriter, r *http.Request) {
+	j, err := e.admitCompletion(w, r)
+	if j.id != "" {
+		w.Header().Set(headerRequest, j.id)
+	}
+	if err != nil {
+		err.Ran = e.truth(j, err)
+		e.close(j, err, w, nil)
+		return
+	}
+	e.metrics.progress.Inc()
+	defer e.metrics.progress.Dec()
+	ctx, cancel := e.context(r, j)
+	defer cancel()
+	a := newAnswer(w, j, time.Duration(j.view.Document.Limits.Gap))
+	if j.once {
+		err = e.guard(ctx, j, w, a.record, func() *Error { return e.attempt(ctx, j, a) })
+	} else {
+		err = e.attempt(ctx, j, a)
+	}
+	e.close(j, err, w, a)
+}
+
+// admitCompletion reads a request and checks it. The job is never nil.
+func (e *Entry) admitCompletion(w http.ResponseWriter, r *http.Request) (*job, *Error) {
+	j, err := e.admit(w, r, false)
+	if err != nil {
+		return j, err
+	}
+	p, body, err := parsePrompt(j.body, j.view.Document.Limits)
+	if err != nil {
+		return j, err
+	}
+	text, _ := engine.Prompt(j.body) // no prefix where the prompt isn't text
+	p.prefix = engine.Blocks(text)
+	j.prompt = p
+	j.body = body
+	return j, offers(j.view, j.account, p.model)
+}
+
+// admit reads what all requests have in common. Once says whether they are
+// not repeatable unless a caller says otherwise.
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request, once bool) (*job, *Error) {
+	j := &job{view: e.options.View(), accepted: time.Now(), path: r.URL.Path, once: once}
+	account, ok := e.keys.account(j.view, r)
+	if !ok {
+		return j, reject("admit", BadKey, nil)
+	}
+	j.account = account
+	j.settings = j.view.Document.Accounts[account]
+	if err := e.identify(j, r); err != nil {
+		return j, err
+	}
+	if err := readBody(j, w, r); err != nil {
+		return j, err
+	}
+	j.print = fingerprint(account, r.Method+" "+r.URL.RequestURI(), j.body)
+	return j, nil
+}
+
+// offers tells a model that an account may not use from one that there isn't.
+func offers(v *view.View, account, model string) *Error {
+	if len(v.Offers(account, model)) > 0 {
+		return nil
+	}
+	for key, group := range v.Document.Groups {
+		if model == key || model == view.Offer(group) {
+			return reject("admit", NotAllowed, fmt.Errorf("model %q", model))
+		}
+	}
+	return reject("admit", NoModel, fmt.Errorf("model %q", model))
+}
+
+// context ends with the job's deadline, and with the caller's connection where
+// the job may be repeated. A not-repeatable one goes on without its caller.
+func (e *Entry) context(r *http.Request, j *job) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if j.once {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, j.deadline)
+}
+
+// over returns an error where nobody waits for a job any more.
+func (e *Entry) over(ctx context.Context, j *job) *Error {
+	if j.late() {
+		return reject("admit", Timeout, nil)
+	}
+	if ctx.Err() != nil {
+		return reject("admit", Cancelled, nil)
+	}
+	return nil
+}
+
+// attempt dispatches a job, and dispatches it again where that is right.
+func (e *Entry) attempt(ctx context.Context, j *job, a *answer) *Error {
+	e.budget.earn(j.account, j.view.Document.Limits.Retries)
+	t := &trial{entry: e, job: j, answer: a, avoid: map[string]bool{}}
+	for {
+		err := t.once(ctx)
+		if err == nil || !t.again(ctx, err) {
+			return err
+		}
+		e.metrics.retries.WithLabelValues(err.Kind.String()).Inc()
+		a.restart()
+	}
+}
+
+// trial is what is known of a job over all its dispatches.
+type trial struct {
+	entry   *Entry
+	job     *job
+	answer  *answer
+	avoid   map[string]bool // replicas that failed it
+	crashes []string        // that it stood in
+	ran     engine.Ran      // the most that any dispatch did
+}
+
+// once makes one dispatch.
+func (t *trial) once(ctx context.Context) *Error {
+	p, err := t.entry.acquire(ctx, t.job, t.crashes, t.avoid)
+	if err != nil {
+		return t.word(err)
+	}
+	if p.stale() {
+		t.entry.releaseLater(t.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
+		return t.word(unavailable(errNobody))
+	}
+	o := t.entry.dispatch(ctx, t.job, p, t.answer)
+	t.place(p)
+	if o.err == nil {
+		t.entry.releaseLater(t.job, p, o)
+		return nil
+	}
+	t.avoid[p.place.Replica.ID] = true
+	if o.ending == wire.Ending_ENDING_CRASHED {
+		t.strike(ctx, p, o)
+	} else {
+		t.entry.releaseLater(t.job, p, o)
+	}
+	return t.word(o.err)
+}
+
+// word makes an error say what is true of all dispatches.
+func (t *trial) word(err *Error) *Error {
+	t.ran = max(t.ran, err.Ran)
+	err.Ran = t.ran
+	return err
+}
+
+// place notes for the report what the job was dispatched to.
+func (t *trial) place(p *permit) {
+	t.job.prompt.adapter = p.place.Replica.Adapter
+	t.job.prompt.version = p.place.Replica.Version
+	t.job.prompt.served = p.place.Replica.Model
+}
+
+// strike tells the gate of a crash at once, since what it answers decides
+// whether and how the job runs again.
+func (t *trial) strike(ctx context.Context, p *permit, o outcome) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askLimit)
+	defer cancel()
+	response, err := t.entry.release(ctx, t.job, p, o)
+	if err != nil {
+		t.entry.releaseLater(t.job, p, o)
+		t.crashes = append(t.crashes, p.place.Replica.ID)
+		return
+	}
+	t.crashes = response.GetCrashes()
+	if len(t.crashes) == 0 {
+		t.crashes = []string{p.place.Replica.ID}
+	}
+}
+
+// maxCrashes is the number of crashes after which a request isn't run again.
+const maxCrashes = 2
+
+// again reports whether a job may be dispatched again after an error: nothing
+// was sent to the caller, it did not run or may be repeated, and there is time
+// and budget left.
+func (t *trial) again(ctx context.Context, err *Error) bool {
+	switch {
+	case ctx.Err() != nil || t.answer.begun:
+		return false
+	case t.ran != engine.No && t.job.once:
+		return false
+	case err.Op == "acquire", err.Kind == BadRequest:
+		return false
+	case len(t.crashes) >= maxCrashes:
+		return false
+	default:
+		return t.entry.budget.spend(t.job.account)
+	}
+}
+
+// close sends an error, where there is one, and counts the request.
+func (e *Entry) close(j *job, err *Error, w http.ResponseWriter, a *answer) {
+	if a == nil && err != nil {
+		refuse(w, err, j.id)
+	}
+	if a == nil && j.account == "" {
+		return
+	}
+	if a == nil {
+		a = &answer{}
+	} else {
+		err = a.end(err)
+	}
+	e.count(tally.Sample{
+		Account: j.account,
+		Model:   j.prompt.name(),
+		Adapter: j.prompt.adapter,
+		Version: j.prompt.version,
+		Tokens:  a.times.tokens,
+		First:   a.times.first,
+		Gaps:    a.times.gaps,
+	}, err)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/engine"
+	"clementinehead.example/chead/once"
+	"clementinehead.example/chead/tally"
+	"clementinehead.example/chead/view"
+	"clementinehead.example/chead/wire"
+)
+
+// Options are what an Entry depends on. All are needed but those that say
+// otherwise.
+type Options struct {
+	Self    string // id of this daemon
+	Domain  string // failure domain of this daemon
+	Boot    uint64 // of this daemon
+	View    func() *view.View
+	Daemons func() []*wire.Daemon
+	Order   func(v *view.View, account, model string, prefix []uint64, domain string) []view.Place
+	Observe func(replica string, response *wire.AcquireResponse) // nil for nothing
+	Gate    func(address string) wire.GateClient                 // by peer address
+	Interim func(replica string) []string                        // daemons to ask where the gate is out of reach; nil for none
+	Engine  *engine.Client
+	Plain   func(*http.Request) (*http.Response, error) // to plain services
+	// Fresh sends what is not repeatable. It uses each connection once, so
+	// that no transport sends a request twice. Nil stands for a transport
+	// made by NewTransport.
+	Fresh    func(*http.Request) (*http.Response, error)
+	Once     *once.Book
+	Count    func(tally.Sample)
+	Log      logr.Logger
+	Registry prometheus.Registerer
+	Rand     *rand.Rand
+}
+
+// Entry is the handler of callers' requests.
+type Entry struct {
+	options Options
+	fresh   *engine.Client // uses each connection once
+	warm    *engine.Client
+	keys    keyring
+	budget  *budget
+	loads   *loads
+	metrics *metrics
+	seen    *seen
+	names   atomic.Uint64
+	leaving atomic.Bool
+	work    sync.WaitGroup // what goes on behind an answer
+	mu      sync.Mutex     // for server, random numbers and until
+	server  *http.Server
+	until   time.Time // up to which answers that name this daemon hold
+}
+
+// New returns an Entry.
+func New(options Options) *Entry {
+	if options.Fresh == nil {
+		options.Fresh = NewTransport(true).RoundTrip
+	}
+	e := &Entry{
+		options: options,
+		budget:  newBudget(),
+		loads:   newLoads(),
+		metrics: newMetrics(options.Registry),
+		seen:    newSeen(),
+	}
+	e.warm = &engine.Client{Do: options.Engine.Do, Limits: e.silence}
+	e.fresh = &engine.Client{Do: options.Fresh, Limits: e.silence}
+	return e
+}
+
+// silence returns the limits on the silence of endpoints in force.
+func (e *Entry) silence() engine.Limits {
+	limits := e.options.View().Document.Limits
+	return engine.Limits{First: time.Duration(limits.First), Gap: time.Duration(limits.Gap)}
+}
+
+// The paths of the callers' interface.
+const (
+	pathEntries     = "/v1/entries"
+	pathModels      = "/v1/models"
+	pathCompletions = "/v1/completions"
+	pathChat        = "/v1/chat/completions"
+	pathServices    = "/services/"
+)
+
+// ServeHTTP answers one request. Paths are compared as they are: none is
+// cleaned, so that no two of them mean the same.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	switch path := r.URL.EscapedPath(); {
+	case path == pathEntries:
+		only(http.MethodGet, e.entries)(w, r)
+	case path == pathModels:
+		only(http.MethodGet, e.models)(w, r)
+	case path == pathCompletions, path == pathChat:
+		only(http.MethodPost, e.complete)(w, r)
+	case strings.HasPrefix(path, pathServices):
+		e.service(w, r)
+	default:
+		refuse(w, reject("admit", BadPath, nil), "")
+	}
+}
+
+// only lets one method pass.
+func only(method string, handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != method {
+			w.Header().Set("Allow", method)
+			refuse(w, reject("admit", BadMethod, nil), "")
+			return
+		}
+		handle(w, r)
+	}
+}
+
+// name makes an id that no other daemon or boot makes.
+func (e *Entry) name() string {
+	number := strconv.FormatUint(e.names.Add(1), 36)
+	return e.options.Self + "-" + strconv.FormatUint(e.options.Boot, 36) + "-" + number
+}
+
+func (e *Entry) shuffle(addresses []Address) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.options.Rand.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+}
+
+// later runs a function that the caller does not wait for. Shutdown does.
+func (e *Entry) later(limit time.Duration, work func(ctx context.Context)) {
+	e.work.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		work(ctx)
+	})
+}
--- a/entry/job.go
+++ b/entry/job.go
@@ -17,6 +17,7 @@
 	accepted time.Time
 	deadline time.Time
 	priority int
+	path     string
 	body     []byte
 	print    string // fingerprint of account, path and body
 	once     bool   // not repeatable
@@ -27,6 +28,12 @@
 	prompt prompt // of a completion
 }
 
+// late reports whether the deadline has passed.
+func (j *job) late() bool { return !time.Now().Before(j.deadline) }
+
+// record names the job's at-most-once record among those of all accounts.
+func (j *job) record() string { return j.account + "\x00" + j.key }
+
 // maxID bounds the length of a request id, in bytes.
 const maxID = 200
 
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/tally"
+)
+
+// metrics are the counters of a daemon's callers' interface. Client accounts
+// are not among the labels; the report is made from package tally.
+type metrics struct {
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	resumes  prometheus.Counter
+	progress prometheus.Gauge
+	first    prometheus.Histogram
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chead_entry_requests_total",
+			Help: "Requests that had their final answer, by outcome.",
+		}, []string{"outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chead_entry_retries_total",
+			Help: "Dispatches that were made again, by the code of the failure before.",
+		}, []string{"code"}),
+		resumes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chead_entry_resumes_total",
+			Help: "Streams that were resumed on a new connection.",
+		}),
+		progress: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chead_entry_requests_in_progress",
+			Help: "Requests admitted and not yet answered.",
+		}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "chead_entry_first_token_seconds",
+			Help:    "Time from acceptance to the first token.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.requests, m.retries, m.resumes, m.progress, m.first)
+	}
+	return m
+}
+
+// count notes a request that had its final answer.
+func (m *metrics) count(sample tally.Sample) {
+	m.requests.WithLabelValues(sample.Outcome).Inc()
+	if sample.First > 0 {
+		m.first.Observe(float64(sample.First) / float64(time.Second))
+	}
+}
--- /dev/null
+++ b/entry/permit.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"clementinehead.example/chead/engine"
+	"clementinehead.example/chead/view"
+	"clementinehead.example/chead/wire"
+)
+
+const (
+	maxAsks     = 4                      // replicas that are asked for a permit that is free at once
+	maxInterim  = 2                      // daemons that are asked where a gate is out of reach
+	askLimit    = 2 * time.Second        // beyond the wait, for an answer
+	validSpare  = 50 * time.Millisecond  // of a permit's validity that is not used
+	defaultBack = time.Second            // when to come back where no gate said so
+	maxRelease  = 5 * time.Second        // for telling a gate of an ending
+	releases    = 3                      // attempts at it
+	releaseWait = 200 * time.Millisecond // between them
+)
+
+// permit is the right to dispatch one request to one endpoint.
+type permit struct {
+	place  view.Place
+	gate   wire.GateClient
+	number uint64
+	fence  uint64
+	target string // host:port of the endpoint
+	until  time.Time
+	alone  bool
+}
+
+// errNobody is the cause where no replica may be asked.
+var errNobody = errors.New("no replica serves")
+
+// hunt is the search for one permit.
+type hunt struct {
+	entry   *Entry
+	job     *job
+	crashes []string // that the request stood in, as gates name them
+	back    time.Duration
+	busy    bool
+}
+
+// acquire asks the gates of the replicas in turn for a permit. Replicas in
+// avoid are asked last.
+func (e *Entry) acquire(ctx context.Context, j *job, crashes []string, avoid map[string]bool) (*permit, *Error) {
+	v := e.options.View()
+	places := e.options.Order(v, j.account, j.prompt.model, j.prompt.prefix, e.options.Domain)
+	places = last(places, avoid)
+	if len(places) == 0 {
+		return nil, unavailable(errNobody)
+	}
+	h := &hunt{entry: e, job: j, crashes: crashes}
+	for _, place := range places[:min(len(places), maxAsks)] {
+		p, err := h.ask(ctx, place, 0)
+		if p != nil || err != nil {
+			return p, err
+		}
+	}
+	return h.wait(ctx, places[0], time.Duration(v.Document.Limits.Wait))
+}
+
+// last puts the places to be avoided behind the others.
+func last(places []view.Place, avoid map[string]bool) []view.Place {
+	var first, rest []view.Place
+	for _, place := range places {
+		if avoid[place.Replica.ID] {
+			rest = append(rest, place)
+		} else {
+			first = append(first, place)
+		}
+	}
+	return append(first, rest...)
+}
+
+// wait asks the best replica again and queues at its gate, where all are busy
+// and the queue is known to move in time.
+func (h *hunt) wait(ctx context.Context, place view.Place, most time.Duration) (*permit, *Error) {
+	if !h.busy {
+		return nil, unavailable(errNobody)
+	}
+	most = min(most, time.Until(h.job.deadline))
+	if most > 0 && h.back <= most {
+		p, err := h.ask(ctx, place, most)
+		if p != nil || err != nil {
+			return p, err
+		}
+	}
+	err := reject("acquire", Busy, nil)
+	err.Retry = max(h.back, defaultBack)
+	return nil, err
+}
+
+func unavailable(cause error) *Error {
+	err := reject("acquire", Unavailable, cause)
+	err.Retry = defaultBack
+	return err
+}
+
+// ask asks for a permit of one replica. It returns neither a permit nor an
+// error where another replica may be asked.
+func (h *hunt) ask(ctx context.Context, place view.Place, wait time.Duration) (*permit, *Error) {
+	for _, address := range h.entry.gates(place) {
+		if err := h.entry.over(ctx, h.job); err != nil {
+			return nil, err
+		}
+		gate := h.entry.options.Gate(address)
+		asked := time.Now()
+		response, err := h.call(ctx, gate, place, wait)
+		if err != nil {
+			continue
+		}
+		h.entry.observe(place, response)
+		if response.GetVerdict() == wire.Verdict_VERDICT_NOT_GATE {
+			continue
+		}
+		return h.judge(place, gate, asked, response)
+	}
+	return nil, nil
+}
+
+func (h *hunt) call(ctx context.Context, gate wire.GateClient, place view.Place, wait time.Duration) (*wire.AcquireResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+askLimit)
+	defer cancel()
+	j := h.job
+	return gate.Acquire(ctx, &wire.AcquireRequest{
+		Replica:     place.Replica.ID,
+		Daemon:      h.entry.options.Self,
+		Boot:        h.entry.options.Boot,
+		Request:     j.id,
+		Account:     j.account,
+		Priority:    int32(j.priority),
+		Wait:        durationpb.New(wait),
+		Tokens:      uint32(j.prompt.tokens),
+		Prefix:      j.prompt.prefix,
+		Alone:       len(h.crashes) > 0,
+		Fingerprint: short(j.print),
+		Crashes:     h.crashes,
+	})
+}
+
+// short returns the first 64 bits of a fingerprint.
+func short(print string) uint64 {
+	data, err := hex.DecodeString(print)
+	if err != nil || len(data) < 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(data)
+}
+
+// judge turns a gate's answer into a permit, a final error or neither.
+func (h *hunt) judge(place view.Place, gate wire.GateClient, asked time.Time, response *wire.AcquireResponse) (*permit, *Error) {
+	switch response.GetVerdict() {
+	case wire.Verdict_VERDICT_GRANTED:
+		return h.check(place, gate, asked, response), nil
+	case wire.Verdict_VERDICT_THROTTLED:
+		err := reject("acquire", Throttled, text(response))
+		err.Retry = max(response.GetRetryAfter().AsDuration(), defaultBack)
+		return nil, err
+	case wire.Verdict_VERDICT_SUSPECT:
+		// Attempts before this one ran, if only in part.
+		return nil, &Error{Op: "acquire", Kind: Suspect, Ran: engine.Unknown, Err: text(response)}
+	case wire.Verdict_VERDICT_BUSY:
+		h.note(response.GetRetryAfter().AsDuration())
+	}
+	return nil, nil
+}
+
+// note remembers the shortest time after which coming back helps.
+func (h *hunt) note(back time.Duration) {
+	if !h.busy || back < h.back {
+		h.back = back
+	}
+	h.busy = true
+}
+
+func text(response *wire.AcquireResponse) error {
+	if response.GetReason() == "" {
+		return nil
+	}
+	return errors.New(response.GetReason())
+}
+
+// check returns a permit that is valid for a while yet, counted from before it
+// was asked for; one that isn't is given back.
+func (h *hunt) check(place view.Place, gate wire.GateClient, asked time.Time, response *wire.AcquireResponse) *permit {
+	p := &permit{
+		place:  place,
+		gate:   gate,
+		number: response.GetPermit(),
+		fence:  response.GetFence(),
+		target: response.GetAddress(),
+		until:  asked.Add(response.GetValidity().AsDuration()),
+		alone:  response.GetAlone() || len(h.crashes) > 0,
+	}
+	if p.stale() {
+		h.entry.releaseLater(h.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
+		h.note(0)
+		return nil
+	}
+	return p
+}
+
+// stale reports whether a permit may no longer be used. The times compared are
+// monotonic.
+func (p *permit) stale() bool { return time.Until(p.until) < validSpare }
+
+// gates returns the peer addresses to ask for a permit: that of the replica's
+// gate, and those of the daemons that stand in for it.
+func (e *Entry) gates(place view.Place) []string {
+	ids := []string{place.Replica.Gate}
+	if e.options.Interim != nil {
+		ids = append(ids, e.options.Interim(place.Replica.ID)...)
+	}
+	var addresses []string
+	for _, id := range ids[:min(len(ids), 1+maxInterim)] {
+		if address, ok := e.peer(id); ok {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+func (e *Entry) peer(id string) (string, bool) {
+	for _, d := range e.options.Daemons() {
+		if d.GetId() == id && d.GetStanding() != wire.Standing_STANDING_DEAD {
+			return d.GetPeerAddress(), true
+		}
+	}
+	return "", false
+}
+
+func (e *Entry) observe(place view.Place, response *wire.AcquireResponse) {
+	if e.options.Observe != nil {
+		e.options.Observe(place.Replica.ID, response)
+	}
+}
+
+// release tells the gate how a dispatch ended, and returns what the gate knows
+// of the request.
+func (e *Entry) release(ctx context.Context, j *job, p *permit, o outcome) (*wire.ReleaseResponse, error) {
+	ended := time.Now()
+	var failed error
+	for range releases {
+		response, err := p.gate.Release(ctx, &wire.ReleaseRequest{
+			Replica:    p.place.Replica.ID,
+			Daemon:     e.options.Self,
+			Permit:     p.number,
+			Request:    j.id,
+			Ending:     o.ending,
+			FirstToken: durationpb.New(o.first),
+			Tokens:     uint32(o.tokens),
+			Age:        durationpb.New(time.Since(ended)),
+		})
+		if err == nil {
+			return response, nil
+		}
+		failed = err
+		if !pause(ctx, releaseWait) {
+			break
+		}
+	}
+	return nil, fmt.Errorf("release: %w", failed)
+}
+
+// releaseLater ends a dispatch without keeping the caller waiting. A request
+// whose cancellation the endpoint doesn't confirm may still be running.
+func (e *Entry) releaseLater(j *job, p *permit, o outcome) {
+	e.later(maxCancel+maxRelease, func(ctx context.Context) {
+		if o.cancel != nil && !o.cancel() {
+			o.ending = wire.Ending_ENDING_BROKEN
+		}
+		_, _ = e.release(ctx, j, p, o) // the gate lets a silent permit lapse
+	})
+}
+
+// pause waits and reports whether the context still holds.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -15,6 +15,17 @@
 	model  string
 	stream bool
 	tokens int // the most that the answer may have
+	prefix []uint64
+
+	served, adapter, version string // of the replica that it was last dispatched to
+}
+
+// name returns the model for the report.
+func (p prompt) name() string {
+	if p.served != "" {
+		return p.served
+	}
+	return p.model
 }
 
 var (
--- /dev/null
+++ b/entry/shutdown.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	maxReadHeader = 10 * time.Second // for a request's headers
+	maxIdleCaller = 2 * time.Minute  // between two requests on a connection
+	maxSpread     = 5 * time.Second  // until all daemons know that one is leaving
+)
+
+// Serve takes callers' connections until Shutdown. It returns nil after that.
+func (e *Entry) Serve(l net.Listener) error {
+	server := &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: maxReadHeader,
+		IdleTimeout:       maxIdleCaller,
+		MaxHeaderBytes:    maxHeader,
+	}
+	e.mu.Lock()
+	e.server = server
+	e.mu.Unlock()
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// hold notes that an answer which may name this daemon holds for a while.
+func (e *Entry) hold(d time.Duration) {
+	until := time.Now().Add(d)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until.After(e.until) {
+		e.until = until
+	}
+}
+
+// Shutdown ends the callers' interface without cutting off a request. It stops
+// naming this daemon, goes on taking connections until the answers that named
+// it have run out, stops listening, and waits for what is in progress, and for
+// what goes on behind answers. The daemon tells its peers that it is leaving
+// before the call. The error is the context's where that ends first.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.leaving.Store(true)
+	hold := time.Duration(e.options.View().Document.Limits.Entries)
+	e.hold(maxSpread + hold)
+	e.mu.Lock()
+	until, server := e.until, e.server
+	e.mu.Unlock()
+	if !pause(ctx, time.Until(until)) {
+		return ctx.Err()
+	}
+	if server != nil {
+		if err := server.Shutdown(ctx); err != nil {
+			return err
+		}
+	}
+	return e.wait(ctx)
+}
+
+// wait waits for what goes on behind answers.
+func (e *Entry) wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		e.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/entry/target.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"errors"
+	"net/url"
+	"strings"
+)
+
+var errPath = errors.New("a path segment is empty, a dot segment, or hides a separator")
+
+// target is what a path under /services/ names.
+type target struct {
+	service string
+	path    string // as it goes to the service, escaped
+}
+
+// parseTarget reads an escaped path. Paths that two parsers may read in two
+// ways are refused: dot segments, empty segments, and escaped separators.
+func parseTarget(escaped string) (target, error) {
+	rest := strings.TrimPrefix(escaped, pathServices)
+	name, path, _ := strings.Cut(rest, "/")
+	service, err := url.PathUnescape(name)
+	if err != nil || !clear(service) {
+		return target{}, errPath
+	}
+	segments := strings.Split(path, "/")
+	for i, segment := range segments {
+		if segment == "" && i == len(segments)-1 {
+			break
+		}
+		plain, err := url.PathUnescape(segment)
+		if err != nil || !clear(plain) {
+			return target{}, errPath
+		}
+	}
+	return target{service: service, path: "/" + path}, nil
+}
+
+// clear reports whether a segment, unescaped, can be read in one way only.
+func clear(segment string) bool {
+	if segment == "" || segment == "." || segment == ".." {
+		return false
+	}
+	return !strings.ContainsAny(segment, "/\\%;\x00\r\n")
+}
