--- a/entry/answer.go
+++ b/entry/answer.go
@@ -80,7 +80,9 @@
 
 // add takes the next chunk.
 func (a *answer) add(chunk engine.Chunk) error {
-	a.times.note()
+	if isToken(chunk.Data) {
+		a.times.note()
+	}
 	if !a.stream {
 		return a.whole.add(chunk.Data)
 	}
@@ -89,6 +91,10 @@
 	return a.data(chunk.Data)
 }
 
+// isToken tells an event that brings a token from one that only tells of the
+// usage.
+func isToken(data []byte) bool { return !bytes.Contains(data, []byte(`"choices":[]`)) }
+
 // data ends the event that is being made with its data, and sends it.
 func (a *answer) data(data []byte) error {
 	a.event = append(a.event, "\ndata: "...)
--- a/entry/header.go
+++ b/entry/header.go
@@ -9,7 +9,7 @@
 	headerAttempt    = "X-Attempt"       // 2 and more when a request is sent again
 	headerDeadline   = "X-Deadline"      // RFC 3339 or a duration such as "2.5s"
 	headerPriority   = "X-Priority"      // a whole number, higher goes first
-	headerAccount    = "X-Account" // to plain services: the client account
+	headerAccount    = "X-Account"       // to plain services: the client account
 	headerRan        = "X-Ran"
 	headerReplayed   = "X-Replayed" // "yes" on the kept answer of an earlier attempt
 )
