Keep usage of daemons that are gone at two peers

Cause: TestReportEqualsCallersCount, found that the counts of a daemon that closed during a store outage vanished without a gap when its holder shut down too: the holder held the only copy. Ruled out: the merge (the sheet was whole) and the final write (the store was down). Change: a holder passes sheets of daemons that are gone to a second peer and leaves all it holds to a peer when it shuts down.

--- a/tally/holder.go
+++ b/tally/holder.go
@@ -45,7 +45,7 @@
 	metrics metrics
 
 	mutex  sync.Mutex
-	held   map[Boot]*wire.Sheet // sheets of peers
+	held   map[Boot]*holding    // sheets of peers
 	holder string               // peer that holds this daemon's sheet
 	acked  uint64               // sequence that it holds without a gap
 	kept   time.Time            // when a peer or the store last took a sheet of this boot
@@ -57,7 +57,7 @@
 	return &Holder{
 		options: o,
 		metrics: newMetrics(o.Registry),
-		held:    map[Boot]*wire.Sheet{},
+		held:    map[Boot]*holding{},
 		pages:   map[string]*page{},
 	}
 }
@@ -100,6 +100,7 @@
 		case <-holds.C:
 			h.hold(ctx)
 			h.adopt()
+			h.passOn(ctx)
 		case <-flushes.C:
 			flushes.Reset(flushEvery)
 			h.flush(ctx)
@@ -119,6 +120,7 @@
 	defer cancel()
 	h.hold(ctx)
 	h.flush(ctx)
+	h.bequeath(ctx)
 }
 
 // hold sends the peer in charge what changed since its last sheet. A peer that
@@ -202,11 +204,11 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known := h.held[boot]
-	if !Follows(known, sheet) {
+	if !Follows(known.get(), sheet) {
 		return &wire.HoldResponse{}, nil
 	}
-	h.held[boot] = succeed(known, sheet)
-	return &wire.HoldResponse{Sequence: h.held[boot].Sequence}, nil
+	h.held[boot] = &holding{sheet: succeed(known.get(), sheet), copy: request.Copy}
+	return &wire.HoldResponse{Sequence: h.held[boot].sheet.Sequence}, nil
 }
 
 // succeed returns what is to be held after a sheet came. A whole sheet takes
@@ -231,8 +233,8 @@
 	sheets := []*wire.Sheet{cut(own, request.From, request.Until)}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	for _, sheet := range h.held {
-		sheets = append(sheets, cut(sheet, request.From, request.Until))
+	for _, held := range h.held {
+		sheets = append(sheets, cut(held.sheet, request.From, request.Until))
 	}
 	return &wire.CollectResponse{Sheets: sheets}, nil
 }
@@ -245,26 +247,3 @@
 	})
 	return part
 }
-
-// adopt marks the held sheets of daemons that are gone, so that they are
-// flushed in their stead.
-func (h *Holder) adopt() {
-	standing := map[string]*wire.Daemon{}
-	for _, d := range h.options.Daemons() {
-		standing[d.Id] = d
-	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	for boot, sheet := range h.held {
-		if sheet.Ended == 0 && gone(boot, standing[boot.Daemon]) {
-			sheet.Ended = time.Now().UnixNano()
-		}
-	}
-}
-
-func gone(boot Boot, d *wire.Daemon) bool {
-	if d == nil {
-		return true
-	}
-	return d.Boot > boot.Boot || d.Standing == wire.Standing_STANDING_DEAD
-}
--- /dev/null
+++ b/tally/holder_test.go
@@ -0,0 +1,221 @@
+package tally
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/store"
+	"clementinehead.example/chead/wire"
+)
+
+// The cases that the properties draw.
+const (
+	seed   = "20261203"
+	checks = "40"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// action is one step of a random history.
+type action struct {
+	what   string
+	daemon int
+	pause  time.Duration
+}
+
+func actions() *rapid.Generator[[]action] {
+	one := rapid.Custom(func(t *rapid.T) action {
+		return action{
+			what:   rapid.SampledFrom([]string{"answer", "answer", "answer", "kill", "down", "up", "lose", "close"}).Draw(t, "what"),
+			daemon: rapid.IntRange(0, 2).Draw(t, "daemon"),
+			pause:  time.Duration(rapid.IntRange(0, 40_000).Draw(t, "pause")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 25)
+}
+
+// answer is a request that a caller had answered.
+type answer struct {
+	boot Boot
+	at   time.Time
+}
+
+// fleet is three daemons' tallies on an in-memory network, with the callers'
+// own count of what they were answered.
+type fleet struct {
+	network *fakes.Network
+	store   *fakes.Store
+	daemons [3]*member
+	answers []answer
+}
+
+type member struct {
+	id     string
+	boot   uint64
+	tally  *Tally
+	holder *Holder
+	server interface{ Close() error }
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newFleet() *fleet {
+	f := &fleet{network: fakes.NewNetwork(), store: fakes.NewStore()}
+	f.network.Serve("store:80", f.store)
+	for i := range f.daemons {
+		f.start(i)
+	}
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+func (f *fleet) start(i int) {
+	now := time.Now()
+	m := &member{id: fmt.Sprintf("d%d", i), boot: uint64(now.UnixNano()), done: make(chan struct{})}
+	client := f.network.Client(m.id)
+	m.tally = New(Boot{m.id, m.boot}, now)
+	m.holder = NewHolder(Options{
+		Self:     m.id,
+		Boot:     m.boot,
+		Domain:   m.id,
+		Tally:    m.tally,
+		Store:    store.New("http://store:80", client.Do),
+		Daemons:  f.roster,
+		Client:   func(address string) wire.TallyClient { return wire.NewTallyClient(client, "http://"+address) },
+		Log:      logr.Discard(),
+		Registry: prometheus.NewRegistry(),
+	})
+	_, handler := wire.NewTallyHandler(m.holder)
+	m.server = f.network.Serve(m.id+":80", handler)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.done)
+		_ = m.holder.Run(ctx)
+	}()
+	f.daemons[i] = m
+}
+
+func (f *fleet) roster() []*wire.Daemon {
+	var daemons []*wire.Daemon
+	for _, m := range f.daemons {
+		if m == nil {
+			continue
+		}
+		daemons = append(daemons, &wire.Daemon{
+			Id: m.id, Boot: m.boot, Domain: m.id, PeerAddress: m.id + ":80",
+			Standing: wire.Standing_STANDING_ALIVE,
+		})
+	}
+	return daemons
+}
+
+// stop ends a daemon: a killed one says nothing more.
+func (f *fleet) stop(i int, kill bool) {
+	m := f.daemons[i]
+	if kill {
+		f.network.Kill(m.id)
+	}
+	m.cancel()
+	<-m.done
+	_ = m.server.Close()
+}
+
+func (f *fleet) apply(a action) {
+	m := f.daemons[a.daemon]
+	switch a.what {
+	case "answer":
+		if m.holder.Opened() && m.holder.Vouched() {
+			now := time.Now()
+			m.tally.Count(sample("guild", now))
+			f.answers = append(f.answers, answer{Boot{m.id, m.boot}, now})
+		}
+	case "kill", "close":
+		f.stop(a.daemon, a.what == "kill")
+		f.daemons[a.daemon] = nil
+		time.Sleep(10 * time.Second)
+		f.start(a.daemon)
+	case "down":
+		f.store.Down(true)
+	case "up":
+		f.store.Down(false)
+	case "lose":
+		f.store.LoseAnswers(2)
+	}
+	time.Sleep(a.pause)
+}
+
+// check compares the report with the callers' own count.
+func (f *fleet) check(begin time.Time) error {
+	f.store.Down(false)
+	f.store.LoseAnswers(0)
+	time.Sleep(2 * flushEvery)
+	report, err := f.daemons[0].holder.Report(context.Background(), Query{From: begin, Until: time.Now()})
+	if err != nil {
+		return err
+	}
+	var reported int
+	for _, row := range report.Rows {
+		reported += int(row.Requests)
+	}
+	excused := 0
+	for _, a := range f.answers {
+		for _, gap := range report.Gaps {
+			if gap.Daemon == a.boot.Daemon && gap.Boot == a.boot.Boot && !a.at.Before(gap.From) && !a.at.After(gap.Until) {
+				excused++
+			}
+		}
+	}
+	if reported > len(f.answers) || reported < len(f.answers)-excused {
+		return fmt.Errorf("callers were answered %d times, %d in gaps, and the report says %d; gaps %v",
+			len(f.answers), excused, reported, report.Gaps)
+	}
+	return nil
+}
+
+func (f *fleet) close() {
+	for i := range f.daemons {
+		f.stop(i, false)
+	}
+	f.network.Close()
+}
+
+// TestReportEqualsCallersCount kills and restarts daemons, takes the store
+// down and loses its answers: what callers counted stands in the report or
+// inside a gap that it states.
+func TestReportEqualsCallersCount(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		history := actions().Draw(rt, "history")
+		var fault error
+		synctest.Test(t, func(*testing.T) {
+			begin := time.Now()
+			f := newFleet()
+			defer f.close()
+			for _, a := range history {
+				f.apply(a)
+			}
+			fault = f.check(begin)
+		})
+		if fault != nil {
+			rt.Fatal(fault)
+		}
+	})
+}
--- a/tally/page.go
+++ b/tally/page.go
@@ -45,31 +45,13 @@
 		h.acked = 0
 		h.mutex.Unlock()
 	}
-	for _, sheet := range h.orphans() {
-		if h.write(ctx, sheet) {
-			h.release(sheet)
+	for _, held := range h.orphans() {
+		if h.write(ctx, held.sheet) {
+			h.release(held.sheet)
 		}
 	}
 }
 
-func (h *Holder) orphans() []*wire.Sheet {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	var orphans []*wire.Sheet
-	for _, sheet := range h.held {
-		if sheet.Ended > 0 || sheet.Closed {
-			orphans = append(orphans, proto.Clone(sheet).(*wire.Sheet))
-		}
-	}
-	return orphans
-}
-
-func (h *Holder) release(sheet *wire.Sheet) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	delete(h.held, Boot{Daemon: sheet.Daemon, Boot: sheet.Boot})
-}
-
 // write writes a sheet's pages that are not final yet and reports whether all
 // are written.
 func (h *Holder) write(ctx context.Context, sheet *wire.Sheet) bool {
