--- a/tally/holder.go
+++ b/tally/holder.go
@@ -45,11 +45,11 @@
 	metrics metrics
 
 	mutex  sync.Mutex
-	held   map[Boot]*holding    // sheets of peers
-	holder string               // peer that holds this daemon's sheet
-	acked  uint64               // sequence that it holds without a gap
-	kept   time.Time            // when a peer or the store last took a sheet of this boot
-	pages  map[string]*page     // by store key
+	held   map[Boot]*holding // sheets of peers
+	holder string            // peer that holds this daemon's sheet
+	acked  uint64            // sequence that it holds without a gap
+	kept   time.Time         // when a peer or the store last took a sheet of this boot
+	pages  map[string]*page  // by store key
 }
 
 // NewHolder returns a holder that does nothing before Run.
--- a/tally/holder_test.go
+++ b/tally/holder_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,8 +64,16 @@
 type fleet struct {
 	network *fakes.Network
 	store   *fakes.Store
-	daemons [3]*member
 	answers []answer
+
+	mutex   sync.Mutex // of daemons, which holders read as their roster
+	daemons [3]*member
+}
+
+func (f *fleet) set(i int, m *member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.daemons[i] = m
 }
 
 type member struct {
@@ -111,10 +120,12 @@
 		defer close(m.done)
 		_ = m.holder.Run(ctx)
 	}()
-	f.daemons[i] = m
+	f.set(i, m)
 }
 
 func (f *fleet) roster() []*wire.Daemon {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	var daemons []*wire.Daemon
 	for _, m := range f.daemons {
 		if m == nil {
@@ -150,7 +161,7 @@
 		}
 	case "kill", "close":
 		f.stop(a.daemon, a.what == "kill")
-		f.daemons[a.daemon] = nil
+		f.set(a.daemon, nil)
 		time.Sleep(10 * time.Second)
 		f.start(a.daemon)
 	case "down":
