--- a/admin/admin.go
+++ b/admin/admin.go
@@ -74,7 +74,7 @@
 
 // ServeHTTP checks the operators' key and passes the request on.
 func (a *Admin) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	if !a.authorized(request) {
+	if !a.Authorized(request) {
 		refuse(w, "", &Error{Op: "authorize", Kind: Unauthorized, Err: errors.New("the operators' bearer key is missing or wrong")})
 		return
 	}
@@ -82,8 +82,9 @@
 	a.mux.ServeHTTP(w, request)
 }
 
-// authorized compares hashes in constant time.
-func (a *Admin) authorized(request *http.Request) bool {
+// Authorized reports whether a request bears the operators' key. It compares
+// hashes in constant time.
+func (a *Admin) Authorized(request *http.Request) bool {
 	if a.options.Secret == "" {
 		return true
 	}
--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -11,6 +11,13 @@
 var version = "development"
 
 type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run a daemon."`
+	Config  configCommand  `cmd:"" help:"Read, check or change the configuration."`
+	Drain   drainCommand   `cmd:"" help:"Take a failure domain or an instance out of service."`
+	Restore restoreCommand `cmd:"" help:"Put a failure domain or an instance back into service."`
+	Status  statusCommand  `cmd:"" help:"Print what a daemon believes of the whole system."`
+	Report  reportCommand  `cmd:"" help:"Print who received what and who was refused."`
+	Audit   auditCommand   `cmd:"" help:"Print the trail of changes."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
@@ -24,6 +31,6 @@
 
 func main() {
 	var c commands
-	context := kong.Parse(&c, kong.Name("chead"), kong.UsageOnError())
+	context := kong.Parse(&c, kong.Name("chead"), kong.Description("Serves models whose replicas span several instances."))
 	context.FatalIfErrorf(context.Run())
 }
--- /dev/null
+++ b/cmd/chead/operator.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"os/user"
+	"time"
+)
+
+// operatorLimit bounds one call to a daemon.
+const operatorLimit = 30 * time.Second
+
+// operator holds the flags of the commands that ask a daemon.
+type operator struct {
+	Operator string `default:"http://127.0.0.1:7300" env:"CHEAD_OPERATOR" help:"URL of a daemon's operators' address."`
+	Key      string `env:"CHEAD_KEY" help:"Operators' bearer key."`
+}
+
+// editor holds the flags of the commands that change the configuration.
+type editor struct {
+	operator
+	Who   string `env:"CHEAD_WHO" help:"Who makes the change; the login name where absent."`
+	Cause string `help:"Why, for the audit trail."`
+	ID    string `help:"Id of the edit, to ask again after a lost answer; made where absent."`
+}
+
+func (e editor) who() string {
+	if e.Who != "" {
+		return e.Who
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// get asks for a path under /admin/v1/ and decodes the answer.
+func (o operator) get(path string, query url.Values, out any) error {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return o.call(http.MethodGet, path, nil, out)
+}
+
+// call sends in as JSON, or nothing for nil, and decodes the answer into out.
+// A refusal is an error that quotes it whole.
+func (o operator) call(method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorLimit)
+	defer cancel()
+	request, err := o.request(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("%s: %s", response.Status, bytes.TrimSpace(body))
+	}
+	return json.Unmarshal(body, out)
+}
+
+func (o operator) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
+	var body io.Reader
+	switch data := in.(type) {
+	case nil:
+	case []byte:
+		body = bytes.NewReader(data)
+	default:
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, o.Operator+"/admin/v1/"+path, body)
+	if err != nil {
+		return nil, err
+	}
+	if o.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+o.Key)
+	}
+	return request, nil
+}
+
+// show writes a value as indented JSON.
+func show(value any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/cmd/chead/serve.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"clementinehead.example/chead/conf"
+	"clementinehead.example/chead/daemon"
+)
+
+// dialLimit bounds the time for a new connection.
+const dialLimit = time.Second
+
+type serveCommand struct {
+	Settings string `required:"" type:"existingfile" help:"Settings of this daemon, a JSON file."`
+}
+
+// Run serves until SIGTERM or SIGINT, then shuts down without cutting off a
+// request in progress.
+func (c serveCommand) Run() error {
+	data, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return err
+	}
+	settings, err := conf.ParseSettings(data)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(options(settings))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
+
+func options(settings conf.Settings) daemon.Options {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	dialer := &net.Dialer{Timeout: dialLimit}
+	return daemon.Options{
+		Settings: settings,
+		Started:  time.Now(),
+		Listen:   func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:     dialer.DialContext,
+		Log:      newLog(os.Stderr).WithValues("daemon", settings.ID),
+		Registry: registry,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
--- /dev/null
+++ b/daemon/build.go
@@ -0,0 +1,209 @@
+package daemon
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementinehead.example/chead/admin"
+	"clementinehead.example/chead/audit"
+	"clementinehead.example/chead/entry"
+	"clementinehead.example/chead/gate"
+	"clementinehead.example/chead/keeper"
+	"clementinehead.example/chead/once"
+	"clementinehead.example/chead/relay"
+	"clementinehead.example/chead/roster"
+	"clementinehead.example/chead/route"
+	"clementinehead.example/chead/tally"
+	"clementinehead.example/chead/wire"
+)
+
+// random returns a generator of a role's own, since they are not safe for
+// concurrent use.
+func (d *Daemon) random() *rand.Rand {
+	return rand.New(rand.NewPCG(d.options.Rand.Uint64(), d.options.Rand.Uint64()))
+}
+
+func (d *Daemon) self() *wire.Daemon {
+	s := d.options.Settings
+	return &wire.Daemon{
+		Id:            s.ID,
+		Boot:          d.options.boot(),
+		PeerAddress:   s.Peer,
+		CallerAddress: s.Caller,
+		Domain:        s.Domain,
+		Region:        s.Region,
+	}
+}
+
+// buildMembership makes the roster and the relay, which need each other.
+func (d *Daemon) buildMembership() {
+	o := d.options
+	d.relay = relay.New(relay.Options{
+		Self:     o.Settings.ID,
+		Domain:   o.Settings.Domain,
+		Seeds:    o.Settings.Seeds,
+		Store:    d.store,
+		Daemons:  func() []*wire.Daemon { return d.roster.Daemons() },
+		Client:   d.peers.relay.get,
+		Log:      o.Log.WithName("relay"),
+		Registry: o.Registry,
+		Rand:     d.random(),
+	})
+	d.roster = roster.New(roster.Options{
+		Self:     d.self(),
+		Seeds:    o.Settings.Seeds,
+		Store:    d.store,
+		Client:   d.peers.roster.get,
+		Digest:   d.relay.Digest,
+		Compare:  d.relay.Compare,
+		Log:      o.Log.WithName("roster"),
+		Registry: o.Registry,
+		Rand:     d.random(),
+	})
+}
+
+// buildPlacement makes the keeper, the gate and what they write to.
+func (d *Daemon) buildPlacement() {
+	o := d.options
+	d.trail = audit.New(audit.Options{
+		Daemon:   o.Settings.ID,
+		Boot:     o.boot(),
+		Store:    d.store,
+		Log:      o.Log.WithName("audit"),
+		Registry: o.Registry,
+	})
+	d.keeper = keeper.New(keeper.Options{
+		Self:     o.Settings.ID,
+		Domain:   o.Settings.Domain,
+		Region:   o.Settings.Region,
+		Store:    d.store,
+		View:     d.relay.View,
+		Learn:    d.relay.Learn,
+		Daemons:  d.roster.Daemons,
+		Probe:    d.engine.Probe,
+		Order:    d.engine.Order,
+		Audit:    d.trail.Add,
+		Log:      o.Log.WithName("keeper"),
+		Registry: o.Registry,
+		Rand:     d.random(),
+	})
+	d.gate = gate.New(gate.Options{
+		Self:      o.Settings.ID,
+		Boot:      o.boot(),
+		View:      d.relay.View,
+		Changed:   d.relay.Changed,
+		Daemons:   d.roster.Daemons,
+		Confirmed: d.relay.Confirmed,
+		Probe:     d.engine.Probe,
+		Feed:      d.engine.Feed,
+		Client:    d.peers.gate.get,
+		Log:       o.Log.WithName("gate"),
+		Registry:  o.Registry,
+		Rand:      d.random(),
+	})
+	d.router = route.New(route.Options{})
+}
+
+func (d *Daemon) buildUsage() {
+	o := d.options
+	d.tally = tally.New(tally.Boot{Daemon: o.Settings.ID, Boot: o.boot()}, o.Started)
+	d.holder = tally.NewHolder(tally.Options{
+		Self:     o.Settings.ID,
+		Boot:     o.boot(),
+		Domain:   o.Settings.Domain,
+		Tally:    d.tally,
+		Store:    d.store,
+		Daemons:  d.roster.Daemons,
+		Client:   d.peers.tally.get,
+		Log:      o.Log.WithName("tally"),
+		Registry: o.Registry,
+	})
+}
+
+func (d *Daemon) buildEntry() {
+	o := d.options
+	d.once = once.New(once.Options{
+		Self:   o.Settings.ID,
+		Boot:   o.boot(),
+		Store:  d.store,
+		Window: func() time.Duration { return time.Duration(d.relay.View().Document.Limits.Window) },
+		Mine:   d.sweeps,
+	})
+	d.entry = entry.New(entry.Options{
+		Self:     o.Settings.ID,
+		Domain:   o.Settings.Domain,
+		Boot:     o.boot(),
+		View:     d.relay.View,
+		Daemons:  d.roster.Daemons,
+		Order:    d.router.Order,
+		Observe:  d.router.Observe,
+		Gate:     d.gateAt,
+		Engine:   d.engine,
+		Plain:    d.clients.endpoint.Do,
+		Fresh:    d.clients.fresh.Do,
+		Once:     d.once,
+		Count:    d.tally.Count,
+		Log:      o.Log.WithName("entry"),
+		Registry: o.Registry,
+		Rand:     d.random(),
+	})
+}
+
+// gateAt returns the gate at a peer address; the own one needs no network.
+func (d *Daemon) gateAt(address string) wire.GateClient {
+	if address == d.options.Settings.Peer {
+		return d.gate
+	}
+	return d.peers.gate.get(address)
+}
+
+// sweeps reports whether this daemon is the first of the live ones for a shard
+// of the at-most-once records, in rendezvous order.
+func (d *Daemon) sweeps(shard int) bool {
+	var live []*wire.Daemon
+	for _, daemon := range d.roster.Daemons() {
+		if daemon.Standing == wire.Standing_STANDING_ALIVE {
+			live = append(live, daemon)
+		}
+	}
+	if len(live) == 0 {
+		return false
+	}
+	score := func(daemon *wire.Daemon) uint64 {
+		return xxhash.Sum64String("once/" + strconv.Itoa(shard) + "/" + daemon.Id)
+	}
+	first := slices.MinFunc(live, func(a, b *wire.Daemon) int { return cmp.Compare(score(a), score(b)) })
+	return first.Id == d.options.Settings.ID
+}
+
+func (d *Daemon) buildAdmin() {
+	o := d.options
+	d.admin = admin.New(admin.Options{
+		Store:    d.store,
+		Get:      d.relay.Get,
+		Learn:    d.relay.Learn,
+		Confirm:  d.relay.Confirm,
+		Record:   d.trail.Add,
+		Read:     d.trail.Read,
+		Status:   func() any { return d.Status() },
+		Secret:   o.Settings.Secret,
+		Log:      o.Log.WithName("admin"),
+		Registry: o.Registry,
+	})
+}
+
+// peerHandler serves the other daemons.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.NewRosterHandler(d.roster))
+	mux.Handle(wire.NewRelayHandler(d.relay))
+	mux.Handle(wire.NewGateHandler(d.gate))
+	mux.Handle(wire.NewTallyHandler(d.holder))
+	return mux
+}
--- /dev/null
+++ b/daemon/options.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/conf"
+)
+
+// Options are what a Daemon depends on.
+type Options struct {
+	Settings conf.Settings
+	Started  time.Time // its Unix nanoseconds are the boot number
+	Listen   func(address string) (net.Listener, error)
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	Log      logr.Logger
+	Registry *prometheus.Registry
+	Rand     *rand.Rand
+}
+
+func (o Options) boot() uint64 { return uint64(o.Started.UnixNano()) }
