--- a/demo.sh
+++ b/demo.sh
@@ -5,11 +5,14 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 
-store=127.0.0.1:17001
-plain=127.0.0.1:17002
-operator=http://127.0.0.1:17113
-requests=${DEMO_REQUESTS:-800}
-rate=${DEMO_RATE:-40} # requests a second
+ports=${DEMO_PORTS:-17}       # the first two digits of all ports
+requests=${DEMO_REQUESTS:-800} # to send
+rate=${DEMO_RATE:-40}          # requests a second
+store=127.0.0.1:${ports}001
+plain=127.0.0.1:${ports}002
+operator=http://127.0.0.1:${ports}113
+fabrics="north-1 north-2 south-1 south-2"
+members="a b c d" # one more than a replica takes
 
 logs=$(mktemp -d "${TMPDIR:-/tmp}/chead-demo.XXXXXX")
 declare -A pids=()
@@ -55,3 +58,70 @@
 }
 
 listening() { (: <"/dev/tcp/${1%:*}/${1#*:}"); }
+
+status() { bin/chead status --operator "$operator"; }
+
+# whole succeeds when every group has all the replicas that it should.
+whole() {
+	status | awk -F': ' '
+		/"wanted":/ { wanted = $2 + 0; groups++ }
+		/"serving":/ && !/state/ { if ($2 + 0 < wanted) exit 1 }
+		END { if (!groups) exit 1 }'
+}
+
+# rebuilt succeeds when everything is whole without an instance.
+rebuilt() { whole && ! status | grep -q "\"instance\": \"$1\""; }
+
+# first_member prints the instance that takes the requests of some replica.
+first_member() { status | awk -F'"' '/"instance":/ { print $4; exit }'; }
+
+# adapted prints an example file with the ports of this run.
+adapted() { sed "s/127\.0\.0\.1:17/127.0.0.1:$ports/g" "$1"; }
+
+! listening "$store" 2>/dev/null || {
+	echo "port ${store#*:} is in use; choose others by DEMO_PORTS, such as 27" >&2
+	exit 1
+}
+
+start store bin/chfake store --listen "$store"
+await 5 "the store listens" listening "$store"
+start plain bin/chfake plain --listen "$plain" --store "http://$store"
+
+port=${ports}200
+for fabric in $fabrics; do
+	for member in $members; do
+		port=$((port + 1))
+		start "$fabric-$member" bin/chfake engine --listen "127.0.0.1:$port" --id "$fabric-$member" \
+			--fabric "$fabric" --domain "${fabric%-*}" --store "http://$store"
+	done
+done
+for daemon in a b c; do
+	adapted "examples/daemon-$daemon.json" >"$logs/settings-$daemon.json"
+	start "daemon-$daemon" bin/chead serve --settings "$logs/settings-$daemon.json"
+done
+adapted examples/demo.json >"$logs/document.json"
+await 10 "a daemon answers operators" status
+await 10 "the configuration is accepted" bin/chead config put "$logs/document.json" --operator "$operator" --who demo
+await 20 "every group has its replicas" whole
+
+bin/chfake client --entry "127.0.0.1:${ports}111" --entry "127.0.0.1:${ports}121" --key demo-key \
+	--model desk --model permits --service ledger --store "http://$store" \
+	--requests "$requests" --rate "$rate" >"$logs/client.log" 2>&1 &
+client=$!
+pids[client]=$client
+echo "a load of $requests requests begins, $rate a second"
+sleep 4
+
+victim=$(first_member)
+kill -9 "${pids[$victim]}"
+unset "pids[$victim]"
+killed=$(date +%s%3N)
+echo "killed the endpoint of $victim"
+await 20 "its replica is whole again from a spare" rebuilt "$victim"
+echo "  $(($(date +%s%3N) - killed)) ms after the kill"
+
+code=0
+wait "$client" || code=$?
+unset "pids[client]"
+cat "$logs/client.log"
+exit "$code"
