--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -80,13 +80,13 @@
 
 // cache makes each peer's client once.
 type cache[T any] struct {
-	make  func(address string) T
+	build func(address string) T
 	mutex sync.Mutex
 	known map[string]T
 }
 
-func newCache[T any](make func(address string) T) *cache[T] {
-	return &cache[T]{make: make, known: map[string]T{}}
+func newCache[T any](build func(address string) T) *cache[T] {
+	return &cache[T]{build: build, known: map[string]T{}}
 }
 
 // get returns the client of a peer address.
@@ -95,7 +95,7 @@
 	defer c.mutex.Unlock()
 	client, ok := c.known[address]
 	if !ok {
-		client = c.make(address)
+		client = c.build(address)
 		c.known[address] = client
 	}
 	return client
--- a/tally/collect.go
+++ b/tally/collect.go
@@ -14,20 +14,21 @@
 const collectAtOnce = 32
 
 // Report makes a report from the store's pages, this daemon and all live
-// peers. Peers that don't answer leave a gap, and so does a store that is
-// down.
+// peers, as it stood when it was asked for. Peers that don't answer leave a
+// gap. The error is of kind Unreadable where the store doesn't answer.
 func (h *Holder) Report(ctx context.Context, q Query) (Report, error) {
 	q, err := q.Widen()
 	if err != nil {
 		return Report{}, err
 	}
+	asked := time.Now()
 	sheets, err := Pages(ctx, h.options.Store, q)
 	if err != nil {
 		h.metrics.failures.WithLabelValues("pages").Inc()
 		return Report{}, &Error{Op: "report", Kind: Unreadable, Err: err}
 	}
 	sheets = append(sheets, h.collect(ctx, q)...)
-	return Make(q, sheets, time.Now())
+	return Make(q, sheets, asked)
 }
 
 func (h *Holder) collect(ctx context.Context, q Query) []*wire.Sheet {
--- a/tally/html.go
+++ b/tally/html.go
@@ -43,8 +43,8 @@
 	for _, row := range r.Rows {
 		page.Rows = append(page.Rows, row.cells())
 	}
-	for _, make := range []func(Report) (plot, error){requestsPlot, tokensPlot} {
-		p, err := make(r)
+	for _, draw := range []func(Report) (plot, error){requestsPlot, tokensPlot} {
+		p, err := draw(r)
 		if err != nil {
 			return err
 		}
