--- a/keeper/elect.go
+++ b/keeper/elect.go
@@ -171,6 +171,18 @@
 	return slices.ContainsFunc(k.daemons(), func(d fleet.Daemon) bool { return d.ID == h.Daemon && d.Lost })
 }
 
+// holds reports whether a fabric domain's key hangs on this daemon's lease. It
+// goes on as before where that can't be read.
+func (k *Keeper) holds(ctx context.Context, fabric string) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := k.o.Store.Get(ctx, prefix+fabric)
+	if err != nil {
+		return kindOf(err) != store.NotFound
+	}
+	return k.mine(entry)
+}
+
 // resign ends the tenure of a fabric domain that this daemon can't reach.
 func (k *Keeper) resign(ctx context.Context, fabric string) {
 	k.elect.retreat(fabric, time.Now())
--- a/keeper/rapid_test.go
+++ b/keeper/rapid_test.go
@@ -22,12 +22,15 @@
 	on := rapid.Bool().Draw(t, "on")
 	seconds := time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second
 	fault := rapid.SampledFrom([]string{
-		"kill", "restart", "cut", "pause", "delay", "store", "lose", "freeze", "steal", "drain", "version", "replicas", "gate",
+		"kill", "restart", "cut", "pause", "delay", "store", "lose", "freeze", "steal", "rival", "drain", "version", "replicas", "gate",
 	}).Draw(t, "fault")
 	switch fault {
 	case "steal":
 		w.steal()
 		return
+	case "rival":
+		w.rival()
+		return
 	case "store":
 		w.store.Down(on)
 		return
@@ -118,6 +121,17 @@
 	w.configure()
 }
 
+// rival lets a second keeper begin, while the first one hears of nothing.
+func (w *world) rival() {
+	for _, h := range w.hosts {
+		if len(h.keeper.current()) > 0 {
+			v := h.view()
+			w.set(func() { h.frozen = v })
+		}
+	}
+	w.steal()
+}
+
 // watch lets time pass and checks the rules all along.
 func (w *world) watch(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
--- a/keeper/tenure.go
+++ b/keeper/tenure.go
@@ -20,6 +20,7 @@
 	fabric  string
 	cancel  context.CancelFunc
 	began   time.Time
+	rivals  bool      // another keeper has written since this one did
 	dark    time.Time // since when almost all instances are silent, zero if not
 	seen    map[string]fleet.Seen
 	forgot  map[string]bool // instances that the platform has dropped
@@ -50,6 +51,10 @@
 	defer ticker.Stop()
 	for {
 		t.round(ctx)
+		if t.replaced(ctx) {
+			t.k.o.Log.Info("another daemon keeps fabric domain", "fabric", t.fabric)
+			return
+		}
 		if t.blackout() {
 			t.k.o.Log.Info("gives up dark fabric domain", "fabric", t.fabric)
 			t.k.resign(ctx, t.fabric)
@@ -63,6 +68,14 @@
 	}
 }
 
+// replaced reports whether another daemon has become keeper. It looks once
+// after each value of another keeper.
+func (t *tenure) replaced(ctx context.Context) bool {
+	rivals := t.rivals
+	t.rivals = false
+	return rivals && !t.k.holds(ctx, t.fabric)
+}
+
 func (t *tenure) blackout() bool {
 	return !t.dark.IsZero() && time.Since(t.dark) >= blackouts*t.k.o.Policy.Blackout
 }
@@ -111,6 +124,7 @@
 // answered, that write was done.
 func (t *tenure) settle(value fleet.Fabric, entry store.Entry) {
 	t.known = true
+	t.rivals = t.value.Keeper == t.k.o.Self && value.Keeper != t.k.o.Self
 	t.value = value
 	t.written = entry.Revision
 	pending := t.pending
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -37,9 +37,11 @@
 	points   map[string]*point
 	hosts    []*host
 	entries  map[string]store.Entry
-	picture  *view.View       // of the entries, nil after a change
-	offers   map[string]offer // every replica that was ever written as serving
-	faults   []string         // broken rules
+	picture  *view.View        // of the entries, nil after a change
+	fence    uint64            // of the newest value
+	orders   map[uint64]string // what was ordered with a fencing number
+	offers   map[string]offer  // every replica that was ever written as serving
+	faults   []string          // broken rules
 	trail    []audit.Entry
 	late     sync.WaitGroup
 }
@@ -80,6 +82,7 @@
 		document: conf.Fill(conf.Document{Groups: map[string]conf.Group{}, Instances: map[string]conf.Instance{}}),
 		points:   map[string]*point{},
 		entries:  map[string]store.Entry{},
+		orders:   map[uint64]string{},
 		offers:   map[string]offer{},
 	}
 }
@@ -200,6 +203,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if fabric.Fence < w.fence {
+		w.faults = append(w.faults, fmt.Sprintf("fencing number %d after %d", fabric.Fence, w.fence))
+	}
+	w.fence = fabric.Fence
 	owners := map[string]string{}
 	for _, r := range fabric.Replicas {
 		for _, m := range r.Members {
@@ -233,6 +240,7 @@
 	h.w.mu.Lock()
 	defer h.w.mu.Unlock()
 	p := h.w.points[address]
+	h.w.ordered(order)
 	if h.delay > 0 {
 		h.w.deliver(p, order, h.delay)
 		return engine.Report{}, &engine.Error{Op: "order", Kind: engine.Broken, Err: errors.New("no answer")}
@@ -246,6 +254,19 @@
 	return p.report, nil
 }
 
+// ordered notes an order, and checks that its fencing number was given to no
+// other one.
+func (w *world) ordered(order engine.Order) {
+	if order.Replica == "" {
+		return
+	}
+	text := fmt.Sprint(order.Replica, order.Version, order.Members)
+	if before := w.orders[order.Fence]; before != "" && before != text {
+		w.faults = append(w.faults, fmt.Sprintf("fencing number %d for %s and %s", order.Fence, before, text))
+	}
+	w.orders[order.Fence] = text
+}
+
 // deliver lets an order arrive after its sender has given it up.
 func (w *world) deliver(p *point, order engine.Order, after time.Duration) {
 	w.late.Go(func() {
