Edits under faults: a table over a network in memory

Cause of two failures on the way: daemons that start at the same instant each read the records before the others had written theirs, and knew nobody until the next reading; and Confirm asked only whom the roster held for alive at the end of the wait, so a daemon cut off just before was not named. Change: a daemon reads the records again after it wrote its own; Confirm names daemons that died without announcing that they leave (new field Daemon.left). Before: TestAnswerNamesTheUnconfirmed got [] for [d3]; after: [d3].

--- /dev/null
+++ b/admin/edit_test.go
@@ -0,0 +1,194 @@
+package admin_test
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/admin"
+	"clementinehead.example/chead/audit"
+	"clementinehead.example/chead/fakes"
+)
+
+const (
+	domains  = `{"north": {"region": "r"}}`
+	capacity = `{"loads": 2}`
+)
+
+func TestTeamsRace(t *testing.T) {
+	inSystem(t, 3, func(t *testing.T, s *system) {
+		is := is.New(t)
+		var first, second outcome
+		var group sync.WaitGroup
+		group.Go(func() { first = s.daemons[0].put("a", 0, "domains", domains) })
+		group.Go(func() { second = s.daemons[1].put("b", 0, "capacity", capacity) })
+		group.Wait()
+		is.Equal(first.status, http.StatusOK)
+		is.Equal(second.status, http.StatusOK)
+		is.Equal(len(first.accepted.Unconfirmed)+len(second.accepted.Unconfirmed), 0)
+		stored := s.stored()
+		is.Equal(stored.Document.Capacity.Loads, 2)
+		is.Equal(stored.Document.Domains["north"].Region, "r")
+		is.Equal(len(s.behind(2)), 0)
+
+		late := s.daemons[2].put("c", 0, "capacity", `{"loads": 3}`)
+		is.Equal(late.status, http.StatusConflict)
+		is.Equal(late.refusal.Ran, "no")
+		is.Equal(late.refusal.Section, "capacity")
+		is.Equal(late.refusal.Conflict.ID, "b")
+		is.Equal(late.refusal.Conflict.Who, "team capacity")
+		is.Equal(late.refusal.Conflict.Serial, second.accepted.Serial)
+	})
+}
+
+// TestEditUnderFaults sends one edit under a fault, through daemon 0, repairs
+// the fault and looks at what became of the edit.
+func TestEditUnderFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(s *system)
+		code  string // of the refusal, empty for acceptance
+		ran   string
+		runs  int // times that the store has the edit, after the repair
+	}{
+		{"none", func(*system) {}, "", "", 1},
+		{"answer lost", func(s *system) { s.store.LoseAnswers(1) }, "", "", 1},
+		{"three answers lost", func(s *system) { s.store.LoseAnswers(3) }, "", "", 1},
+		{"store down", func(s *system) { s.store.Down(true) }, "unavailable", "no", 0},
+		{"store silent", func(s *system) { s.store.Hang(true) }, "unavailable", "no", 0},
+		{"store slow", func(s *system) { s.store.Delay(300 * time.Millisecond) }, "", "", 1},
+		{"store back after a second", func(s *system) {
+			s.store.Down(true)
+			time.AfterFunc(time.Second, func() { s.store.Down(false) })
+		}, "", "", 1},
+		{"connections to the store silent", func(s *system) { s.network.Silence("d0", storeHost) }, "", "", 1},
+		{"connections between daemons silent", func(s *system) { s.network.Silence(fakes.Every, fakes.Every) }, "", "", 1},
+		{"daemon cut off from the store", func(s *system) { s.network.Cut("d0", storeHost) }, "unavailable", "no", 0},
+		{"store down after an answer was lost", func(s *system) {
+			s.store.LoseAnswers(1)
+			s.written = func() { s.store.Down(true) }
+		}, "unsettled", "unknown", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inSystem(t, 4, func(t *testing.T, s *system) {
+				is := is.New(t)
+				test.fault(s)
+				o := s.daemons[0].put("a", 0, "domains", domains)
+				s.written = func() {}
+				s.store.Delay(0)
+				if test.code == "" {
+					is.Equal(o.status, http.StatusOK)
+					is.Equal(len(o.accepted.Unconfirmed), 0)
+					is.Equal(len(s.behind(1)), 0) // confirmed is in force
+				} else {
+					is.Equal(o.refusal.Code, test.code)
+					is.Equal(o.refusal.Ran, test.ran)
+				}
+				s.repair()
+				time.Sleep(target)
+				is.Equal(count(s.ids(), "a"), test.runs)
+				is.Equal(len(s.behind(uint64(test.runs))), 0)
+
+				settled := s.daemons[1].send(http.MethodGet, "edits/a", nil)
+				is.Equal(settled.status == http.StatusOK, test.runs == 1)
+				again := s.daemons[2].put("a", 0, "domains", domains)
+				is.Equal(again.status, http.StatusOK)
+				is.Equal(again.accepted.Serial, uint64(1))
+				is.Equal(count(s.ids(), "a"), 1)
+				is.Equal(len(s.reverted), 0)
+			})
+		})
+	}
+}
+
+func TestAnswerNamesTheUnconfirmed(t *testing.T) {
+	inSystem(t, 4, func(t *testing.T, s *system) {
+		is := is.New(t)
+		s.network.Cut("d3", fakes.Every)
+		o := s.daemons[0].put("a", 0, "domains", domains)
+		is.Equal(o.status, http.StatusOK)
+		is.Equal(o.accepted.Unconfirmed, []string{"d3"})
+		s.network.Heal("d3", fakes.Every)
+		time.Sleep(target)
+		o = s.daemons[0].send(http.MethodGet, "edits/a", nil)
+		is.Equal(o.accepted.Unconfirmed, []string{})
+		is.Equal(o.accepted.Serial, uint64(1))
+	})
+}
+
+// TestStartDuringOutage has a daemon start again while the store is down: it
+// takes the last accepted document from its peers, and is not ready before.
+func TestStartDuringOutage(t *testing.T) {
+	inSystem(t, 4, func(t *testing.T, s *system) {
+		is := is.New(t)
+		is.Equal(s.daemons[0].put("a", 0, "domains", domains).status, http.StatusOK)
+		s.store.Down(true)
+		d := s.daemons[2]
+		d.kill()
+		s.network.Cut(d.host, fakes.Every)
+		d.start()
+		time.Sleep(10 * time.Second)
+		is.True(!d.relay.Ready()) // nobody answered
+		s.network.Heal(d.host, fakes.Every)
+		time.Sleep(target)
+		is.True(d.relay.Ready())
+		is.Equal(d.relay.View().Serial, uint64(1))
+	})
+}
+
+func TestMoves(t *testing.T) {
+	inSystem(t, 3, func(t *testing.T, s *system) {
+		is := is.New(t)
+		d := s.daemons[0]
+		is.Equal(d.put("a", 0, "domains", domains).status, http.StatusOK)
+		tests := []struct {
+			path    string
+			move    admin.Move
+			status  int
+			serial  uint64
+			in      bool // the domain and the instance are in service after it
+			changed bool
+		}{
+			{"drain", admin.Move{ID: "b", Who: "w", Domain: "north"}, 200, 2, false, true},
+			{"drain", admin.Move{ID: "b", Who: "w", Domain: "north"}, 200, 2, false, true}, // sent again
+			{"drain", admin.Move{ID: "c", Who: "w", Domain: "north"}, 200, 2, false, false},
+			{"restore", admin.Move{ID: "d", Who: "w", Domain: "north"}, 200, 3, true, true},
+			{"drain", admin.Move{ID: "b", Who: "w", Domain: "north"}, 200, 2, true, true}, // sent late
+			{"drain", admin.Move{ID: "e", Who: "w", Instance: "i-1"}, 200, 4, false, true},
+			{"restore", admin.Move{ID: "f", Who: "w", Instance: "i-1"}, 200, 5, true, true},
+			{"drain", admin.Move{ID: "g", Who: "w", Domain: "south"}, 404, 0, true, false},
+			{"drain", admin.Move{ID: "h", Who: "w"}, 400, 0, true, false},
+		}
+		for _, test := range tests {
+			o := d.send(http.MethodPost, test.path, test.move)
+			is.Equal(o.status, test.status)
+			is.Equal(o.accepted.Serial, test.serial)
+			is.Equal(s.daemons[1].relay.View().InService("north", "i-1"), test.in)
+			is.Equal(o.accepted.Unchanged, !test.changed && test.status == 200)
+		}
+	})
+}
+
+func TestAuditOfEdits(t *testing.T) {
+	inSystem(t, 3, func(t *testing.T, s *system) {
+		is := is.New(t)
+		s.daemons[0].put("a", 0, "domains", domains)
+		s.daemons[1].send(http.MethodPost, "drain", admin.Move{ID: "b", Who: "w", Cause: "storm", Domain: "north"})
+		time.Sleep(3 * time.Second)
+		entries, err := s.daemons[2].trail.Read(t.Context(), time.Now().Add(-time.Hour), time.Now())
+		is.NoErr(err)
+		is.Equal(len(entries), 2)
+		drain := entries[1]
+		is.Equal(drain.Action, "drain")
+		is.Equal(drain.Who, "w")
+		is.Equal(drain.Cause, "storm")
+		is.Equal(string(drain.Before), `{"north":{"region":"r"}}`)
+		is.Equal(string(drain.After), `{"north":{"region":"r","out":true}}`)
+		is.True(slices.IsSortedFunc(entries, func(a, b audit.Entry) int { return a.At.Compare(b.At) }))
+	})
+}
--- /dev/null
+++ b/admin/fleet_test.go
@@ -0,0 +1,260 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"clementinehead.example/chead/admin"
+	"clementinehead.example/chead/audit"
+	"clementinehead.example/chead/edit"
+	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/fleet"
+	"clementinehead.example/chead/relay"
+	"clementinehead.example/chead/roster"
+	"clementinehead.example/chead/store"
+	"clementinehead.example/chead/wire"
+)
+
+const (
+	storeHost = "kv"
+	operator  = "operator" // the host from which edits are sent
+	target    = 19 * time.Second
+)
+
+// system is some daemons and a store on an in-memory network.
+type system struct {
+	t       *testing.T
+	network *fakes.Network
+	store   *fakes.Store
+	daemons []*daemon
+
+	mu       sync.Mutex
+	reverted []string // daemons whose serial went back
+	written  func()   // called after each write of the configuration
+}
+
+// daemon is one daemon. Its parts are replaced when it starts again.
+type daemon struct {
+	system *system
+	host   string
+	domain string
+
+	relay   *relay.Relay
+	roster  *roster.Roster
+	trail   *audit.Trail
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	alive   bool
+}
+
+// inSystem runs a test on a false clock with n daemons in three failure
+// domains that know each other.
+func inSystem(t *testing.T, n int, test func(t *testing.T, s *system)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{t: t, network: fakes.NewNetwork(), store: fakes.NewStore(), written: func() {}}
+		s.network.Latency = func(string, string) time.Duration { return 1500 * time.Microsecond }
+		s.network.Serve(storeHost+":80", s.store)
+		defer s.network.Close()
+		for i := range n {
+			d := &daemon{system: s, host: fmt.Sprint("d", i), domain: fmt.Sprint("domain-", i%3)}
+			s.daemons = append(s.daemons, d)
+			d.start()
+		}
+		defer func() {
+			s.repair()
+			for _, d := range s.daemons {
+				d.kill()
+			}
+		}()
+		time.Sleep(5 * time.Second)
+		test(t, s)
+	})
+}
+
+func (s *system) repair() {
+	s.store.Down(false)
+	s.store.Hang(false)
+	s.store.LoseAnswers(0)
+	for _, d := range s.daemons {
+		s.network.Heal(d.host, fakes.Every)
+		s.network.Heal(d.host, storeHost)
+	}
+}
+
+// start runs the daemon with nothing kept from an earlier life.
+func (d *daemon) start() {
+	s := d.system
+	client := s.network.Client(d.host)
+	kv := store.New("http://"+storeHost, func(r *http.Request) (*http.Response, error) {
+		response, err := client.Do(r)
+		if r.Method == http.MethodPut && r.URL.Path == "/v1/kv/"+fleet.Conf {
+			s.written()
+		}
+		return response, err
+	})
+	self := &wire.Daemon{
+		Id: d.host, Boot: uint64(time.Now().UnixNano()), PeerAddress: d.host + ":7000",
+		CallerAddress: d.host + ":7001", Domain: d.domain, Region: "north",
+	}
+	d.relay = relay.New(relay.Options{
+		Self: d.host, Domain: d.domain, Seeds: []string{"d0:7000", "d1:7000"}, Store: kv,
+		Daemons: func() []*wire.Daemon { return d.roster.Daemons() },
+		Client:  func(to string) wire.RelayClient { return wire.NewRelayClient(client, "http://"+to) },
+		Log:     logr.Discard(), Rand: rand.New(rand.NewPCG(1, self.Boot)),
+	})
+	d.roster = roster.New(roster.Options{
+		Self: self, Seeds: []string{"d0:7000", "d1:7000"}, Store: kv,
+		Client: func(to string) wire.RosterClient { return wire.NewRosterClient(client, "http://"+to) },
+		Digest: d.relay.Digest, Compare: d.relay.Compare,
+		Log: logr.Discard(), Rand: rand.New(rand.NewPCG(2, self.Boot)),
+	})
+	d.trail = audit.New(audit.Options{Daemon: d.host, Boot: self.Boot, Store: kv, Log: logr.Discard()})
+	operators := admin.New(admin.Options{
+		Store: kv, Get: d.relay.Get, Learn: d.relay.Learn, Confirm: d.relay.Confirm,
+		Record: d.trail.Add, Read: d.trail.Read, Status: func() any { return d.host }, Log: logr.Discard(),
+	})
+	peers := http.NewServeMux()
+	peers.Handle(wire.NewRosterHandler(d.roster))
+	peers.Handle(wire.NewRelayHandler(d.relay))
+	s.network.Serve(d.host+":7000", peers)
+	s.network.Serve(d.host+":7002", operators)
+
+	ctx, cancel := context.WithCancel(s.t.Context())
+	d.stop, d.alive = cancel, true
+	d.running.Go(func() { _ = d.relay.Run(ctx) })
+	d.running.Go(func() { _ = d.roster.Run(ctx) })
+	d.running.Go(func() { _ = d.trail.Run(ctx) })
+	d.running.Go(func() { s.observe(ctx, d.host, d.relay) })
+}
+
+// kill ends the daemon at once: its connections break and it sends no more.
+func (d *daemon) kill() {
+	if !d.alive {
+		return
+	}
+	d.alive = false
+	d.system.network.Kill(d.host)
+	d.system.network.Cut(d.host, fakes.Every) // not even a goodbye
+	d.stop()
+	d.running.Wait()
+	d.system.network.Heal(d.host, fakes.Every)
+}
+
+// observe notes where a daemon's configuration goes back.
+func (s *system) observe(ctx context.Context, host string, r *relay.Relay) {
+	var last uint64
+	for {
+		changed := r.Changed()
+		if serial := r.View().Serial; serial < last {
+			s.mu.Lock()
+			s.reverted = append(s.reverted, fmt.Sprintf("%s from %d to %d", host, last, serial))
+			s.mu.Unlock()
+		} else {
+			last = serial
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// outcome is an answer to an operator.
+type outcome struct {
+	status   int
+	accepted admin.Accepted
+	refusal  admin.Refusal
+}
+
+// send sends a request to a daemon's operators' interface. Status 0 stands for
+// no answer.
+func (d *daemon) send(method, path string, body any) outcome {
+	ctx, cancel := context.WithTimeout(d.system.t.Context(), 15*time.Second)
+	defer cancel()
+	data, _ := json.Marshal(body)
+	url := "http://" + d.host + ":7002/admin/v1/" + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		d.system.t.Error(err)
+		return outcome{}
+	}
+	client := d.system.network.Client(operator)
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		return outcome{}
+	}
+	defer response.Body.Close()
+	o := outcome{status: response.StatusCode}
+	if o.status == http.StatusOK {
+		err = json.NewDecoder(response.Body).Decode(&o.accepted)
+	} else {
+		err = json.NewDecoder(response.Body).Decode(&o.refusal)
+	}
+	if err != nil {
+		return outcome{}
+	}
+	return o
+}
+
+// put sends an edit of one section.
+func (d *daemon) put(id string, base uint64, section, content string) outcome {
+	return d.send(http.MethodPut, "config", admin.Put{
+		ID: id, Base: base, Who: "team " + section, Cause: "test",
+		Sections: map[string]json.RawMessage{section: json.RawMessage(content)},
+	})
+}
+
+// stored returns the configuration that the store holds.
+func (s *system) stored() edit.Envelope {
+	entry, err := store.New("http://"+storeHost, s.network.Client("test").Do).Get(s.t.Context(), fleet.Conf)
+	if err != nil {
+		return edit.Envelope{}
+	}
+	envelope, err := edit.Read(entry.Value)
+	if err != nil {
+		s.t.Error(err)
+	}
+	return envelope
+}
+
+// behind returns the living daemons whose configuration is not of a serial.
+func (s *system) behind(serial uint64) []string {
+	var behind []string
+	for _, d := range s.daemons {
+		if d.alive && d.relay.View().Serial != serial {
+			behind = append(behind, d.host)
+		}
+	}
+	return behind
+}
+
+// ids returns the edits that the store remembers, oldest first.
+func (s *system) ids() []string {
+	var ids []string
+	for _, stamp := range s.stored().Edits {
+		ids = append(ids, stamp.ID)
+	}
+	return ids
+}
+
+func count(ids []string, id string) int {
+	n := 0
+	for _, other := range ids {
+		if other == id {
+			n++
+		}
+	}
+	return n
+}
--- a/relay/confirm.go
+++ b/relay/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,29 +18,39 @@
 	questions = 32                     // in progress
 )
 
-// Confirm asks every live daemon until all have a revision of a document, or a
-// newer one, in force, and returns the ids of those that have not confirmed it
-// when the context ends.
+// Confirm asks all other daemons until every live one has a revision of a
+// document, or a newer one, in force, or until the context ends. It returns the
+// ids of those that have not confirmed it: also of dead ones that did not say
+// that they leave, for such a one may live behind a partition.
 func (r *Relay) Confirm(ctx context.Context, key string, revision uint64) []string {
+	waiting := map[string]*wire.Daemon{}
+	awaited := map[string]bool{} // live when they were first seen
 	confirmed := map[string]bool{}
 	sleep(ctx, headStart)
 	for {
-		missing := r.missing(confirmed)
-		if len(missing) == 0 || ctx.Err() != nil {
-			return ids(missing)
-		}
-		for _, id := range r.ask(ctx, missing, key, revision) {
+		r.join(waiting, awaited, confirmed)
+		for _, id := range r.ask(ctx, slices.Collect(maps.Values(waiting)), key, revision) {
 			confirmed[id] = true
+			delete(waiting, id)
+			delete(awaited, id)
 		}
-		missing = r.missing(confirmed)
-		if len(missing) == 0 || !sleep(ctx, asking) {
-			return ids(missing)
+		if len(awaited) == 0 || !sleep(ctx, asking) {
+			return slices.Sorted(maps.Keys(waiting))
 		}
 	}
 }
 
-func (r *Relay) missing(confirmed map[string]bool) []*wire.Daemon {
-	return slices.DeleteFunc(r.live(), func(d *wire.Daemon) bool { return confirmed[d.Id] })
+// join adds the daemons of the roster that have to confirm.
+func (r *Relay) join(waiting map[string]*wire.Daemon, awaited, confirmed map[string]bool) {
+	for _, daemon := range r.options.Daemons() {
+		if daemon.Id == r.options.Self || daemon.Left || confirmed[daemon.Id] {
+			continue
+		}
+		waiting[daemon.Id] = daemon
+		if daemon.Standing != wire.Standing_STANDING_DEAD {
+			awaited[daemon.Id] = true
+		}
+	}
 }
 
 // ask offers a revision to daemons and returns the ids of those that have it
@@ -76,11 +87,3 @@
 	}
 	return false
 }
-
-func ids(daemons []*wire.Daemon) []string {
-	ids := make([]string, 0, len(daemons))
-	for _, daemon := range daemons {
-		ids = append(ids, daemon.Id)
-	}
-	return ids
-}
--- a/roster/record.go
+++ b/roster/record.go
@@ -96,15 +96,35 @@
 	}
 }
 
+// sync records this daemon, greets the others that are recorded, and cleans up
+// after dead ones. It reads the records after writing its own, so that of two
+// daemons that start at once one sees the other.
 func (s *records) sync(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 8*limit)
 	defer cancel()
+	own, others, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	if wanted := s.own(own.revision); own != wanted {
+		if err := s.write(ctx, wanted); err != nil {
+			return err
+		}
+		if _, others, err = s.read(ctx); err != nil {
+			return err
+		}
+	}
+	s.greet(ctx, others)
+	s.clean(ctx, others)
+	return nil
+}
+
+// read returns this daemon's record, if any, and those of the others.
+func (s *records) read(ctx context.Context) (own record, others []record, err error) {
 	listing, err := s.roster.options.Store.List(ctx, Prefix)
 	if err != nil {
-		return &Error{Op: "read records", Kind: Record, Err: err}
+		return own, nil, &Error{Op: "read records", Kind: Record, Err: err}
 	}
-	var own record
-	var others []record
 	for _, entry := range listing.Entries {
 		var found record
 		if json.Unmarshal(entry.Value, &found) != nil {
@@ -117,29 +137,24 @@
 			others = append(others, found)
 		}
 	}
-	if err := s.write(ctx, own); err != nil {
-		return err
-	}
-	s.greet(ctx, others)
-	s.clean(ctx, others)
-	return nil
+	return own, others, nil
 }
 
-// write records this daemon unless its record is already right.
-func (s *records) write(ctx context.Context, own record) error {
+// own is what the record of this daemon should be.
+func (s *records) own(revision uint64) record {
 	self := s.roster.options.Self
-	wanted := record{
+	return record{
 		ID: self.Id, Boot: self.Boot, Peer: self.PeerAddress, Caller: self.CallerAddress,
-		Domain: self.Domain, Region: self.Region, revision: own.revision,
-	}
-	if own == wanted {
-		return nil
+		Domain: self.Domain, Region: self.Region, revision: revision,
 	}
-	value, err := json.Marshal(wanted)
+}
+
+func (s *records) write(ctx context.Context, own record) error {
+	value, err := json.Marshal(own)
 	if err != nil {
 		return &Error{Op: "write record", Kind: Record, Err: err}
 	}
-	put := store.Put{Key: Prefix + self.Id, Value: value, Prev: own.revision}
+	put := store.Put{Key: Prefix + own.ID, Value: value, Prev: own.revision}
 	if _, err := s.roster.options.Store.Put(ctx, put); err != nil {
 		return &Error{Op: "write record", Kind: Record, Err: err}
 	}
--- a/roster/table.go
+++ b/roster/table.go
@@ -131,6 +131,7 @@
 	}
 	fresh := proto.CloneOf(known.daemon)
 	fresh.Standing = standing
+	fresh.Left = known.daemon.Standing == wire.Standing_STANDING_LEAVING && standing == wire.Standing_STANDING_DEAD
 	t.set(fresh, now)
 	return true
 }
