--- a/entry/body.go
+++ b/entry/body.go
@@ -38,3 +38,18 @@
 	hash.Write(body)
 	return hex.EncodeToString(hash.Sum(nil))
 }
+
+// The bounds on what is read of a body after its refusal.
+const (
+	maxLinger     = time.Second
+	maxLingerSize = 1 << 20 // bytes
+)
+
+// linger reads on after a refusal for a while, so that a caller that is still
+// sending its body gets to read why it was refused.
+func linger(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(maxLinger))
+	_, _ = io.CopyN(io.Discard, r.Body, maxLingerSize)
+}
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -9,7 +9,6 @@
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/tally"
 	"clementinehead.example/chead/view"
-	"clementinehead.example/chead/wire"
 )
 
 // complete answers a completion or a chat completion.
@@ -21,6 +20,7 @@
 	if err != nil {
 		err.Ran = e.truth(j, err)
 		e.close(j, err, w, nil)
+		linger(w, r)
 		return
 	}
 	e.metrics.progress.Inc()
@@ -107,107 +107,6 @@
 	return nil
 }
 
-// attempt dispatches a job, and dispatches it again where that is right.
-func (e *Entry) attempt(ctx context.Context, j *job, a *answer) *Error {
-	e.budget.earn(j.account, j.view.Document.Limits.Retries)
-	t := &trial{entry: e, job: j, answer: a, avoid: map[string]bool{}}
-	for {
-		err := t.once(ctx)
-		if err == nil || !t.again(ctx, err) {
-			return err
-		}
-		e.metrics.retries.WithLabelValues(err.Kind.String()).Inc()
-		a.restart()
-	}
-}
-
-// trial is what is known of a job over all its dispatches.
-type trial struct {
-	entry   *Entry
-	job     *job
-	answer  *answer
-	avoid   map[string]bool // replicas that failed it
-	crashes []string        // that it stood in
-	ran     engine.Ran      // the most that any dispatch did
-}
-
-// once makes one dispatch.
-func (t *trial) once(ctx context.Context) *Error {
-	p, err := t.entry.acquire(ctx, t.job, t.crashes, t.avoid)
-	if err != nil {
-		return t.word(err)
-	}
-	if p.stale() {
-		t.entry.releaseLater(t.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
-		return t.word(unavailable(errNobody))
-	}
-	o := t.entry.dispatch(ctx, t.job, p, t.answer)
-	t.place(p)
-	if o.err == nil {
-		t.entry.releaseLater(t.job, p, o)
-		return nil
-	}
-	t.avoid[p.place.Replica.ID] = true
-	if o.ending == wire.Ending_ENDING_CRASHED {
-		t.strike(ctx, p, o)
-	} else {
-		t.entry.releaseLater(t.job, p, o)
-	}
-	return t.word(o.err)
-}
-
-// word makes an error say what is true of all dispatches.
-func (t *trial) word(err *Error) *Error {
-	t.ran = max(t.ran, err.Ran)
-	err.Ran = t.ran
-	return err
-}
-
-// place notes for the report what the job was dispatched to.
-func (t *trial) place(p *permit) {
-	t.job.prompt.adapter = p.place.Replica.Adapter
-	t.job.prompt.version = p.place.Replica.Version
-	t.job.prompt.served = p.place.Replica.Model
-}
-
-// strike tells the gate of a crash at once, since what it answers decides
-// whether and how the job runs again.
-func (t *trial) strike(ctx context.Context, p *permit, o outcome) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askLimit)
-	defer cancel()
-	response, err := t.entry.release(ctx, t.job, p, o)
-	if err != nil {
-		t.entry.releaseLater(t.job, p, o)
-		t.crashes = append(t.crashes, p.place.Replica.ID)
-		return
-	}
-	t.crashes = response.GetCrashes()
-	if len(t.crashes) == 0 {
-		t.crashes = []string{p.place.Replica.ID}
-	}
-}
-
-// maxCrashes is the number of crashes after which a request isn't run again.
-const maxCrashes = 2
-
-// again reports whether a job may be dispatched again after an error: nothing
-// was sent to the caller, it did not run or may be repeated, and there is time
-// and budget left.
-func (t *trial) again(ctx context.Context, err *Error) bool {
-	switch {
-	case ctx.Err() != nil || t.answer.begun:
-		return false
-	case t.ran != engine.No && t.job.once:
-		return false
-	case err.Op == "acquire", err.Kind == BadRequest:
-		return false
-	case len(t.crashes) >= maxCrashes:
-		return false
-	default:
-		return t.entry.budget.spend(t.job.account)
-	}
-}
-
 // close sends an error, where there is one, and counts the request.
 func (e *Entry) close(j *job, err *Error, w http.ResponseWriter, a *answer) {
 	if a == nil && err != nil {
--- /dev/null
+++ b/entry/fault_test.go
@@ -0,0 +1,183 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/engine"
+	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/wire"
+)
+
+// TestFaults brings a fault about after a while of a run that takes 40 tokens,
+// one each 100 ms, the first at 500 ms.
+func TestFaults(t *testing.T) {
+	const early, late = 200 * time.Millisecond, 2 * time.Second
+	kill := func(w *world) { w.engines[0].Kill() }
+	crash := func(w *world) { w.network.Kill("e0"); w.engines[0].Kill() }
+	restart := func(w *world) { w.engines[0].Restart(); w.order(0) }
+	pause := func(w *world) { w.engines[0].Pause() }
+	blink := func(w *world) {
+		w.engines[0].Pause()
+		time.AfterFunc(3*time.Second, w.engines[0].Resume)
+	}
+	silent := func(w *world) { w.network.Silence("d0", "e0") }
+	reset := func(w *world) { w.network.Reset("d0", "e0") }
+	cut := func(w *world) { w.network.Cut("d0", "e0") }
+	heal := func(w *world) {
+		w.network.Cut("d0", "e0")
+		time.AfterFunc(1500*time.Millisecond, func() { w.network.Heal("d0", "e0") })
+	}
+	tests := []struct {
+		name   string
+		after  time.Duration
+		fault  func(*world)
+		stream string // outcome of a streamed one: "whole" or a code
+		plain  string // of one that isn't
+		once   string // of a not-repeatable stream
+	}{
+		{"none", early, func(*world) {}, "whole", "whole", "whole"},
+		{"killed early", early, kill, "whole", "whole", "broken"},
+		{"killed late", late, kill, "broken", "whole", "broken"},
+		{"process gone early", early, crash, "whole", "whole", "crashed"},
+		{"process gone late", late, crash, "crashed", "whole", "crashed"},
+		{"restarted early", early, restart, "whole", "whole", "crashed"},
+		{"restarted late", late, restart, "crashed", "whole", "crashed"},
+		{"paused early", early, pause, "whole", "whole", "broken"},
+		{"paused late", late, pause, "broken", "whole", "broken"},
+		{"paused for a while", late, blink, "whole", "whole", "whole"},
+		{"silent early", early, silent, "whole", "whole", "whole"},
+		{"silent late", late, silent, "whole", "whole", "whole"},
+		{"reset early", early, reset, "whole", "whole", "whole"},
+		{"reset late", late, reset, "whole", "whole", "whole"},
+		{"cut off early", early, cut, "whole", "whole", "broken"},
+		{"cut off late", late, cut, "broken", "whole", "broken"},
+		{"cut off for a while", late, heal, "whole", "whole", "whole"},
+	}
+	for _, test := range tests {
+		outcomes := []struct {
+			name string
+			ask  ask
+			want string
+		}{
+			{"stream", ask{stream: true}, test.stream},
+			{"plain", ask{}, test.plain},
+			{"once", ask{stream: true, headers: map[string]string{"X-Repeatable": "no"}}, test.once},
+		}
+		for _, o := range outcomes {
+			t.Run(test.name+" "+o.name, func(t *testing.T) {
+				options := fakes.EngineOptions{First: 500 * time.Millisecond, Token: 100 * time.Millisecond, Reboot: time.Hour, Keep: time.Minute}
+				within(t, 1, document(), options, func(w *world) {
+					is := is.New(w.t)
+					o.ask.prompt, o.ask.tokens = "p", 40
+					time.AfterFunc(test.after, func() { test.fault(w) })
+					got := w.send(o.ask)
+					is.NoErr(got.err)
+					w.checkWhole(is, got, "p", 40, o.want)
+					if o.name == "once" {
+						is.True(w.runs("p") <= 1)
+					}
+					time.Sleep(time.Minute)
+					is.Equal(w.gates.holding(), 0) // every permit was given back
+				})
+			})
+		}
+	}
+}
+
+// checkWhole checks a reply against what the engines answer to a prompt: it is
+// whole, or it is a part and says truthfully what ran.
+func (w *world) checkWhole(is *is.I, got reply, prompt string, tokens int, want string) {
+	is.Helper()
+	whole := fakes.Answer(prompt, tokens)
+	if want == "whole" {
+		is.Equal(got.reason.Code, "")
+		is.True(got.whole)
+		is.Equal(got.text, whole)
+		return
+	}
+	is.Equal(got.reason.Code, want)
+	is.True(!got.whole)
+	is.True(len(got.text) < len(whole))
+	is.Equal(got.text, whole[:len(got.text)])
+	if got.reason.Ran == "no" {
+		is.Equal(w.runs(prompt), 0)
+	}
+	if got.text != "" {
+		is.Equal(got.reason.Ran, "yes")
+	}
+}
+
+func TestCancelReachesTheEngine(t *testing.T) {
+	options := fakes.EngineOptions{Token: time.Second, Keep: time.Hour}
+	within(t, 1, document(), options, func(w *world) {
+		is := is.New(w.t)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		w.sendUnder(ctx, ask{prompt: "p", tokens: 100, stream: true})
+		time.Sleep(time.Second)
+		report, err := engine.New(w.network.Client("ops").Do).Probe(context.Background(), "e0:80")
+		is.NoErr(err)
+		is.Equal(report.Running, 0)
+		is.Equal(w.gates.count(wire.Ending_ENDING_CANCELLED), 1)
+	})
+}
+
+func TestCrasherIsRefusedAfterTwo(t *testing.T) {
+	within(t, 2, document(), fakes.EngineOptions{Reboot: time.Second}, func(w *world) {
+		is := is.New(w.t)
+		crasher := ask{body: `{"model":"m","prompt":"p","user":"crash"}`}
+		got := w.send(crasher)
+		is.True(got.status >= 500)
+		is.True(got.reason.Ran != "no")
+		for range 4 {
+			time.Sleep(10 * time.Second)
+			w.order(0)
+			w.order(1)
+			crasher.to = 1 - crasher.to
+			got = w.send(crasher)
+		}
+		is.Equal(got.reason.Code, "suspect")
+		is.True(w.runs("p") <= 2)
+		alone := 0
+		for _, asked := range w.gates.asked {
+			if asked.GetAlone() {
+				alone++
+			}
+		}
+		is.True(alone > 0)
+	})
+}
+
+func TestSlowCallerIsCutOff(t *testing.T) {
+	within(t, 1, document(), fakes.EngineOptions{Token: time.Millisecond, Keep: time.Second}, func(w *world) {
+		is := is.New(w.t)
+		r, err := ask{prompt: "p", tokens: 8000, stream: true}.request(context.Background())
+		is.NoErr(err)
+		response, err := w.network.Client("slow").Do(r)
+		is.NoErr(err)
+		defer response.Body.Close()
+		time.Sleep(time.Minute) // reads nothing
+		synctest.Wait()
+		is.Equal(w.gates.holding(), 0)
+		is.Equal(w.gates.count(wire.Ending_ENDING_CANCELLED), 1)
+	})
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
+		is := is.New(w.t)
+		killEngines(w)
+		for i := range 50 {
+			got := w.send(ask{prompt: fmt.Sprint(i)})
+			is.Equal(got.reason.Ran, "no")
+		}
+		is.True(len(w.gates.asked) >= 50)
+		is.True(len(w.gates.asked) <= 50+10+50/10) // saved up, and a tenth
+	})
+}
--- a/entry/permit.go
+++ b/entry/permit.go
@@ -45,20 +45,22 @@
 	entry   *Entry
 	job     *job
 	crashes []string // that the request stood in, as gates name them
+	alone   bool
 	back    time.Duration
 	busy    bool
 }
 
-// acquire asks the gates of the replicas in turn for a permit. Replicas in
-// avoid are asked last.
-func (e *Entry) acquire(ctx context.Context, j *job, crashes []string, avoid map[string]bool) (*permit, *Error) {
+// acquire asks the gates of the replicas in turn for a permit. Replicas that
+// failed the job are asked last.
+func (t *trial) acquire(ctx context.Context) (*permit, *Error) {
+	e, j := t.entry, t.job
 	v := e.options.View()
 	places := e.options.Order(v, j.account, j.prompt.model, j.prompt.prefix, e.options.Domain)
-	places = last(places, avoid)
+	places = last(places, t.avoid)
 	if len(places) == 0 {
 		return nil, unavailable(errNobody)
 	}
-	h := &hunt{entry: e, job: j, crashes: crashes}
+	h := &hunt{entry: e, job: j, crashes: t.crashes, alone: t.suspect}
 	for _, place := range places[:min(len(places), maxAsks)] {
 		p, err := h.ask(ctx, place, 0)
 		if p != nil || err != nil {
@@ -141,15 +143,15 @@
 		Wait:        durationpb.New(wait),
 		Tokens:      uint32(j.prompt.tokens),
 		Prefix:      j.prompt.prefix,
-		Alone:       len(h.crashes) > 0,
+		Alone:       h.alone,
 		Fingerprint: short(j.print),
 		Crashes:     h.crashes,
 	})
 }
 
 // short returns the first 64 bits of a fingerprint.
-func short(print string) uint64 {
-	data, err := hex.DecodeString(print)
+func short(fingerprint string) uint64 {
+	data, err := hex.DecodeString(fingerprint)
 	if err != nil || len(data) < 8 {
 		return 0
 	}
@@ -199,7 +201,7 @@
 		fence:  response.GetFence(),
 		target: response.GetAddress(),
 		until:  asked.Add(response.GetValidity().AsDuration()),
-		alone:  response.GetAlone() || len(h.crashes) > 0,
+		alone:  response.GetAlone() || h.alone,
 	}
 	if p.stale() {
 		h.entry.releaseLater(h.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
@@ -271,12 +273,11 @@
 	return nil, fmt.Errorf("release: %w", failed)
 }
 
-// releaseLater ends a dispatch without keeping the caller waiting. A request
-// whose cancellation the endpoint doesn't confirm may still be running.
+// releaseLater ends a dispatch without keeping the caller waiting.
 func (e *Entry) releaseLater(j *job, p *permit, o outcome) {
-	e.later(maxCancel+maxRelease, func(ctx context.Context) {
-		if o.cancel != nil && !o.cancel() {
-			o.ending = wire.Ending_ENDING_BROKEN
+	e.later(maxSettle+maxRelease, func(ctx context.Context) {
+		if o.settle != nil {
+			o.ending = o.settle()
 		}
 		_, _ = e.release(ctx, j, p, o) // the gate lets a silent permit lapse
 	})
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -54,8 +54,13 @@
 	if err.Kind == BadKey {
 		h.Set("WWW-Authenticate", "Bearer")
 	}
+	body, failed := json.Marshal(refusal(err, id))
+	if failed != nil {
+		body = []byte("{}")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)+1))
 	w.WriteHeader(meanings[err.Kind].status)
-	_ = json.NewEncoder(w).Encode(refusal(err, id)) // nobody is left to tell
+	_, _ = w.Write(append(body, '\n')) // nobody is left to tell
 }
 
 // seconds rounds a duration up to whole seconds.
--- a/entry/run.go
+++ b/entry/run.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	maxResumes = 3                      // connections tried in a row without a new chunk
+	maxResumes = 5                      // connections tried in a row without a new chunk
 	resumeWait = 100 * time.Millisecond // before the second of them; doubles
-	maxCancel  = 2 * time.Second        // for telling an endpoint that nobody waits
 )
 
 // outcome is how one dispatch ended.
@@ -23,7 +22,8 @@
 	err    *Error // nil for a whole answer
 	first  time.Duration
 	tokens int
-	cancel func() bool // tells the endpoint that nobody waits; nil where it knows
+	broke  bool               // the endpoint's side broke the connection: it may have crashed
+	settle func() wire.Ending // stops what may still run; nil where nothing can
 }
 
 // dispatch is one run of a request at one endpoint, over as many connections
@@ -116,6 +116,9 @@
 	if errors.Is(err, errHole) {
 		return false
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true
+	}
 	var fault *engine.Error
 	return !errors.As(err, &fault) || fault.Kind != engine.Broken && fault.Kind != engine.Unsent
 }
@@ -182,7 +185,8 @@
 	}
 	o := d.ended(ctx, err, ran)
 	if ran != engine.No && o.ending != wire.Ending_ENDING_CRASHED {
-		o.cancel = d.cancel
+		o.broke = brokeOff(err)
+		o.settle = func() wire.Ending { return d.settle(o.ending) }
 	}
 	return o
 }
@@ -237,13 +241,3 @@
 
 // opOpen is the operation of an engine.Error that comes from Open.
 const opOpen = "open"
-
-// cancel tells the endpoint to stop and reports whether it confirmed that the
-// request is not running.
-func (d *dispatch) cancel() bool {
-	ctx, stop := context.WithTimeout(context.Background(), maxCancel)
-	defer stop()
-	err := d.client.Cancel(ctx, d.permit.target, d.id)
-	var fault *engine.Error
-	return err == nil || errors.As(err, &fault) && fault.Kind == engine.Gone
-}
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -5,7 +5,6 @@
 
 	"github.com/matryer/is"
 
-	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/fakes"
 )
 
@@ -24,7 +23,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
-				is := is.New(t)
+				is := is.New(w.t)
 				got := w.send(test.ask)
 				is.NoErr(got.err)
 				is.Equal(got.status, 200)
@@ -38,5 +37,4 @@
 			})
 		})
 	}
-	_ = conf.Limits{}
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		err.Ran = e.truth(c.job, err)
 		e.closeCall(c, err)
+		linger(w, r)
 		return
 	}
 	e.metrics.progress.Inc()
--- a/entry/target.go
+++ b/entry/target.go
@@ -20,7 +20,7 @@
 	rest := strings.TrimPrefix(escaped, pathServices)
 	name, path, _ := strings.Cut(rest, "/")
 	service, err := url.PathUnescape(name)
-	if err != nil || !clear(service) {
+	if err != nil || !unambiguous(service) {
 		return target{}, errPath
 	}
 	segments := strings.Split(path, "/")
@@ -29,15 +29,15 @@
 			break
 		}
 		plain, err := url.PathUnescape(segment)
-		if err != nil || !clear(plain) {
+		if err != nil || !unambiguous(plain) {
 			return target{}, errPath
 		}
 	}
 	return target{service: service, path: "/" + path}, nil
 }
 
-// clear reports whether a segment, unescaped, can be read in one way only.
-func clear(segment string) bool {
+// unambiguous reports whether a segment, unescaped, can be read in one way only.
+func unambiguous(segment string) bool {
 	if segment == "" || segment == "." || segment == ".." {
 		return false
 	}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -399,11 +398,11 @@
 	}
 	delete(g.held, r.GetPermit())
 	g.endings = append(g.endings, r.GetEnding())
-	print := held.GetFingerprint()
+	suspect := held.GetFingerprint()
 	if r.GetEnding() == wire.Ending_ENDING_CRASHED {
-		g.crashes[print] = append(g.crashes[print], fmt.Sprint(r.GetReplica(), "/", r.GetPermit()))
+		g.crashes[suspect] = append(g.crashes[suspect], fmt.Sprint(r.GetReplica(), "/", r.GetPermit()))
 	}
-	return &wire.ReleaseResponse{Strikes: uint32(len(g.crashes[print])), Crashes: slices.Clone(g.crashes[print])}, nil
+	return &wire.ReleaseResponse{Strikes: uint32(len(g.crashes[suspect])), Crashes: slices.Clone(g.crashes[suspect])}, nil
 }
 
 func (g *gates) Handover(context.Context, *wire.HandoverRequest) (*wire.HandoverResponse, error) {
@@ -432,5 +431,3 @@
 	defer g.mu.Unlock()
 	return len(g.held)
 }
-
-var _ = bytes.Equal
