--- a/entry/entries.go
+++ b/entry/entries.go
@@ -45,6 +45,7 @@
 		Entries: pick(e.sorted(v, domain)),
 		Hold:    conf.Duration(hold),
 	}
+	writable(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "max-age="+seconds(hold))
 	_ = json.NewEncoder(w).Encode(answer) // nobody is left to tell
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -96,6 +96,7 @@
 
 // replay sends the answer of an earlier attempt.
 func replay(w http.ResponseWriter, kept once.Answer) {
+	writable(w)
 	w.Header().Set("Content-Type", kept.Type)
 	w.Header().Set(headerReplayed, "yes")
 	w.WriteHeader(kept.Status)
--- a/entry/models.go
+++ b/entry/models.go
@@ -33,6 +33,7 @@
 	for _, name := range offered(v, account) {
 		answer.Data = append(answer.Data, Model{ID: name, Object: "model", Owner: "clementinehead"})
 	}
+	writable(w)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer) // nobody is left to tell
 }
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -45,6 +45,7 @@
 
 // refuse writes a refusal as the whole answer.
 func refuse(w http.ResponseWriter, err *Error, id string) {
+	writable(w)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRan, strings.ToLower(err.Ran.String()))
@@ -67,3 +68,12 @@
 func seconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
+
+// maxWrite bounds how long a caller may take for a short answer.
+const maxWrite = 10 * time.Second
+
+// writable sets the limit on writing a short answer. A connection keeps the
+// limit of the answer before, which may lie in the past.
+func writable(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(maxWrite)) // in-memory writers have none
+}
--- /dev/null
+++ b/once/book_test.go
@@ -0,0 +1,300 @@
+package once_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/once"
+	"clementinehead.example/chead/store"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261203")
+	os.Exit(m.Run())
+}
+
+const window = time.Hour
+
+// shelf is some daemons' books in one store.
+type shelf struct {
+	network *fakes.Network
+	store   *fakes.Store
+	books   []*once.Book
+}
+
+func newShelf(n int) *shelf {
+	s := &shelf{network: fakes.NewNetwork(), store: fakes.NewStore()}
+	s.network.Serve("kv:80", s.store)
+	for i := range n {
+		host := fmt.Sprintf("d%d", i)
+		s.books = append(s.books, once.New(once.Options{
+			Self:   host,
+			Boot:   1,
+			Store:  store.New("http://kv:80", s.network.Client(host).Do),
+			Window: func() time.Duration { return window },
+		}))
+	}
+	return s
+}
+
+func within(t *testing.T, n int, test func(t *testing.T, s *shelf)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShelf(n)
+		defer s.network.Close()
+		test(t, s)
+	})
+}
+
+func request(key string) once.Request {
+	return once.Request{Account: "desk", Key: key, Print: "body", At: time.Now()}
+}
+
+// kindOf returns the kind of an error, or -1 for none.
+func kindOf(err error) once.Kind {
+	var fault *once.Error
+	if errors.As(err, &fault) {
+		return fault.Kind
+	}
+	return -1
+}
+
+func TestClaim(t *testing.T) {
+	const none = once.Kind(-1)
+	answer := once.Answer{Status: 200, Type: "text/plain", Body: []byte("done")}
+	large := once.Answer{Body: make([]byte, once.MaxKept+1)}
+	claimed := func(s *shelf) *once.Claim {
+		claim, _, _ := s.books[0].Claim(context.Background(), request("k"))
+		return claim
+	}
+	ctx := context.Background()
+	tests := []struct {
+		name   string
+		before func(s *shelf)
+		change func(r *once.Request)
+		kind   once.Kind
+		kept   bool
+	}{
+		{name: "first", kind: none},
+		{name: "first, answer lost", before: func(s *shelf) { s.store.LoseAnswers(1) }, kind: none},
+		{name: "store down", before: func(s *shelf) { s.store.Down(true) }, kind: once.Down},
+		{name: "store hangs", before: func(s *shelf) { s.store.Hang(true) }, kind: once.Down},
+		{name: "held by another", before: func(s *shelf) { claimed(s) }, kind: once.Pending},
+		{name: "holder gone for long", before: func(s *shelf) { claimed(s); time.Sleep(30 * time.Minute) }, kind: once.Unknown},
+		{name: "done", before: func(s *shelf) { _ = claimed(s).Finish(ctx, answer) }, kind: none, kept: true},
+		{name: "done, answer large", before: func(s *shelf) { _ = claimed(s).Finish(ctx, large) }, kind: once.Kept},
+		{name: "done, write's answer lost", before: func(s *shelf) {
+			c := claimed(s)
+			s.store.LoseAnswers(1)
+			_ = c.Finish(ctx, answer)
+		}, kind: none, kept: true},
+		{name: "given up", before: func(s *shelf) { _ = claimed(s).Forgo(ctx) }, kind: none},
+		{name: "another body", before: func(s *shelf) { claimed(s) }, change: func(r *once.Request) { r.Print = "x" }, kind: once.Reused},
+		{name: "another account", before: func(s *shelf) { claimed(s) }, change: func(r *once.Request) { r.Account = "yard" }, kind: none},
+		{name: "old", change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: once.Expired},
+		{name: "old and done", before: func(s *shelf) { _ = claimed(s).Finish(ctx, answer) }, change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: none, kept: true},
+		{name: "old and given up", before: func(s *shelf) { _ = claimed(s).Forgo(ctx) }, change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: once.Expired},
+		{name: "from the future", change: func(r *once.Request) { r.At = r.At.Add(window) }, kind: once.Future},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			within(t, 2, func(t *testing.T, s *shelf) {
+				is := is.New(t)
+				if test.before != nil {
+					test.before(s)
+				}
+				r := request("k")
+				if test.change != nil {
+					test.change(&r)
+				}
+				limited, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				claim, kept, err := s.books[1].Claim(limited, r)
+				is.Equal(kindOf(err), test.kind)
+				is.Equal(kept != nil, test.kept)
+				is.Equal(claim != nil, test.kind == none && !test.kept)
+			})
+		})
+	}
+}
+
+// TestDroppedClaim checks that a claim whose write was lost while the store
+// could not be read back doesn't hold up the caller's next attempt.
+func TestDroppedClaim(t *testing.T) {
+	within(t, 1, func(t *testing.T, s *shelf) {
+		is := is.New(t)
+		s.store.Delay(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		s.store.LoseAnswers(1)
+		_, _, err := s.books[0].Claim(ctx, request("k"))
+		is.Equal(kindOf(err), once.Down)
+		claim, _, err := s.books[0].Claim(t.Context(), request("k"))
+		is.NoErr(err)
+		is.True(claim != nil)
+	})
+}
+
+func TestSweep(t *testing.T) {
+	within(t, 1, func(t *testing.T, s *shelf) {
+		is := is.New(t)
+		for i := range 20 {
+			_, _, err := s.books[0].Claim(t.Context(), request(fmt.Sprint(i)))
+			is.NoErr(err)
+		}
+		sweep := func() (deleted int) {
+			for shard := range once.Shards {
+				n, err := s.books[0].Sweep(t.Context(), shard)
+				is.NoErr(err)
+				deleted += n
+			}
+			return deleted
+		}
+		time.Sleep(window)
+		is.Equal(sweep(), 0)
+		time.Sleep(window + 2*time.Minute)
+		is.Equal(sweep(), 20)
+	})
+}
+
+// TestAtMostOnce draws attempts at a few keys through three books, with a
+// store that is down, slow or loses answers, holders that pause for long
+// before they run, and sweeps. No key runs twice, and none runs that was given
+// up.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := drawPlan(rt)
+		var failed string
+		synctest.Test(t, func(t *testing.T) {
+			s := newShelf(3)
+			defer s.network.Close()
+			failed = seed.run(t.Context(), s)
+		})
+		if failed != "" {
+			rt.Fatal(failed)
+		}
+	})
+}
+
+// plan is a schedule of attempts and faults.
+type plan struct {
+	attempts []attempt
+	faults   []fault
+}
+
+type attempt struct {
+	at, pause time.Duration
+	book, key int
+	ending    int // finish, forgo or neither
+}
+
+type fault struct {
+	at   time.Duration
+	kind int
+}
+
+func drawPlan(rt *rapid.T) plan {
+	seconds := func(most int) *rapid.Generator[time.Duration] {
+		return rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, most*10).Draw(t, "tenths")) * 100 * time.Millisecond
+		})
+	}
+	one := rapid.Custom(func(t *rapid.T) attempt {
+		return attempt{
+			at:     seconds(20).Draw(t, "at"),
+			pause:  rapid.SampledFrom([]time.Duration{0, time.Second, 15 * time.Minute}).Draw(t, "pause"),
+			book:   rapid.IntRange(0, 2).Draw(t, "book"),
+			key:    rapid.IntRange(0, 2).Draw(t, "key"),
+			ending: rapid.IntRange(0, 2).Draw(t, "ending"),
+		}
+	})
+	wrong := rapid.Custom(func(t *rapid.T) fault {
+		return fault{at: seconds(20).Draw(t, "at"), kind: rapid.IntRange(0, 4).Draw(t, "kind")}
+	})
+	return plan{
+		attempts: rapid.SliceOfN(one, 2, 20).Draw(rt, "attempts"),
+		faults:   rapid.SliceOfN(wrong, 0, 6).Draw(rt, "faults"),
+	}
+}
+
+func (p plan) run(ctx context.Context, s *shelf) string {
+	var mu sync.Mutex
+	runs := map[int]int{}
+	var group sync.WaitGroup
+	for _, f := range p.faults {
+		group.Go(func() {
+			time.Sleep(f.at)
+			f.strike(s)
+		})
+	}
+	for _, a := range p.attempts {
+		group.Go(func() {
+			time.Sleep(a.at)
+			if a.make(ctx, s) {
+				mu.Lock()
+				runs[a.key]++
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	for key, n := range runs {
+		if n > 1 {
+			return fmt.Sprintf("key %d ran %d times", key, n)
+		}
+	}
+	return ""
+}
+
+func (f fault) strike(s *shelf) {
+	switch f.kind {
+	case 0:
+		s.store.LoseAnswers(2)
+	case 1:
+		s.store.Down(true)
+		time.Sleep(2 * time.Second)
+		s.store.Down(false)
+	case 2:
+		s.store.Delay(1500 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		s.store.Delay(0)
+	case 3:
+		s.network.Silence("d0", "kv")
+	case 4:
+		s.network.Reset("d1", "kv")
+	}
+}
+
+// make makes an attempt as an entry does and reports whether it ran.
+func (a attempt) make(ctx context.Context, s *shelf) bool {
+	limited, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	claim, _, err := s.books[a.book].Claim(limited, request(fmt.Sprint(a.key)))
+	if err != nil || claim == nil {
+		return false
+	}
+	time.Sleep(a.pause)
+	last, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	switch a.ending {
+	case 0:
+		_ = claim.Finish(last, once.Answer{Status: 200})
+		return true
+	case 1:
+		_ = claim.Forgo(last)
+		return false
+	default:
+		return true
+	}
+}
