--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +59,8 @@
 		{"cut off early", early, cut, "whole", "whole", "broken"},
 		{"cut off late", late, cut, "broken", "whole", "broken"},
 		{"cut off for a while", late, heal, "whole", "whole", "whole"},
+		{"all gone early", early, killEngines, "unavailable", "unavailable", "crashed"},
+		{"all gone late", late, killEngines, "crashed", "unavailable", "crashed"},
 	}
 	for _, test := range tests {
 		outcomes := []struct {
@@ -169,6 +172,53 @@
 	})
 }
 
+// TestStalePermit has a gate answer so late that the permit is no longer valid.
+func TestStalePermit(t *testing.T) {
+	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
+		is := is.New(w.t)
+		w.gates.delay = 1500 * time.Millisecond
+		is.Equal(w.send(ask{prompt: "p"}).reason.Ran, "no")
+		time.Sleep(time.Minute)
+		is.Equal(w.runs("p"), 0)
+		is.Equal(w.gates.holding(), 0)
+	})
+}
+
+// TestSameRequestID has two accounts use one request id at one endpoint. Both
+// streams are resumed, and neither gets the other's answer.
+func TestSameRequestID(t *testing.T) {
+	options := fakes.EngineOptions{Token: 100 * time.Millisecond, Keep: time.Minute}
+	within(t, 2, document(), options, func(w *world) {
+		is := is.New(w.t)
+		time.AfterFunc(time.Second, func() { w.network.Silence(fakes.Every, "e0") })
+		var group sync.WaitGroup
+		for i, key := range []string{desk, yard} {
+			group.Go(func() {
+				prompt := fmt.Sprint("of account ", i)
+				got := w.send(ask{
+					to: i, host: fmt.Sprint("c", i), key: key, prompt: prompt, tokens: 30,
+					headers: map[string]string{"X-Request-Id": "same"},
+				})
+				is.True(got.whole)
+				is.Equal(got.text, fakes.Answer(prompt, 30))
+			})
+		}
+		group.Wait()
+	})
+}
+
+// TestPriorityIsBounded checks that an account can't ask for more than its due.
+func TestPriorityIsBounded(t *testing.T) {
+	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
+		is := is.New(w.t)
+		for _, key := range []string{desk, yard} {
+			w.send(ask{prompt: "p", key: key, headers: map[string]string{"X-Priority": "9"}})
+		}
+		is.Equal(w.gates.asked[0].GetPriority(), int32(3))
+		is.Equal(w.gates.asked[1].GetPriority(), int32(0))
+	})
+}
+
 func TestBudgetBoundsRetries(t *testing.T) {
 	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
 		is := is.New(w.t)
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -39,6 +39,7 @@
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "20261203")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "50")
 	os.Exit(m.Run())
 }
 
@@ -362,6 +363,7 @@
 type gates struct {
 	mu      sync.Mutex
 	limit   int
+	delay   time.Duration
 	number  uint64
 	held    map[uint64]*wire.AcquireRequest
 	crashes map[uint64][]string
@@ -373,6 +375,7 @@
 var errGate = errors.New("no gate here")
 
 func (g *gates) Acquire(_ context.Context, r *wire.AcquireRequest) (*wire.AcquireResponse, error) {
+	defer time.Sleep(g.delay)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.asked = append(g.asked, r)
