--- a/cmd/chfake/client.go
+++ b/cmd/chfake/client.go
@@ -50,7 +50,7 @@
 	if err := c.load(ctx, s, sum); err != nil {
 		return err
 	}
-	if err := sum.audit(ctx, platform{base: c.Store}); err != nil {
+	if err := sum.audit(ctx, newPlatform(c.Store)); err != nil {
 		return err
 	}
 	sum.print(os.Stdout)
--- a/cmd/chfake/engine.go
+++ b/cmd/chfake/engine.go
@@ -36,7 +36,7 @@
 
 // Run serves until it is told to end.
 func (c engineCommand) Run() error {
-	p := platform{base: c.Store}
+	p := newPlatform(c.Store)
 	e := fakes.NewEngine(c.options(p))
 	defer e.Close()
 	return serve(c.Listen, e, p.register(c.instance()))
--- a/cmd/chfake/plain.go
+++ b/cmd/chfake/plain.go
@@ -17,7 +17,7 @@
 	service := fakes.NewPlain()
 	service.Delay(c.Delay)
 	if c.Store != "" {
-		service.Began = platform{base: c.Store}.began
+		service.Began = newPlatform(c.Store).began
 	}
 	return serve(c.Listen, service)
 }
--- a/cmd/chfake/platform.go
+++ b/cmd/chfake/platform.go
@@ -21,8 +21,15 @@
 )
 
 // platform is the store's process as the other stand-ins see it, at an URL
-// without a path.
-type platform struct{ base string }
+// without a path. Do sends a request.
+type platform struct {
+	base string
+	do   func(*http.Request) (*http.Response, error)
+}
+
+func newPlatform(base string) platform {
+	return platform{base: base, do: http.DefaultClient.Do}
+}
 
 // register tells the list of instances of an engine again and again, and takes
 // it out of the list at the end.
@@ -78,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := p.do(request)
 	if err != nil {
 		return err
 	}
--- a/demo.sh
+++ b/demo.sh
@@ -83,7 +83,7 @@
 	exit 1
 }
 
-start store bin/chfake store --listen "$store"
+start store bin/chfake store --listen "$store" --weights 6
 await 5 "the store listens" listening "$store"
 start plain bin/chfake plain --listen "$plain" --store "http://$store"
 
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -35,6 +35,7 @@
 	body   io.ReadCloser
 	lines  *bufio.Scanner
 	cancel context.CancelFunc
+	timer  *time.Timer // of limit; nil before its first use
 	silent atomic.Bool
 	begun  bool
 	last   bool
@@ -99,11 +100,18 @@
 	if d <= 0 {
 		return func() {}
 	}
-	timer := time.AfterFunc(d, func() {
-		s.silent.Store(true)
-		s.cancel()
-	})
-	return func() { timer.Stop() }
+	if s.timer == nil {
+		s.timer = time.AfterFunc(d, s.silence)
+	} else {
+		s.timer.Reset(d)
+	}
+	return func() { s.timer.Stop() }
+}
+
+// silence ends the connection for its silence.
+func (s *Stream) silence() {
+	s.silent.Store(true)
+	s.cancel()
 }
 
 // Next returns the next event. It returns io.EOF after the last one, and an
@@ -176,9 +184,13 @@
 		c.Offset = offset
 	case "data":
 		c.Last = string(value) == done
-		if !c.Last {
-			c.Data = append(c.Data, value...)
+		if c.Last {
+			return nil
+		}
+		if c.Data != nil {
+			c.Data = append(c.Data, '\n')
 		}
+		c.Data = append(c.Data, value...)
 	}
 	return nil
 }
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -25,6 +25,7 @@
 	Full    int           // requests in progress that it bears when warm
 	Blocks  int           // prefix blocks that the cache holds
 	Skip    int           // of how many cache events one is lost, 0 for none
+	Jumble  int           // of how many events of a stream one comes after the next, which comes twice; 0 for none
 	First   time.Duration // to the first token
 	Prefill time.Duration // more to the first token for each block that is not cached
 	Token   time.Duration // between tokens
--- a/fakes/engine_test.go
+++ b/fakes/engine_test.go
@@ -293,3 +293,67 @@
 		is.True(p.Runs("k") >= 2)
 	})
 }
+
+func TestEngineJumblesEvents(t *testing.T) {
+	withEngines(t, 1, fakes.EngineOptions{Jumble: 2}, func(t *testing.T, is *is.I, b *bench) {
+		stream, err := b.client.Open(t.Context(), first, request("q1"))
+		is.NoErr(err)
+		defer stream.Close()
+		var offsets []int
+		for {
+			chunk, err := stream.Next()
+			if err != nil {
+				is.Equal(err, io.EOF)
+				break
+			}
+			offsets = append(offsets, chunk.Offset)
+		}
+		is.Equal(offsets, []int{0, 2, 1, 2, 3, 4})
+	})
+}
+
+func TestEngineReportsLateButItsStateAtOnce(t *testing.T) {
+	options := fakes.EngineOptions{Lag: 2 * time.Second, Token: time.Second}
+	withEngines(t, 1, options, func(t *testing.T, is *is.I, b *bench) {
+		stream, err := b.client.Open(t.Context(), first, request("q1"))
+		is.NoErr(err)
+		defer stream.Close()
+		report, err := b.client.Probe(t.Context(), first)
+		is.NoErr(err)
+		is.Equal(report.Running, 0)
+		is.Equal(report.Fence, uint64(5))
+		time.Sleep(2 * time.Second)
+		report, err = b.client.Probe(t.Context(), first)
+		is.NoErr(err)
+		is.Equal(report.Running, 1)
+	})
+}
+
+func TestEngineNotesWorkForAnIncompleteReplica(t *testing.T) {
+	withEngines(t, 2, fakes.EngineOptions{}, func(t *testing.T, is *is.I, b *bench) {
+		b.engines[1].Kill()
+		time.Sleep(time.Second)
+		_, err := b.run(t.Context(), request("q1"))
+		is.Equal(faultOf(err), engine.Broken)
+		violations := b.engines[0].Violations()
+		is.Equal(len(violations), 1)
+		is.Equal(violations[0].Breach, fakes.Incomplete)
+		is.Equal(b.engines[0].Runs("q1"), 0)
+	})
+}
+
+func TestLoaderIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := fakes.NewLoader(2)
+		start := time.Now()
+		done := make(chan error, 3)
+		for range 3 {
+			go func() { done <- l.Load(t.Context(), 4) }()
+		}
+		for range 3 {
+			is.NoErr(<-done)
+		}
+		is.Equal(time.Since(start), 6*time.Second)
+	})
+}
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -79,22 +79,43 @@
 func (l *life) stream(w http.ResponseWriter, r *http.Request, j *job, offset int) {
 	defer j.detach(l.engine.options.Keep, func() { l.forget(j) })
 	w.Header().Set("Content-Type", "text/event-stream")
-	flusher := http.NewResponseController(w)
-	_ = flusher.Flush()
-	for ; ; offset++ {
+	_ = http.NewResponseController(w).Flush()
+	for l.send(w, r, j, l.jumbled(r, j, offset)...) {
+		offset++
+	}
+	l.abortUnlessWhole(j)
+}
+
+// jumbled returns the offsets of the events to send in the place of one. The
+// end of a stream stays where it is.
+func (l *life) jumbled(r *http.Request, j *job, offset int) []int {
+	every := l.engine.options.Jumble
+	if every == 0 || offset%every < every-1 {
+		return []int{offset}
+	}
+	next, ok := j.at(r.Context(), offset+1)
+	if !ok || string(next) == doneData {
+		return []int{offset}
+	}
+	return []int{offset + 1, offset}
+}
+
+// send writes the events at some offsets, those behind the end excepted. It
+// reports whether the last one was written.
+func (l *life) send(w http.ResponseWriter, r *http.Request, j *job, offsets ...int) bool {
+	sent := false
+	for _, offset := range offsets {
 		event, ok := j.at(r.Context(), offset)
-		if !ok {
-			break
-		}
-		if !l.engine.awake(r.Context(), l) {
-			break
+		sent = ok && l.engine.awake(r.Context(), l)
+		if !sent {
+			continue
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, event); err != nil {
-			break
+			return false
 		}
-		_ = flusher.Flush()
+		_ = http.NewResponseController(w).Flush()
 	}
-	l.abortUnlessWhole(j)
+	return sent
 }
 
 // abortUnlessWhole breaks the connection of an answer that is not complete.
--- a/fakes/space.go
+++ b/fakes/space.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -140,14 +141,20 @@
 	if listing.Compact {
 		return listing, s.changed
 	}
-	for _, entry := range s.log {
-		if entry.Revision > after && strings.HasPrefix(entry.Key, prefix) {
+	for _, entry := range s.log[s.firstAfter(after):] {
+		if strings.HasPrefix(entry.Key, prefix) {
 			listing.Entries = append(listing.Entries, entry)
 		}
 	}
 	return listing, s.changed
 }
 
+// firstAfter returns the place in the log of the first change after a
+// revision. It is called with the lock held.
+func (s *space) firstAfter(revision uint64) int {
+	return sort.Search(len(s.log), func(i int) bool { return s.log[i].Revision > revision })
+}
+
 func (s *space) grant(ttl time.Duration) store.Lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
