--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -42,6 +42,9 @@
 	// Member returns the report of another member of the replica; nil takes
 	// all members to be alive.
 	Member func(ctx context.Context, address string) (engine.Report, error)
+	// Pace returns the slowness of another member of the replica, which the
+	// first one's tokens share; nil for the normal.
+	Pace func(address string) float64
 	// Began is told of each request that begins to run; nil for nobody.
 	Began func(id, prompt string)
 }
@@ -57,6 +60,9 @@
 	o.Keep = or(o.Keep, 2*time.Second)
 	o.Reboot = or(o.Reboot, time.Second)
 	o.Check = or(o.Check, 100*time.Millisecond)
+	if o.Pace == nil {
+		o.Pace = func(string) float64 { return 1 }
+	}
 	return o
 }
 
--- a/fakes/engine_test.go
+++ b/fakes/engine_test.go
@@ -357,3 +357,34 @@
 		is.Equal(time.Since(start), 6*time.Second)
 	})
 }
+
+func TestEngineFreesAPlaceBeforeTheCallerKnows(t *testing.T) {
+	options := fakes.EngineOptions{Start: 1, Step: 1000, Token: time.Microsecond}
+	withEngines(t, 1, options, func(t *testing.T, is *is.I, b *bench) {
+		for i := range 50 {
+			_, err := b.run(t.Context(), request(fmt.Sprint("whole ", i)))
+			is.NoErr(err)
+			r := request(fmt.Sprint("cancelled ", i))
+			stream, err := b.client.Open(t.Context(), first, r)
+			is.NoErr(err)
+			is.NoErr(b.client.Cancel(t.Context(), first, r.ID))
+			is.NoErr(stream.Close())
+		}
+		is.Equal(len(b.engines[0].Violations()), 0)
+	})
+}
+
+func TestEngineStraggles(t *testing.T) {
+	options := fakes.EngineOptions{Token: 100 * time.Millisecond}
+	withEngines(t, 1, options, func(t *testing.T, is *is.I, b *bench) {
+		b.engines[0].Straggle(3)
+		start := time.Now()
+		_, err := b.run(t.Context(), request("q1"))
+		is.NoErr(err)
+		is.Equal(time.Since(start), 900*time.Millisecond)
+		start = time.Now()
+		_, err = b.client.Probe(t.Context(), first)
+		is.NoErr(err)
+		is.Equal(time.Since(start), 10*time.Millisecond)
+	})
+}
--- a/fakes/job.go
+++ b/fakes/job.go
@@ -11,6 +11,7 @@
 type job struct {
 	ask
 	id       string
+	fence    string // that it was sent with
 	priority int
 	alone    bool
 	arrived  time.Time
--- a/fakes/life.go
+++ b/fakes/life.go
@@ -63,13 +63,21 @@
 	l.mux.HandleFunc("GET /v1/report", l.report)
 	l.mux.HandleFunc("POST /v1/order", l.take)
 	l.mux.HandleFunc("GET /v1/events", l.events)
-	l.mux.HandleFunc("POST /v1/completions", l.complete)
-	l.mux.HandleFunc("POST /v1/chat/completions", l.complete)
+	l.mux.HandleFunc("POST /v1/completions", l.submit)
+	l.mux.HandleFunc("POST /v1/chat/completions", l.submit)
 	l.mux.HandleFunc("GET /v1/streams/{id}", l.resume)
 	l.mux.HandleFunc("DELETE /v1/streams/{id}", l.remove)
 }
 
-func (l *life) report(w http.ResponseWriter, _ *http.Request) {
+// reportTime is how much later a straggler answers a probe, for each multiple
+// of the normal time.
+const reportTime = 5 * time.Millisecond
+
+func (l *life) report(w http.ResponseWriter, r *http.Request) {
+	late := time.Duration((l.engine.Slowness() - 1) * float64(reportTime))
+	if !sleep(r.Context(), late) {
+		panic(http.ErrAbortHandler)
+	}
 	l.mu.Lock()
 	report := l.now()
 	l.mu.Unlock()
@@ -114,7 +122,14 @@
 	return min(o.Full, o.Start+int(l.done)/o.Step)
 }
 
-// wait waits for d, lengthened by the engine's slowness and pauses.
+// wait waits for d, lengthened by pauses and by the slowest member's slowness.
 func (l *life) wait(ctx context.Context, d time.Duration) bool {
-	return sleep(ctx, l.engine.slowed(d)) && l.engine.awake(ctx, l)
+	l.mu.Lock()
+	members := l.order.Members
+	l.mu.Unlock()
+	slowest := l.engine.Slowness()
+	for _, member := range members {
+		slowest = max(slowest, l.engine.options.Pace(member))
+	}
+	return sleep(ctx, time.Duration(float64(d)*slowest)) && l.engine.awake(ctx, l)
 }
--- a/fakes/power.go
+++ b/fakes/power.go
@@ -68,7 +68,8 @@
 	e.paused = nil
 }
 
-// Straggle makes tokens take a multiple of their time; 1 is the normal.
+// Straggle makes tokens take a multiple of their time, and answers to probes
+// come late; 1 is the normal.
 func (e *Engine) Straggle(factor float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -92,10 +93,11 @@
 	defer l.mu.Unlock()
 }
 
-func (e *Engine) slowed(d time.Duration) time.Duration {
+// Slowness returns the factor that Straggle set.
+func (e *Engine) Slowness() float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Duration(float64(d) * e.slowness)
+	return e.slowness
 }
 
 // crash ends one life of the engine and starts the next after a while.
--- a/fakes/run.go
+++ b/fakes/run.go
@@ -46,10 +46,18 @@
 		}
 		j.append(false, j.event(i))
 	}
+	l.complete(j)
+	j.append(true, j.tail()...)
+}
+
+// complete counts a job and frees its place, before the caller can know of its
+// end and send another.
+func (l *life) complete(j *job) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.done++
-	l.mu.Unlock()
-	j.append(true, j.tail()...)
+	l.batch.remove(j)
+	l.measure()
 }
 
 // gap returns the time between two tokens at the present size of the batch.
@@ -60,7 +68,7 @@
 	return o.Token + time.Duration(max(0, len(l.batch.running)-1))*o.Share
 }
 
-// leave takes a job out of the batch.
+// leave takes a job out of the batch, if it is still there.
 func (l *life) leave(j *job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,6 +81,7 @@
 	j.cancel()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.batch.remove(j)
 	if l.jobs[j.id] == j {
 		delete(l.jobs, j.id)
 	}
@@ -84,4 +93,5 @@
 		j.cancel()
 	}
 	clear(l.jobs)
+	l.batch = batch{size: l.batch.size}
 }
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -11,8 +11,8 @@
 	"clementinehead.example/chead/engine"
 )
 
-// complete runs a request and answers it.
-func (l *life) complete(w http.ResponseWriter, r *http.Request) {
+// submit runs a request and answers it.
+func (l *life) submit(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	a, err := readAsk(body, strings.HasPrefix(r.URL.Path, "/v1/chat/"))
 	if err != nil {
@@ -23,7 +23,8 @@
 	j := newJob(l, r.Header.Get(engine.HeaderRequest), a)
 	j.priority, _ = strconv.Atoi(r.Header.Get(engine.HeaderPriority))
 	j.alone = r.Header.Get(engine.HeaderAlone) != ""
-	if status, reason := l.begin(j, r.Header.Get(engine.HeaderFence)); reason != "" {
+	j.fence = r.Header.Get(engine.HeaderFence)
+	if status, reason := l.begin(j); reason != "" {
 		j.cancel()
 		notRun(w, status, reason)
 		return
@@ -37,11 +38,11 @@
 
 // begin takes a job in, or returns the status and reason of its refusal. A
 // request above what the engine bears crashes it.
-func (l *life) begin(j *job, fence string) (int, string) {
+func (l *life) begin(j *job) (int, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.abortIfOver()
-	if status, reason := l.refusal(fence); reason != "" {
+	if status, reason := l.refusal(j.fence); reason != "" {
 		return status, reason
 	}
 	if bears := l.bears(); bears < l.engine.options.Full && l.batch.progress() >= bears {
@@ -160,16 +161,16 @@
 	}
 	l.mu.Lock()
 	j := l.jobs[r.PathValue("id")]
-	status, reason := l.refusal(r.Header.Get(engine.HeaderFence))
-	if j != nil && reason == "" {
+	known := j != nil && (j.fence == r.Header.Get(engine.HeaderFence) || l.engine.options.Ignore)
+	if known {
 		j.attach()
 	}
 	l.mu.Unlock()
 	switch {
 	case j == nil:
 		http.Error(w, "no such stream", http.StatusNotFound)
-	case reason != "":
-		http.Error(w, reason, status)
+	case !known:
+		http.Error(w, "the stream has another fencing number", http.StatusConflict)
 	default:
 		l.stream(w, r, j, offset)
 	}
