--- a/demo.sh
+++ b/demo.sh
@@ -113,6 +113,7 @@
 sleep 4
 
 victim=$(first_member)
+disown "${pids[$victim]}" # so that the shell does not report its end
 kill -9 "${pids[$victim]}"
 unset "pids[$victim]"
 killed=$(date +%s%3N)
