--- a/daemon/server.go
+++ b/daemon/server.go
@@ -53,11 +53,17 @@
 	return &protocols
 }
 
-// run serves until the context ends.
+// run serves until the context ends and the connections are closed.
 func (s *server) run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.stop)
-	defer stop()
+	stopped := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		s.stop()
+	})
 	err := s.http.Serve(s.listener)
+	if !cancel() {
+		<-stopped
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -32,7 +32,8 @@
 	Share   time.Duration // more between tokens for each other request in the batch
 	Lag     time.Duration // of the load report
 	Delay   time.Duration // of the cache events
-	Keep    time.Duration // how long the stream of a caller that left is kept
+	Keep    time.Duration // how long a request goes on whose caller left
+	Retain  time.Duration // how long a whole answer is kept after that
 	Reboot  time.Duration // from a crash to the next start
 	Check   time.Duration // between two looks at the replica's other members
 
@@ -58,6 +59,7 @@
 	o.Blocks = or(o.Blocks, 1024)
 	o.Token = or(o.Token, 10*time.Millisecond)
 	o.Keep = or(o.Keep, 2*time.Second)
+	o.Retain = or(o.Retain, 30*time.Second)
 	o.Reboot = or(o.Reboot, time.Second)
 	o.Check = or(o.Check, 100*time.Millisecond)
 	if o.Pace == nil {
--- a/fakes/job.go
+++ b/fakes/job.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// attach notes a reader, and detach that it left. The job is forgotten when
-// it has had none for as long as keep.
+// attach notes a reader, and detach that it left. When the job has had none
+// for as long as keep, it expires.
 func (j *job) attach() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -86,11 +86,11 @@
 	}
 }
 
-func (j *job) detach(keep time.Duration, forget func()) {
+func (j *job) detach(keep time.Duration, expire func()) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.readers--
 	if j.readers == 0 {
-		j.idle = time.AfterFunc(keep, forget)
+		j.idle = time.AfterFunc(keep, expire)
 	}
 }
--- a/fakes/run.go
+++ b/fakes/run.go
@@ -76,6 +76,20 @@
 	l.measure()
 }
 
+// expire ends a job that nobody reads, or keeps its answer for a while where
+// it is whole.
+func (l *life) expire(j *job) {
+	if !j.isWhole() {
+		l.forget(j)
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.readers == 0 {
+		j.idle = time.AfterFunc(l.engine.options.Retain, func() { l.forget(j) })
+	}
+}
+
 // forget ends a job and drops its answer.
 func (l *life) forget(j *job) {
 	j.cancel()
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -78,7 +78,7 @@
 
 // stream writes the events of a job from an offset on.
 func (l *life) stream(w http.ResponseWriter, r *http.Request, j *job, offset int) {
-	defer j.detach(l.engine.options.Keep, func() { l.forget(j) })
+	defer j.detach(l.engine.options.Keep, func() { l.expire(j) })
 	w.Header().Set("Content-Type", "text/event-stream")
 	_ = http.NewResponseController(w).Flush()
 	for l.send(w, r, j, l.jumbled(r, j, offset)...) {
@@ -128,7 +128,7 @@
 
 // answer writes the whole answer of a job at once.
 func (l *life) answer(w http.ResponseWriter, r *http.Request, j *job) {
-	defer j.detach(l.engine.options.Keep, func() { l.forget(j) })
+	defer j.detach(l.engine.options.Keep, func() { l.expire(j) })
 	j.finished(r.Context())
 	l.abortUnlessWhole(j)
 	if !l.engine.awake(r.Context(), l) {
