--- a/daemon/build.go
+++ b/daemon/build.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
 	"clementinehead.example/chead/admin"
@@ -198,12 +199,17 @@
 	})
 }
 
+// compressFrom is the size from which answers to other daemons are compressed,
+// in bytes. Heartbeats and permits are smaller.
+const compressFrom = 4 << 10
+
 // peerHandler serves the other daemons.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewRosterHandler(d.roster))
-	mux.Handle(wire.NewRelayHandler(d.relay))
-	mux.Handle(wire.NewGateHandler(d.gate))
-	mux.Handle(wire.NewTallyHandler(d.holder))
+	compress := connect.WithCompressMinBytes(compressFrom)
+	mux.Handle(wire.NewRosterHandler(d.roster, compress))
+	mux.Handle(wire.NewRelayHandler(d.relay, compress))
+	mux.Handle(wire.NewGateHandler(d.gate, compress))
+	mux.Handle(wire.NewTallyHandler(d.holder, compress))
 	return mux
 }
