--- a/keeper/rapid_test.go
+++ b/keeper/rapid_test.go
@@ -22,7 +22,7 @@
 	on := rapid.Bool().Draw(t, "on")
 	seconds := time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second
 	fault := rapid.SampledFrom([]string{
-		"kill", "restart", "cut", "pause", "delay", "store", "lose", "freeze", "steal", "rival", "drain", "version", "replicas", "gate",
+		"kill", "restart", "cut", "pause", "delay", "store", "lose", "drop", "freeze", "steal", "rival", "drain", "version", "replicas", "gate",
 	}).Draw(t, "fault")
 	switch fault {
 	case "steal":
@@ -60,6 +60,8 @@
 			if on {
 				h.delay = seconds
 			}
+		case "drop":
+			w.drop = int(seconds / time.Second / 4)
 		case "gate":
 			w.lose(h, on)
 		case "drain":
@@ -106,6 +108,7 @@
 	w.store.Down(false)
 	w.store.LoseAnswers(0)
 	w.set(func() {
+		w.drop = 0
 		for _, h := range w.hosts {
 			h.paused, h.delay, h.frozen = false, 0, nil
 			clear(h.cut)
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -41,9 +41,11 @@
 	fence    uint64            // of the newest value
 	orders   map[uint64]string // what was ordered with a fencing number
 	offers   map[string]offer  // every replica that was ever written as serving
+	drop     int               // writes yet to be lost on their way
 	faults   []string          // broken rules
 	trail    []audit.Entry
 	late     sync.WaitGroup
+	sent     int // orders that arrive late
 }
 
 // point is an endpoint.
@@ -132,8 +134,10 @@
 			other.daemons = append(other.daemons, &wire.Daemon{Id: d.id, Domain: domain, Standing: wire.Standing_STANDING_ALIVE})
 		}
 	}
+	stagger := time.Duration(len(w.hosts)) * 7 * time.Millisecond
 	go func() {
 		defer close(h.done)
+		time.Sleep(stagger) // no two daemons act at one instant
 		_ = h.keeper.Run(ctx)
 	}()
 	return h
@@ -173,6 +177,9 @@
 func (h *host) call(r *http.Request) (response *http.Response, err error) {
 	h.wait()
 	defer h.wait()
+	if r.Method == http.MethodPut && h.w.drops() {
+		return nil, errors.New("the connection broke")
+	}
 	r.RequestURI = r.URL.RequestURI()
 	if r.Body == nil {
 		r.Body = http.NoBody
@@ -193,6 +200,15 @@
 	return recorder.Result(), nil
 }
 
+// drops reports whether a write is to be lost on its way.
+func (w *world) drops() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lost := w.drop > 0
+	w.drop = max(0, w.drop-1)
+	return lost
+}
+
 // wrote notes a value that was written, and checks the rules that it has to
 // keep.
 func (w *world) wrote(body []byte) {
@@ -269,6 +285,8 @@
 
 // deliver lets an order arrive after its sender has given it up.
 func (w *world) deliver(p *point, order engine.Order, after time.Duration) {
+	w.sent++
+	after += time.Duration(w.sent) * time.Microsecond // no two arrive at one instant
 	w.late.Go(func() {
 		time.Sleep(after)
 		w.set(func() {
