--- a/roster/beat.go
+++ b/roster/beat.go
@@ -138,7 +138,7 @@
 	return &wire.BeatRequest{
 		From:       r.table.members[r.table.self].daemon,
 		Changed:    r.table.news(piggyback),
-		RosterHash: r.table.hash(),
+		RosterHash: r.table.sum,
 		Digest:     digest,
 	}
 }
@@ -162,7 +162,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.joined = true
-	if hash == r.table.hash() {
+	if hash == r.table.sum {
 		r.differed = 0
 		return false
 	}
--- a/roster/handler.go
+++ b/roster/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -27,7 +28,7 @@
 	response := &wire.BeatResponse{
 		From:       r.table.members[r.table.self].daemon,
 		Changed:    r.table.news(piggyback),
-		RosterHash: r.table.hash(),
+		RosterHash: r.table.sum,
 		Digest:     digest,
 	}
 	if known, ok := r.table.members[from.Id]; ok && compare(known.daemon, from) > 0 {
@@ -43,7 +44,8 @@
 	return &wire.RelayResponse{Answered: answered}, nil
 }
 
-// List returns all known daemons.
+// List returns the daemons that are not known to be dead. Dead ones are left
+// out, lest they go round for ever.
 func (r *Roster) List(context.Context, *wire.ListRequest) (*wire.ListResponse, error) {
-	return &wire.ListResponse{Daemons: r.Daemons()}, nil
+	return &wire.ListResponse{Daemons: slices.DeleteFunc(r.Daemons(), dead)}, nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -85,19 +84,11 @@
 func (r *Roster) Daemons() []*wire.Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.daemons()
-}
-
-func (r *Roster) daemons() []*wire.Daemon {
-	all := r.table.peers(func(*wire.Daemon) bool { return true })
-	self := r.table.members[r.table.self].daemon
-	at, _ := slices.BinarySearchFunc(all, self, func(a, b *wire.Daemon) int {
-		if a.Id < b.Id {
-			return -1
-		}
-		return 1
-	})
-	return slices.Insert(all, at, self)
+	daemons := make([]*wire.Daemon, 0, len(r.table.order))
+	for _, id := range r.table.order {
+		daemons = append(daemons, r.table.members[id].daemon)
+	}
+	return daemons
 }
 
 // Find returns the entry of a daemon.
--- a/roster/table.go
+++ b/roster/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -31,11 +30,14 @@
 type table struct {
 	self    string
 	members map[string]*member
-	ring    []string // ids that are not dead, by hash
+	order   []string           // all ids, sorted
+	ring    []string           // ids that are not dead, by hash
+	fresh   map[string]*member // those that still have to be passed on
+	sum     uint64             // digest of who is a member and in which standing, without the dead
 }
 
 func newTable(self *wire.Daemon, now time.Time) *table {
-	t := &table{self: self.Id, members: map[string]*member{}}
+	t := &table{self: self.Id, members: map[string]*member{}, fresh: map[string]*member{}}
 	t.set(self, now)
 	return t
 }
@@ -59,9 +61,6 @@
 		return t.refute(entry, now)
 	}
 	known, ok := t.members[entry.Id]
-	if !ok && entry.Standing == wire.Standing_STANDING_DEAD {
-		return false
-	}
 	order := 1
 	if ok {
 		order = compare(entry, known.daemon)
@@ -111,16 +110,27 @@
 	if !ok {
 		known = &member{since: now}
 		t.members[entry.Id] = known
+		at, _ := slices.BinarySearch(t.order, entry.Id)
+		t.order = slices.Insert(t.order, at, entry.Id)
 	}
 	if !ok || known.daemon.Standing != entry.Standing {
 		known.since = now
 	}
-	ringed := ok && known.daemon.Standing != wire.Standing_STANDING_DEAD
+	ringed := ok && reachable(known.daemon)
+	t.sum ^= hashOf(known.daemon) ^ hashOf(entry)
 	known.daemon = entry
-	if ringed != (entry.Standing != wire.Standing_STANDING_DEAD) {
+	if ringed != reachable(entry) {
 		t.arrange()
 	}
 	known.told = t.repeats()
+	t.fresh[entry.Id] = known
+}
+
+// forget drops a dead daemon.
+func (t *table) forget(id string) {
+	delete(t.members, id)
+	delete(t.fresh, id)
+	t.order = slices.DeleteFunc(t.order, func(other string) bool { return other == id })
 }
 
 // stand changes the standing of a daemon and reports whether it did.
@@ -144,7 +154,7 @@
 // those that died long ago.
 func (t *table) expire(now time.Time) []string {
 	var dead []string
-	for _, id := range slices.Sorted(maps.Keys(t.members)) {
+	for _, id := range slices.Clone(t.order) {
 		known := t.members[id]
 		switch known.daemon.Standing {
 		case wire.Standing_STANDING_SUSPECT:
@@ -154,7 +164,7 @@
 			}
 		case wire.Standing_STANDING_DEAD:
 			if now.Sub(known.since) >= tombstone {
-				delete(t.members, id)
+				t.forget(id)
 			}
 		}
 	}
@@ -171,20 +181,21 @@
 	}
 }
 
-// news returns at most limit entries to pass on, those told least first.
+// news returns at most limit entries to pass on, those told least first. The
+// own entry travels with every heartbeat anyway.
 func (t *table) news(limit int) []*wire.Daemon {
 	var due []*member
-	for _, known := range t.members {
-		if known.told > 0 && known.daemon.Id != t.self {
-			due = append(due, known)
+	for id, known := range t.fresh {
+		if known.told <= 0 || id == t.self {
+			delete(t.fresh, id)
+			continue
 		}
+		due = append(due, known)
 	}
 	slices.SortFunc(due, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(b.told, a.told), cmp.Compare(a.daemon.Id, b.daemon.Id))
 	})
-	if len(due) > limit {
-		due = due[:limit]
-	}
+	due = due[:min(limit, len(due))]
 	entries := make([]*wire.Daemon, 0, len(due))
 	for _, known := range due {
 		known.told--
@@ -193,18 +204,12 @@
 	return entries
 }
 
-// hash digests who is a member and in which standing, without the dead.
-func (t *table) hash() uint64 {
-	var sum uint64
-	for _, known := range t.members {
-		if known.daemon.Standing != wire.Standing_STANDING_DEAD {
-			sum ^= hashOf(known.daemon)
-		}
-	}
-	return sum
-}
-
+// hashOf digests an entry. Dead and absent daemons have none, so that it does
+// not matter when one is forgotten.
 func hashOf(d *wire.Daemon) uint64 {
+	if d == nil || !reachable(d) {
+		return 0
+	}
 	buffer := make([]byte, 0, len(d.Id)+3*binary.MaxVarintLen64)
 	buffer = append(buffer, d.Id...)
 	buffer = binary.AppendUvarint(buffer, d.Boot)
@@ -240,12 +245,11 @@
 // peers returns all other daemons for which keep holds, by id.
 func (t *table) peers(keep func(*wire.Daemon) bool) []*wire.Daemon {
 	var peers []*wire.Daemon
-	for _, known := range t.members {
-		if known.daemon.Id != t.self && keep(known.daemon) {
-			peers = append(peers, known.daemon)
+	for _, id := range t.order {
+		if daemon := t.members[id].daemon; id != t.self && keep(daemon) {
+			peers = append(peers, daemon)
 		}
 	}
-	slices.SortFunc(peers, func(a, b *wire.Daemon) int { return cmp.Compare(a.Id, b.Id) })
 	return peers
 }
 
--- /dev/null
+++ b/roster/table_test.go
@@ -0,0 +1,114 @@
+package roster
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"clementinehead.example/chead/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "21")
+	os.Exit(m.Run())
+}
+
+const (
+	alive    = wire.Standing_STANDING_ALIVE
+	suspect  = wire.Standing_STANDING_SUSPECT
+	leaving  = wire.Standing_STANDING_LEAVING
+	deceased = wire.Standing_STANDING_DEAD
+)
+
+func daemon(id string, boot, incarnation uint64, standing wire.Standing) *wire.Daemon {
+	return &wire.Daemon{Id: id, Boot: boot, Incarnation: incarnation, Standing: standing}
+}
+
+func TestMerge(t *testing.T) {
+	tests := []struct {
+		name         string
+		known, heard *wire.Daemon
+		holds        bool // what was heard
+	}{
+		{"unknown", nil, daemon("b", 1, 0, alive), true},
+		{"unknown dead one", nil, daemon("b", 1, 0, deceased), true},
+		{"without standing", nil, daemon("b", 1, 0, 0), false},
+		{"the same", daemon("b", 1, 0, alive), daemon("b", 1, 0, alive), false},
+		{"suspicion", daemon("b", 1, 0, alive), daemon("b", 1, 0, suspect), true},
+		{"refuted", daemon("b", 1, 0, suspect), daemon("b", 1, 1, alive), true},
+		{"late suspicion", daemon("b", 1, 1, alive), daemon("b", 1, 0, suspect), false},
+		{"leaving while suspect", daemon("b", 1, 0, suspect), daemon("b", 1, 0, leaving), true},
+		{"suspicion of a leaving one", daemon("b", 1, 0, leaving), daemon("b", 1, 0, suspect), false},
+		{"death of a leaving one", daemon("b", 1, 0, leaving), daemon("b", 1, 0, deceased), true},
+		{"alive but dead", daemon("b", 1, 0, deceased), daemon("b", 1, 0, alive), false},
+		{"came back", daemon("b", 1, 0, deceased), daemon("b", 1, 1, alive), true},
+		{"started again", daemon("b", 1, 5, deceased), daemon("b", 2, 0, alive), true},
+		{"earlier life", daemon("b", 2, 0, alive), daemon("b", 1, 9, deceased), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(daemon("a", 1, 0, alive), time.Time{})
+			if test.known != nil {
+				table.set(test.known, time.Time{})
+			}
+			is.Equal(table.merge(test.heard, time.Time{}), test.holds)
+		})
+	}
+}
+
+func TestRefute(t *testing.T) {
+	tests := []struct {
+		name              string
+		heard             *wire.Daemon
+		boot, incarnation uint64 // afterwards
+	}{
+		{"suspicion", daemon("a", 5, 0, suspect), 5, 1},
+		{"death", daemon("a", 5, 3, deceased), 5, 4},
+		{"earlier life", daemon("a", 4, 9, deceased), 5, 0},
+		{"earlier life whose clock ran ahead", daemon("a", 8, 2, deceased), 9, 0},
+		{"the truth", daemon("a", 5, 0, alive), 5, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(daemon("a", 5, 0, alive), time.Time{})
+			table.merge(test.heard, time.Time{})
+			own := table.members["a"].daemon
+			is.Equal(own.Standing, alive)
+			is.Equal(own.Boot, test.boot)
+			is.Equal(own.Incarnation, test.incarnation)
+		})
+	}
+}
+
+// TestMergeOrderProperty merges the same entries in two orders: both tables
+// end with the same members and the same digest.
+func TestMergeOrderProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.SliceOf(rapid.Custom(func(t *rapid.T) *wire.Daemon {
+			return daemon(
+				fmt.Sprint("d", rapid.IntRange(0, 3).Draw(t, "id")),
+				rapid.Uint64Range(1, 2).Draw(t, "boot"),
+				rapid.Uint64Range(0, 2).Draw(t, "incarnation"),
+				wire.Standing(rapid.IntRange(1, 4).Draw(t, "standing")),
+			)
+		})).Draw(t, "entries")
+		one, other := newTable(daemon("a", 1, 0, alive), time.Time{}), newTable(daemon("a", 1, 0, alive), time.Time{})
+		for _, entry := range entries {
+			one.merge(entry, time.Time{})
+		}
+		for _, entry := range rapid.Permutation(entries).Draw(t, "permutation") {
+			other.merge(entry, time.Time{})
+		}
+		if one.sum != other.sum {
+			t.Fatalf("digests differ: %v and %v", one.members, other.members)
+		}
+	})
+}
