--- /dev/null
+++ b/admin/http_test.go
@@ -0,0 +1,89 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/admin"
+	"clementinehead.example/chead/audit"
+	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/store"
+)
+
+// secret is the SHA-256 of "open sesame".
+const secret = "41ef4bb0b23661e66301aac36066912dac037827b4ae63a7b1165a5aa93ed4eb"
+
+func handler(secret string) *admin.Admin {
+	kv := fakes.NewStore()
+	do := func(r *http.Request) (*http.Response, error) {
+		if r.Body == nil {
+			r.Body = http.NoBody
+		}
+		w := httptest.NewRecorder()
+		kv.ServeHTTP(w, r)
+		return w.Result(), nil
+	}
+	return admin.New(admin.Options{
+		Store:   store.New("http://kv", do),
+		Get:     func(string) (store.Entry, bool) { return store.Entry{}, false },
+		Learn:   func(store.Entry) bool { return true },
+		Confirm: func(context.Context, string, uint64) []string { return nil },
+		Record:  func(audit.Entry) {},
+		Read:    func(context.Context, time.Time, time.Time) ([]audit.Entry, error) { return nil, nil },
+		Status:  func() any { return map[string]string{"daemon": "d0"} },
+		Secret:  secret,
+		Log:     logr.Discard(),
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	const put = `{"id": "a", "base": 0, "who": "w", "sections": {"capacity": {"loads": 2}}}`
+	tests := []struct {
+		name, method, path, key, body string
+		status                        int
+		contains                      string
+	}{
+		{"no key", "GET", "status", "", "", 401, `"code":"unauthorized"`},
+		{"wrong key", "GET", "status", "Bearer open", "", 401, `"ran":"no"`},
+		{"key without scheme", "GET", "status", "Basic open sesame", "", 401, "unauthorized"},
+		{"status", "GET", "status", "Bearer open sesame", "", 200, `"daemon":"d0"`},
+		{"empty document", "GET", "config", "Bearer open sesame", "", 200, `"serial":0`},
+		{"unknown section", "GET", "config?section=modles", "Bearer open sesame", "", 404, "modles"},
+		{"right document", "POST", "config/check", "Bearer open sesame", "{}", 200, `"faults":[]`},
+		{"wrong document", "POST", "config/check", "Bearer open sesame", `{"modles": 1}`, 200, `"section":"modles"`},
+		{"put", "PUT", "config", "Bearer open sesame", put, 200, `"serial":1`},
+		{"put without key", "PUT", "config", "", put, 401, "unauthorized"},
+		{"put not JSON", "PUT", "config", "Bearer open sesame", "{", 400, `"code":"malformed"`},
+		{"put with an unknown field", "PUT", "config", "Bearer open sesame", `{"bse": 1}`, 400, "bse"},
+		{"put of nothing", "PUT", "config", "Bearer open sesame", `{"id": "a", "who": "w"}`, 400, "either a document or sections"},
+		{"put without an id", "PUT", "config", "Bearer open sesame", `{"who": "w", "sections": {}}`, 422, `"code":"invalid"`},
+		{"put of a wrong section", "PUT", "config", "Bearer open sesame", `{"id": "a", "who": "w", "document": {"groups": {"g": {"size": "4"}}}}`, 422, `"path":"g.size"`},
+		{"put of a wrong whole", "PUT", "config", "Bearer open sesame", `{"id": "a", "who": "w", "document": {"groups": {"g": {"size": 4, "model": "m"}}}}`, 422, `"kind":"Dangling"`},
+		{"put too large", "PUT", "config", "Bearer open sesame", `{"id": "` + strings.Repeat("a", 3<<20) + `"}`, 400, "too large"},
+		{"unknown edit", "GET", "edits/zzz", "Bearer open sesame", "", 404, `"code":"missing"`},
+		{"bad time", "GET", "audit?from=yesterday", "Bearer open sesame", "", 400, "from"},
+		{"audit", "GET", "audit", "Bearer open sesame", "", 200, `"entries":`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			request := httptest.NewRequest(test.method, "/admin/v1/"+test.path, strings.NewReader(test.body))
+			if test.key != "" {
+				request.Header.Set("Authorization", test.key)
+			}
+			w := httptest.NewRecorder()
+			handler(secret).ServeHTTP(w, request)
+			is.Equal(w.Code, test.status)
+			is.True(json.Valid(w.Body.Bytes()))
+			is.True(strings.Contains(w.Body.String(), test.contains))
+		})
+	}
+}
--- a/roster/capacity_test.go
+++ b/roster/capacity_test.go
@@ -231,12 +231,6 @@
 	return int(sum)
 }
 
-func (c *cluster) setLoss(share float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.loss = share
-}
-
 // measureDeaths kills daemons one by one and waits until all others know.
 func (c *cluster) measureDeaths(r *sizeReport) {
 	var times []time.Duration
--- a/roster/cluster_test.go
+++ b/roster/cluster_test.go
@@ -81,9 +81,14 @@
 
 // start runs a daemon until the test ends or it is killed.
 func (c *cluster) start(id, domain string) *node {
+	return c.startAt(id, domain, uint64(time.Now().UnixNano()))
+}
+
+// startAt is start with the boot that the daemon's own clock gives.
+func (c *cluster) startAt(id, domain string, boot uint64) *node {
 	address := id + ":7000"
 	n := &node{cluster: c, self: &wire.Daemon{
-		Id: id, Boot: uint64(time.Now().UnixNano()), PeerAddress: address, CallerAddress: id + ":7001",
+		Id: id, Boot: boot, PeerAddress: address, CallerAddress: id + ":7001",
 		Domain: domain, Region: "north",
 	}}
 	client := store.New("http://store", n.do)
@@ -96,7 +101,7 @@
 	})
 	n.registry = prometheus.NewRegistry()
 	n.roster = roster.New(roster.Options{
-		Self: n.self, Store: client,
+		Self: n.self, Store: client, Seeds: []string{"d000:7000", "d001:7000"},
 		Client:   func(to string) wire.RosterClient { return link{n, to} },
 		Digest:   n.relay.Digest,
 		Compare:  n.relay.Compare,
@@ -237,17 +242,30 @@
 	})
 }
 
+// setCut has calls fail between daemons for which cut holds, both ways.
+func (c *cluster) setCut(cut func(from, to string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = func(from, to string) bool { return cut(from, to) || cut(to, from) }
+}
+
+func (c *cluster) setLoss(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loss = share
+}
+
 func (c *cluster) stopAll() {
 	for _, n := range c.nodes {
 		n.stop()
 	}
 }
 
-// standings counts what live daemons believe of one.
+// standings counts what the other live daemons believe of one.
 func (c *cluster) standings(id string) map[wire.Standing]int {
 	counts := map[wire.Standing]int{}
 	for _, n := range c.nodes {
-		if n.dead.Load() {
+		if n.dead.Load() || n.self.Id == id {
 			continue
 		}
 		found, ok := n.roster.Find(id)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,23 +1,201 @@
 package roster_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"clementinehead.example/chead/wire"
 )
 
-func TestEverybodyKnowsEverybody(t *testing.T) {
+const (
+	alive   = wire.Standing_STANDING_ALIVE
+	suspect = wire.Standing_STANDING_SUSPECT
+	leaving = wire.Standing_STANDING_LEAVING
+	dead    = wire.Standing_STANDING_DEAD
+)
+
+func nobody(string, string) bool { return false }
+
+// isolate cuts one daemon off from all others.
+func isolate(address string) func(from, to string) bool {
+	return func(from, _ string) bool { return from == address }
+}
+
+// pair cuts the link between two daemons alone.
+func pair(from, to string) bool { return from == "d001:7000" && to == "d002:7000" }
+
+// halves cuts the daemons into two halves.
+func halves(from, to string) bool { return from < "d005" && to >= "d005" }
+
+func TestMembershipUnderFaults(t *testing.T) {
+	const n = 9
+	tests := []struct {
+		name  string
+		fault func(c *cluster, nodes []*node)
+		wait  time.Duration
+		of    string // the daemon that is looked at
+		want  wire.Standing
+		by    int // other live daemons that believe it
+	}{
+		{"nothing", func(*cluster, []*node) {}, time.Minute, "d003", alive, n - 1},
+		{"killed", func(_ *cluster, nodes []*node) { nodes[3].kill() }, 8 * time.Second, "d003", dead, n - 1},
+		{"leaving", func(_ *cluster, nodes []*node) { nodes[3].roster.Leave() }, time.Second, "d003", leaving, n - 1},
+		{"leaving, then gone", func(_ *cluster, nodes []*node) {
+			nodes[3].roster.Leave()
+			time.Sleep(time.Second)
+			nodes[3].kill()
+		}, 6 * time.Second, "d003", dead, n - 1},
+		{"silent for a second", func(c *cluster, _ []*node) {
+			c.setCut(isolate("d003:7000"))
+			time.Sleep(time.Second)
+			c.setCut(nobody)
+		}, 5 * time.Second, "d003", alive, n - 1},
+		{"silent for a minute", func(c *cluster, _ []*node) {
+			c.setCut(isolate("d003:7000"))
+			time.Sleep(time.Minute)
+			c.setCut(nobody)
+		}, 25 * time.Second, "d003", alive, n - 1},
+		{"cut off", func(c *cluster, _ []*node) { c.setCut(isolate("d003:7000")) }, 8 * time.Second, "d003", dead, n - 1},
+		{"link between two cut", func(c *cluster, _ []*node) { c.setCut(pair) }, time.Minute, "d002", alive, n - 1},
+		{"in halves", func(c *cluster, _ []*node) { c.setCut(halves) }, 20 * time.Second, "d003", dead, 4},
+		{"in halves for ten minutes", func(c *cluster, _ []*node) {
+			c.setCut(halves)
+			time.Sleep(10 * time.Minute) // until they have forgotten each other
+			c.setCut(nobody)
+		}, 2 * time.Minute, "d003", alive, n - 1},
+		{"started again", func(c *cluster, nodes []*node) {
+			nodes[3].kill()
+			c.start("d003", "domain-00")
+		}, 5 * time.Second, "d003", alive, n - 1},
+		{"started again with its clock behind", func(c *cluster, nodes []*node) {
+			nodes[3].kill()
+			c.startAt("d003", "domain-00", 1)
+		}, 10 * time.Second, "d003", alive, n - 1},
+		{"started during an outage of the store", func(c *cluster, nodes []*node) {
+			c.store.Down(true)
+			nodes[3].kill()
+			time.Sleep(30 * time.Second)
+			c.start("d003", "domain-00")
+		}, 10 * time.Second, "d003", alive, n - 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, 1, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				nodes := c.startAll(n, 3)
+				time.Sleep(10 * time.Second)
+				test.fault(c, nodes)
+				time.Sleep(test.wait)
+				is.Equal(c.standings(test.of)[test.want], test.by)
+			})
+		})
+	}
+}
+
+// TestNobodySuspectedForOneLink has a link between two daemons cut for long:
+// others beat on their behalf.
+func TestNobodySuspectedForOneLink(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		nodes := c.startAll(9, 3)
+		c.startAll(9, 3)
 		time.Sleep(10 * time.Second)
-		for _, n := range nodes {
-			is.Equal(len(n.roster.Daemons()), 9)
-			is.Equal(c.standings(n.self.Id)[wire.Standing_STANDING_ALIVE], 9)
-			is.True(n.roster.Joined())
+		c.setCut(pair)
+		time.Sleep(5 * time.Minute)
+		is.Equal(c.counted("chead_roster_beats_total", "suspected"), 0)
+	})
+}
+
+// event is one thing that happens to a cluster.
+type event struct {
+	Kind   string
+	Daemon int
+	Wait   time.Duration
+}
+
+func drawEvent(t *rapid.T) event {
+	return event{
+		Kind: rapid.SampledFrom([]string{
+			"kill", "start", "leave", "isolate", "halve", "heal", "loss", "no loss", "store down", "store up",
+		}).Draw(t, "kind"),
+		Daemon: rapid.IntRange(0, propertySize-1).Draw(t, "daemon"),
+		Wait:   time.Duration(rapid.IntRange(0, 20000).Draw(t, "wait")) * time.Millisecond,
+	}
+}
+
+const propertySize = 7
+
+// TestMembershipProperty runs random faults and then repairs them. Within two
+// minutes every live daemon holds the others for what they are.
+func TestMembershipProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.Custom(drawEvent), 1, 30).Draw(rt, "script")
+		var faults []string
+		inBubble(t, 1, func(_ *testing.T, c *cluster) {
+			nodes := c.startAll(propertySize, 3)
+			gone := map[int]bool{}
+			for _, e := range script {
+				c.happen(nodes, gone, e)
+				time.Sleep(e.Wait)
+			}
+			c.setCut(nobody)
+			c.setLoss(0)
+			c.store.Down(false)
+			time.Sleep(2 * time.Minute)
+			faults = c.judge(nodes, gone)
+		})
+		if len(faults) > 0 {
+			rt.Fatal(strings.Join(faults, "; "))
 		}
 	})
 }
+
+// happen carries out an event. Gone are the daemons that were killed or leave.
+func (c *cluster) happen(nodes []*node, gone map[int]bool, e event) {
+	node := nodes[e.Daemon]
+	switch e.Kind {
+	case "kill":
+		node.kill()
+		gone[e.Daemon] = true
+	case "start":
+		if node.dead.Load() {
+			nodes[e.Daemon] = c.start(node.self.Id, node.self.Domain)
+			delete(gone, e.Daemon)
+		}
+	case "leave":
+		node.roster.Leave()
+		gone[e.Daemon] = true
+	case "isolate":
+		c.setCut(isolate(node.self.PeerAddress))
+	case "halve":
+		c.setCut(func(from, to string) bool { return from < node.self.Id && to >= node.self.Id })
+	case "heal":
+		c.setCut(nobody)
+	case "loss":
+		c.setLoss(0.1)
+	case "no loss":
+		c.setLoss(0)
+	case "store down", "store up":
+		c.store.Down(e.Kind == "store down")
+	}
+}
+
+func (c *cluster) judge(nodes []*node, gone map[int]bool) []string {
+	var faults []string
+	for i, n := range nodes {
+		found := c.standings(n.self.Id)
+		switch {
+		case n.dead.Load() && found[alive]+found[suspect]+found[leaving] > 0:
+			faults = append(faults, fmt.Sprintf("%s is dead, others believe %v", n.self.Id, found))
+		case !n.dead.Load() && gone[i] && found[alive]+found[suspect]+found[dead] > 0:
+			faults = append(faults, fmt.Sprintf("%s is leaving, others believe %v", n.self.Id, found))
+		case !gone[i] && found[leaving]+found[suspect]+found[dead]+found[wire.Standing_STANDING_UNSPECIFIED] > 0:
+			faults = append(faults, fmt.Sprintf("%s is alive, others believe %v", n.self.Id, found))
+		}
+	}
+	return faults
+}
