--- a/admin/edit_test.go
+++ b/admin/edit_test.go
@@ -121,6 +121,76 @@
 	})
 }
 
+// TestSentAgainAfterOthers sends an edit again when another team has changed the
+// same section since: it was accepted, and is still said to be.
+func TestSentAgainAfterOthers(t *testing.T) {
+	inSystem(t, 3, func(t *testing.T, s *system) {
+		is := is.New(t)
+		s.store.LoseAnswers(1)
+		is.Equal(s.daemons[0].put("a", 0, "capacity", capacity).status, http.StatusOK)
+		is.Equal(s.daemons[1].put("b", 1, "capacity", `{"loads": 3}`).status, http.StatusOK)
+		o := s.daemons[2].put("a", 0, "capacity", capacity)
+		is.Equal(o.status, http.StatusOK)
+		is.Equal(o.accepted.Serial, uint64(1))
+		is.Equal(s.stored().Document.Capacity.Loads, 3)
+		is.Equal(s.ids(), []string{"a", "b"})
+	})
+}
+
+// TestMissedRevision cuts a daemon off while an edit is spread, and lets it
+// reach its peers again but not the store.
+func TestMissedRevision(t *testing.T) {
+	inSystem(t, 4, func(t *testing.T, s *system) {
+		is := is.New(t)
+		d := s.daemons[3]
+		s.network.Cut(d.host, fakes.Every)
+		s.network.Cut(d.host, storeHost)
+		is.Equal(s.daemons[0].put("a", 0, "domains", domains).status, http.StatusOK)
+		time.Sleep(time.Minute)
+		s.network.Heal(d.host, fakes.Every)
+		time.Sleep(target)
+		is.Equal(len(s.behind(1)), 0)
+		is.True(time.Since(d.relay.Confirmed()) < target) // its peers vouch
+	})
+}
+
+// TestVouching looks at how old the store's vouching is, in seconds at most,
+// after a fault has lasted for half a minute.
+func TestVouching(t *testing.T) {
+	tests := []struct {
+		name   string
+		fault  func(s *system)
+		fresh  bool
+		repair func(s *system)
+	}{
+		{"none", func(*system) {}, true, func(*system) {}},
+		{"store down", func(s *system) { s.store.Down(true) }, false, func(s *system) { s.store.Down(false) }},
+		{"store silent", func(s *system) { s.store.Hang(true) }, false, func(s *system) { s.store.Hang(false) }},
+		{"connections to the store silent", func(s *system) { s.network.Silence(storeHost, fakes.Every) }, true, func(*system) {}},
+		{"history compacted", func(s *system) { s.store.Compact() }, true, func(*system) {}},
+		{"one cut off from the store", func(s *system) { s.network.Cut("d0", storeHost) }, true, func(*system) {}},
+		{"relays killed", func(s *system) {
+			for _, d := range s.daemons[:3] {
+				d.kill()
+			}
+		}, true, func(*system) {}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inSystem(t, 9, func(t *testing.T, s *system) {
+				is := is.New(t)
+				is.Equal(s.daemons[0].put("a", 0, "domains", domains).status, http.StatusOK)
+				test.fault(s)
+				time.Sleep(30 * time.Second)
+				is.Equal(s.oldestVouching() < 15*time.Second, test.fresh)
+				test.repair(s)
+				time.Sleep(target)
+				is.True(s.oldestVouching() < 15*time.Second)
+			})
+		})
+	}
+}
+
 // TestStartDuringOutage has a daemon start again while the store is down: it
 // takes the last accepted document from its peers, and is not ready before.
 func TestStartDuringOutage(t *testing.T) {
@@ -134,6 +204,7 @@
 		d.start()
 		time.Sleep(10 * time.Second)
 		is.True(!d.relay.Ready()) // nobody answered
+		is.Equal(d.relay.View().Serial, uint64(0))
 		s.network.Heal(d.host, fakes.Every)
 		time.Sleep(target)
 		is.True(d.relay.Ready())
--- a/admin/fleet_test.go
+++ b/admin/fleet_test.go
@@ -240,6 +240,18 @@
 	return behind
 }
 
+// oldestVouching returns for how long at most a living daemon has not been
+// vouched for.
+func (s *system) oldestVouching() time.Duration {
+	var oldest time.Duration
+	for _, d := range s.daemons {
+		if d.alive {
+			oldest = max(oldest, time.Since(d.relay.Confirmed()))
+		}
+	}
+	return oldest
+}
+
 // ids returns the edits that the store remembers, oldest first.
 func (s *system) ids() []string {
 	var ids []string
--- a/roster/beat.go
+++ b/roster/beat.go
@@ -183,7 +183,7 @@
 		return false
 	}
 	r.metrics.lists.Inc()
-	r.take(response.Daemons...)
+	r.takeList(response.Daemons)
 	return true
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -141,22 +141,37 @@
 	known.daemon = fresh
 }
 
-// take merges entries of a peer and tells others at once of news.
+// take merges entries that came with a heartbeat and tells others at once of
+// changes of standing.
 func (r *Roster) take(entries ...*wire.Daemon) {
-	now := time.Now()
-	news := false
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, entry := range entries {
-		if entry == nil || !r.table.merge(entry, now) {
-			continue
+		if r.merge(entry) && entry.Standing != wire.Standing_STANDING_ALIVE {
+			r.hurry()
 		}
-		r.note(entry.Id)
-		news = news || entry.Standing != wire.Standing_STANDING_ALIVE
 	}
-	r.mu.Unlock()
-	if news {
-		r.hurry()
+}
+
+// takeList merges a peer's whole roster, which need not be passed on.
+func (r *Roster) takeList(entries []*wire.Daemon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, entry := range entries {
+		if r.merge(entry) && entry.Id != r.table.self {
+			r.table.still(entry.Id)
+		}
+	}
+}
+
+// merge takes an entry in and reports whether it was news. The caller holds the
+// lock.
+func (r *Roster) merge(entry *wire.Daemon) bool {
+	if !r.table.merge(entry, time.Now()) {
+		return false
 	}
+	r.note(entry.Id)
+	return true
 }
 
 // note logs and counts a change of standing. The caller holds the lock.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -82,6 +82,10 @@
 			time.Sleep(30 * time.Second)
 			c.start("d003", "domain-00")
 		}, 10 * time.Second, "d003", alive, n - 1},
+		{"new during an outage of the store", func(c *cluster, _ []*node) {
+			c.store.Down(true)
+			c.start("d009", "domain-00")
+		}, 10 * time.Second, "d009", alive, n},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/roster/table.go
+++ b/roster/table.go
@@ -122,7 +122,7 @@
 	if ringed != reachable(entry) {
 		t.arrange()
 	}
-	known.told = t.repeats()
+	known.told = t.repeats(entry.Standing)
 	t.fresh[entry.Id] = known
 }
 
@@ -146,9 +146,24 @@
 	return true
 }
 
-// repeats is how often a change is passed on: enough for every daemon to hear
-// of it with high probability.
-func (t *table) repeats() int { return 3 * bits.Len(uint(len(t.members))) }
+// repeats is how often each daemon passes an entry on. A new daemon has time:
+// the few that miss it find out by the roster hash. Other standings are told
+// often enough that hardly any daemon misses them.
+func (t *table) repeats(standing wire.Standing) int {
+	n := bits.Len(uint(len(t.members)))
+	if standing == wire.Standing_STANDING_ALIVE {
+		return n
+	}
+	return 3 * n
+}
+
+// still keeps an entry from being passed on: whoever sent a whole roster has
+// told others before.
+func (t *table) still(id string) {
+	if known, ok := t.members[id]; ok {
+		known.told = 0
+	}
+}
 
 // expire turns long suspects into dead ones, whose ids it returns, and forgets
 // those that died long ago.
