--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -85,19 +84,11 @@
 func (r *Roster) Daemons() []*wire.Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.daemons()
-}
-
-func (r *Roster) daemons() []*wire.Daemon {
-	all := r.table.peers(func(*wire.Daemon) bool { return true })
-	self := r.table.members[r.table.self].daemon
-	at, _ := slices.BinarySearchFunc(all, self, func(a, b *wire.Daemon) int {
-		if a.Id < b.Id {
-			return -1
-		}
-		return 1
-	})
-	return slices.Insert(all, at, self)
+	daemons := make([]*wire.Daemon, 0, len(r.table.order))
+	for _, id := range r.table.order {
+		daemons = append(daemons, r.table.members[id].daemon)
+	}
+	return daemons
 }
 
 // Find returns the entry of a daemon.
@@ -150,22 +141,37 @@
 	known.daemon = fresh
 }
 
-// take merges entries of a peer and tells others at once of news.
+// take merges entries that came with a heartbeat and tells others at once of
+// changes of standing.
 func (r *Roster) take(entries ...*wire.Daemon) {
-	now := time.Now()
-	news := false
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, entry := range entries {
-		if entry == nil || !r.table.merge(entry, now) {
-			continue
+		if r.merge(entry) && entry.Standing != wire.Standing_STANDING_ALIVE {
+			r.hurry()
 		}
-		r.note(entry.Id)
-		news = news || entry.Standing != wire.Standing_STANDING_ALIVE
 	}
-	r.mu.Unlock()
-	if news {
-		r.hurry()
+}
+
+// takeList merges a peer's whole roster, which need not be passed on.
+func (r *Roster) takeList(entries []*wire.Daemon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, entry := range entries {
+		if r.merge(entry) && entry.Id != r.table.self {
+			r.table.still(entry.Id)
+		}
+	}
+}
+
+// merge takes an entry in and reports whether it was news. The caller holds the
+// lock.
+func (r *Roster) merge(entry *wire.Daemon) bool {
+	if !r.table.merge(entry, time.Now()) {
+		return false
 	}
+	r.note(entry.Id)
+	return true
 }
 
 // note logs and counts a change of standing. The caller holds the lock.
