--- a/gate/handler.go
+++ b/gate/handler.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"clementinehead.example/chead/wire"
 )
 
@@ -90,6 +92,9 @@
 
 // forward passes a release on to the replica's present gate.
 func (g *Gate) forward(ctx context.Context, request *wire.ReleaseRequest) *wire.ReleaseResponse {
+	if request.Forwarded {
+		return &wire.ReleaseResponse{}
+	}
 	place, ok := g.options.View().Place(request.Replica)
 	if !ok || place.Replica.Gate == g.options.Self {
 		return &wire.ReleaseResponse{}
@@ -100,7 +105,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	response, err := g.options.Client(next.PeerAddress).Release(ctx, request)
+	passed := proto.CloneOf(request)
+	passed.Forwarded = true
+	response, err := g.options.Client(next.PeerAddress).Release(ctx, passed)
 	if err != nil {
 		return &wire.ReleaseResponse{}
 	}
--- a/gate/main_test.go
+++ b/gate/main_test.go
@@ -13,5 +13,6 @@
 	if !seeded {
 		_ = flag.Set("rapid.seed", "1")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -32,7 +32,10 @@
 	"rename", "crash", "pause", "cut", "isolate", "store", "restart", "member", "miss", "out", "rest",
 }
 
-const modelDaemons = 3
+const (
+	modelDaemons = 3
+	loadTime     = time.Second
+)
 
 func drawScript(t *rapid.T) script {
 	span := rapid.Custom(func(t *rapid.T) time.Duration {
@@ -97,7 +100,6 @@
 		w.later(4*a.Span, func() { w.store = true })
 	case "restart":
 		w.hosts[0].start(w.hosts[0].boot + 10)
-		w.hosts[0].state = engine.Ready // as the worst of endpoints would
 	case "member":
 		w.hosts[1].start(w.hosts[1].boot + 10)
 	case "miss":
@@ -150,14 +152,28 @@
 		w.replica.Members[i].Boot = h.boot
 		w.later(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), func() {
 			if h.fence < fence && !h.missing {
-				h.take(fence)
-				h.state = engine.Ready
+				w.load(h, fence)
 			}
 		})
 	}
 	w.spread()
 }
 
+// load gives a host an order. An idle one loads its weights first.
+func (w *world) load(h *host, fence uint64) {
+	h.take(fence)
+	if h.state != engine.Idle {
+		return
+	}
+	h.state = engine.Loading
+	boot := h.boot
+	w.later(loadTime, func() {
+		if h.boot == boot {
+			h.state = engine.Ready
+		}
+	})
+}
+
 func (w *world) crash(d *daemon, span time.Duration) {
 	if !d.crashed.IsZero() {
 		return
@@ -244,4 +260,3 @@
 		}
 	})
 }
-
--- a/gate/world_test.go
+++ b/gate/world_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"clementinehead.example/chead/chart"
@@ -25,7 +26,8 @@
 // about all of them. It notes the first violation of what must always hold.
 type world struct {
 	mu      sync.Mutex
-	random  *rand.Rand
+	seed    uint64
+	random  *rand.Rand    // of the script; what runs beside it draws by its own name
 	checks  bool          // whether endpoints refuse an old fencing number
 	lag     time.Duration // of load reports
 	loss    float64       // share of releases that are lost
@@ -37,6 +39,7 @@
 	vouched time.Time
 	daemons []*daemon
 	changed chan struct{}
+	serial  int // of the newest view
 	fault   string
 	served  int
 	group   sync.WaitGroup
@@ -69,6 +72,7 @@
 	boot    uint64
 	gate    *Gate
 	view    *view.View
+	serial  int // of the view
 	cancel  context.CancelFunc
 	crashed time.Time
 	resume  chan struct{} // not nil while paused
@@ -87,6 +91,7 @@
 
 func newWorld(ctx context.Context, seed uint64, daemons int) *world {
 	w := &world{
+		seed:    seed,
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		ramp:    conf.Ramp{Start: 1, Step: 4, Full: 8},
 		store:   true,
@@ -111,6 +116,8 @@
 	for i := range daemons {
 		w.daemons = append(w.daemons, &daemon{id: fmt.Sprintf("d%d", i), cut: map[string]bool{}})
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, d := range w.daemons {
 		w.launch(d)
 	}
@@ -175,14 +182,18 @@
 
 // spread brings the view to all daemons, to each after another time.
 func (w *world) spread() {
-	v := w.picture()
+	w.serial++
+	v, serial := w.picture(), w.serial
 	for _, d := range w.daemons {
 		delay := time.Duration(w.random.Int64N(int64(spreadMost)))
 		w.after(delay, func() {
 			w.awake(d)
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			d.view = v
+			if serial < d.serial {
+				return
+			}
+			d.view, d.serial = v, serial
 			close(w.changed)
 			w.changed = make(chan struct{})
 		})
@@ -200,17 +211,20 @@
 
 // launch starts a daemon.
 func (w *world) launch(d *daemon) {
+	if w.ctx.Err() != nil {
+		return
+	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	d.boot++
 	d.cancel = cancel
 	d.crashed = time.Time{}
-	d.view = w.picture()
+	d.view, d.serial = w.picture(), w.serial
 	d.reached = map[string]time.Time{}
 	for _, other := range w.daemons {
 		d.reached[other.id] = time.Now()
 	}
 	gate := New(Options{
-		Self: d.id, Boot: d.boot, Log: logr.Discard(), Rand: rand.New(rand.NewPCG(d.boot, w.random.Uint64())),
+		Self: d.id, Boot: d.boot, Log: logr.Discard(), Rand: rand.New(rand.NewPCG(w.seed+d.boot, xxhash.Sum64String(d.id))),
 		View:      func() *view.View { w.awake(d); w.mu.Lock(); defer w.mu.Unlock(); return d.view },
 		Changed:   func() <-chan struct{} { w.mu.Lock(); defer w.mu.Unlock(); return w.changed },
 		Daemons:   func() []*wire.Daemon { return w.roster(d) },
@@ -358,13 +372,14 @@
 
 // call sends requests through a daemon's entry until it ends.
 func (w *world) call(ctx context.Context, d *daemon) {
+	w.mu.Lock()
+	boot, loss := d.boot, w.loss
+	w.mu.Unlock()
+	random := rand.New(rand.NewPCG(w.seed, xxhash.Sum64String(d.id)+boot))
 	for n := 0; ; n++ {
-		w.mu.Lock()
-		pause := time.Duration(w.random.Int64N(int64(120 * time.Millisecond)))
-		service := time.Duration(w.random.Int64N(int64(serviceMost)))
-		lost := w.random.Float64() < w.loss
-		boot := d.boot
-		w.mu.Unlock()
+		pause := time.Duration(random.Int64N(int64(120 * time.Millisecond)))
+		service := time.Duration(random.Int64N(int64(serviceMost)))
+		lost := random.Float64() < loss
 		if !sleep(ctx, pause) {
 			return
 		}
