--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -25,6 +25,7 @@
 	Checks  bool
 	Lag     time.Duration
 	Loss    float64
+	Burst   time.Duration
 	Actions []action
 }
 
@@ -54,6 +55,7 @@
 		Checks:  rapid.Bool().Draw(t, "checks"),
 		Lag:     time.Duration(rapid.IntRange(0, 990).Draw(t, "lag")) * time.Millisecond,
 		Loss:    rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss"),
+		Burst:   time.Duration(rapid.SampledFrom([]int{0, 0, 300, 700, 1500}).Draw(t, "burst")) * time.Millisecond,
 		Actions: rapid.SliceOfN(one, 3, 14).Draw(t, "actions"),
 	}
 }
@@ -64,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := newWorld(ctx, s.Seed, modelDaemons)
 	w.mu.Lock()
-	w.checks, w.lag, w.loss = s.Checks, s.Lag, s.Loss
+	w.checks, w.lag, w.loss, w.burst = s.Checks, s.Lag, s.Loss, s.Burst
 	w.mu.Unlock()
 	w.group.Go(func() { w.keep() })
 	time.Sleep(5 * time.Second)
--- a/gate/world_test.go
+++ b/gate/world_test.go
@@ -31,6 +31,8 @@
 	checks  bool          // whether endpoints refuse an old fencing number
 	lag     time.Duration // of load reports
 	loss    float64       // share of releases that are lost
+	burst   time.Duration // callers come and stay away in turn for so long, 0 for always
+	began   time.Time
 	ramp    conf.Ramp
 	hosts   [2]host
 	replica fleet.Replica
@@ -92,6 +94,7 @@
 func newWorld(ctx context.Context, seed uint64, daemons int) *world {
 	w := &world{
 		seed:    seed,
+		began:   time.Now(),
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		ramp:    conf.Ramp{Start: 1, Step: 4, Full: 8},
 		store:   true,
@@ -171,7 +174,7 @@
 		if err != nil {
 			panic(err)
 		}
-		entries[key] = store.Entry{Value: data, Revision: 1}
+		entries[key] = store.Entry{Key: key, Value: data, Revision: 1}
 	}
 	v, err := view.New(entries)
 	if err != nil {
@@ -384,11 +387,21 @@
 			return
 		}
 		w.awake(d)
+		if w.quiet() {
+			continue
+		}
 		id := fmt.Sprintf("%s/%d/%d", d.id, boot, n)
 		w.group.Go(func() { w.request(ctx, d, boot, id, service, lost) })
 	}
 }
 
+// quiet reports whether callers stay away at present.
+func (w *world) quiet() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.burst > 0 && time.Since(w.began)/w.burst%2 == 1
+}
+
 // request is one request at its entry.
 func (w *world) request(ctx context.Context, d *daemon, boot uint64, id string, service time.Duration, lost bool) {
 	asked := time.Now()
