--- a/gate/standing.go
+++ b/gate/standing.go
@@ -1,11 +1,8 @@
 package gate
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/fleet"
 	"clementinehead.example/chead/wire"
@@ -27,10 +24,11 @@
 // halves make up the whole limit.
 type standing struct {
 	self      string
-	daemons   map[string]*wire.Daemon
-	known     map[string]bool // daemons when the store last vouched, and since
-	confirmed time.Time       // when the store last vouched for the view
-	most      bool            // most of the known daemons are seen alive
+	roster    []*wire.Daemon
+	daemons   map[string]*wire.Daemon // the roster by id
+	known     map[string]bool         // daemons when the store last vouched, and since
+	confirmed time.Time               // when the store last vouched for the view
+	most      bool                    // most of the known daemons are seen alive
 	weak      bool
 	looked    time.Time
 	woken     time.Time // when this process last woke from a pause
@@ -44,7 +42,7 @@
 	s.self = self
 	s.confirmed = confirmed
 	s.learn(now, daemons)
-	s.most = 2*len(s.living()) > len(s.known) || len(s.known) <= 1
+	s.most = 2*s.living() > len(s.known) || len(s.known) <= 1
 	s.weak = now.Sub(confirmed) > confirmLife && (!s.most || s.doubtful(now))
 }
 
@@ -55,6 +53,7 @@
 	if s.known == nil || now.Sub(s.confirmed) <= confirmLife {
 		s.known = make(map[string]bool, len(daemons))
 	}
+	s.roster = daemons
 	s.daemons = make(map[string]*wire.Daemon, len(daemons))
 	for _, daemon := range daemons {
 		s.daemons[daemon.Id] = daemon
@@ -85,48 +84,17 @@
 	if !s.dead(replica.Gate) {
 		return false
 	}
-	return s.substitute(replica.ID, domain, document) == s.self
-}
-
-// substitute returns the living daemon that comes first for a replica: one of
-// its failure domain before one of its region before any, and among these the
-// first in rendezvous order.
-func (s *standing) substitute(replica, domain string, document conf.Document) string {
-	region := document.Domains[domain].Region
-	var best string
-	var bestTier int
-	var bestWeight uint64
-	for _, id := range s.living() {
-		tier := nearness(s.daemons[id], domain, region)
-		weight := xxhash.Sum64String(replica + "/" + id)
-		if best == "" || tier < bestTier || (tier == bestTier && weight > bestWeight) {
-			best, bestTier, bestWeight = id, tier, weight
-		}
-	}
-	return best
+	first := substitutes(replica.ID, domain, document, s.roster)
+	return len(first) > 0 && first[0].id == s.self
 }
 
-// living returns the ids of the daemons that are alive, sorted.
-func (s *standing) living() []string {
-	var ids []string
+// living counts the daemons that are alive.
+func (s *standing) living() int {
+	count := 0
 	for id, daemon := range s.daemons {
 		if id == s.self || daemon.Standing == wire.Standing_STANDING_ALIVE {
-			ids = append(ids, id)
+			count++
 		}
 	}
-	slices.Sort(ids)
-	return ids
-}
-
-// nearness is 0 for a daemon of the failure domain, 1 for one of the region
-// and 2 for any other.
-func nearness(daemon *wire.Daemon, domain, region string) int {
-	switch {
-	case daemon.Domain == domain:
-		return 0
-	case daemon.Region == region:
-		return 1
-	default:
-		return 2
-	}
+	return count
 }
