--- a/gate/adapt.go
+++ b/gate/adapt.go
@@ -24,8 +24,8 @@
 }
 
 const (
-	adaptRound    = 8 // first tokens for one step
-	adaptSlow     = 2 // times the base at which the limit is lowered
+	adaptRound    = 8   // first tokens for one step
+	adaptSlow     = 1.5 // times the base at which the limit is lowered
 	adaptDecrease = 0.85
 	adaptSpan     = time.Minute
 	coldSamples   = 8 // first tokens in a row that show a cold endpoint
@@ -52,7 +52,7 @@
 	median := a.samples[len(a.samples)/2]
 	a.samples = a.samples[:0]
 	a.learn(now, median)
-	if median > adaptSlow*a.floor() {
+	if float64(median) > adaptSlow*float64(a.floor()) {
 		a.lower(now)
 	} else if a.bound {
 		a.limit = min(float64(full), a.limit+1)
--- a/gate/core.go
+++ b/gate/core.go
@@ -42,6 +42,7 @@
 	queue   queue
 	quota   quota
 	adapt   adapt
+	fixed   bool // without the adaptive limit, for comparison
 	cache   cache
 	book    *Book
 	load    []loadReport // of the first member, within ReportLag
@@ -275,7 +276,10 @@
 // rounds it down, so that together they keep the whole limit.
 func (c *Core) Limit() int {
 	ramp := RampLimit(c.setup.Ramp, c.done-c.cooled)
-	limit := min(ramp, c.adapt.cap(c.setup.Ramp.Full))
+	limit := ramp
+	if !c.fixed {
+		limit = min(limit, c.adapt.cap(c.setup.Ramp.Full))
+	}
 	switch {
 	case c.setup.Interim:
 		return limit / 2
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -22,10 +22,12 @@
 // script is a drawn history.
 type script struct {
 	Seed    uint64
-	Checks  bool
-	Lag     time.Duration
-	Loss    float64
-	Burst   time.Duration
+	Checks  bool          // whether endpoints refuse an old fencing number
+	Lag     time.Duration // of load reports
+	Loss    float64       // share of releases that are lost
+	Burst   time.Duration // callers come and stay away in turn for so long, 0 for always
+	Silent  float64       // share of requests whose connection goes silent while they run
+	Service time.Duration // the longest
 	Actions []action
 }
 
@@ -56,6 +58,8 @@
 		Lag:     time.Duration(rapid.IntRange(0, 990).Draw(t, "lag")) * time.Millisecond,
 		Loss:    rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss"),
 		Burst:   time.Duration(rapid.SampledFrom([]int{0, 0, 300, 700, 1500}).Draw(t, "burst")) * time.Millisecond,
+		Silent:  rapid.SampledFrom([]float64{0, 0, 0.1}).Draw(t, "silent"),
+		Service: time.Duration(rapid.SampledFrom([]int{300, 1500, 6000}).Draw(t, "service")) * time.Millisecond,
 		Actions: rapid.SliceOfN(one, 3, 14).Draw(t, "actions"),
 	}
 }
@@ -64,10 +68,7 @@
 // were served.
 func play(s script) (string, int) {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := newWorld(ctx, s.Seed, modelDaemons)
-	w.mu.Lock()
-	w.checks, w.lag, w.loss, w.burst = s.Checks, s.Lag, s.Loss, s.Burst
-	w.mu.Unlock()
+	w := newWorld(ctx, s)
 	w.group.Go(func() { w.keep() })
 	time.Sleep(5 * time.Second)
 	for _, a := range s.Actions {
@@ -256,7 +257,7 @@
 // TestServes shows that the model serves when nothing fails.
 func TestServes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fault, served := play(script{Seed: 1, Actions: []action{{Kind: "rest", Pause: 20 * time.Second}}})
+		fault, served := play(script{Seed: 1, Service: time.Second, Actions: []action{{Kind: "rest", Pause: 20 * time.Second}}})
 		if fault != "" || served < 100 {
 			t.Fatalf("served %d, fault %q", served, fault)
 		}
--- a/gate/world_test.go
+++ b/gate/world_test.go
@@ -26,12 +26,8 @@
 // about all of them. It notes the first violation of what must always hold.
 type world struct {
 	mu      sync.Mutex
-	seed    uint64
-	random  *rand.Rand    // of the script; what runs beside it draws by its own name
-	checks  bool          // whether endpoints refuse an old fencing number
-	lag     time.Duration // of load reports
-	loss    float64       // share of releases that are lost
-	burst   time.Duration // callers come and stay away in turn for so long, 0 for always
+	script  script
+	random  *rand.Rand // of the script; what runs beside it draws by its own name
 	began   time.Time
 	ramp    conf.Ramp
 	hosts   [2]host
@@ -84,18 +80,17 @@
 
 const (
 	worldDomain = "coast-a"
-	serviceMost = 1500 * time.Millisecond
 	spreadMost  = 500 * time.Millisecond // until a daemon has a new view
 	drainBound  = 3 * time.Second
 )
 
 var errDown = errors.New("down")
 
-func newWorld(ctx context.Context, seed uint64, daemons int) *world {
+func newWorld(ctx context.Context, s script) *world {
 	w := &world{
-		seed:    seed,
+		script:  s,
 		began:   time.Now(),
-		random:  rand.New(rand.NewPCG(seed, 0)),
+		random:  rand.New(rand.NewPCG(s.Seed, 0)),
 		ramp:    conf.Ramp{Start: 1, Step: 4, Full: 8},
 		store:   true,
 		vouched: time.Now(),
@@ -116,7 +111,7 @@
 			Instance: w.hosts[i].address, Address: w.hosts[i].address, Boot: w.hosts[i].boot,
 		})
 	}
-	for i := range daemons {
+	for i := range modelDaemons {
 		w.daemons = append(w.daemons, &daemon{id: fmt.Sprintf("d%d", i), cut: map[string]bool{}})
 	}
 	w.mu.Lock()
@@ -227,7 +222,7 @@
 		d.reached[other.id] = time.Now()
 	}
 	gate := New(Options{
-		Self: d.id, Boot: d.boot, Log: logr.Discard(), Rand: rand.New(rand.NewPCG(w.seed+d.boot, xxhash.Sum64String(d.id))),
+		Self: d.id, Boot: d.boot, Log: logr.Discard(), Rand: rand.New(rand.NewPCG(w.script.Seed+d.boot, xxhash.Sum64String(d.id))),
 		View:      func() *view.View { w.awake(d); w.mu.Lock(); defer w.mu.Unlock(); return d.view },
 		Changed:   func() <-chan struct{} { w.mu.Lock(); defer w.mu.Unlock(); return w.changed },
 		Daemons:   func() []*wire.Daemon { return w.roster(d) },
@@ -264,7 +259,7 @@
 	report, err := engine.Report{}, errDown
 	for i := range w.hosts {
 		if h := &w.hosts[i]; h.address == address && !h.missing {
-			report, err = h.report(w.lag), nil
+			report, err = h.report(w.script.Lag), nil
 		}
 	}
 	w.mu.Unlock()
@@ -376,12 +371,13 @@
 // call sends requests through a daemon's entry until it ends.
 func (w *world) call(ctx context.Context, d *daemon) {
 	w.mu.Lock()
-	boot, loss := d.boot, w.loss
+	boot, loss, longest := d.boot, w.script.Loss, w.script.Service
 	w.mu.Unlock()
-	random := rand.New(rand.NewPCG(w.seed, xxhash.Sum64String(d.id)+boot))
+	random := rand.New(rand.NewPCG(w.script.Seed, xxhash.Sum64String(d.id)+boot))
 	for n := 0; ; n++ {
 		pause := time.Duration(random.Int64N(int64(120 * time.Millisecond)))
-		service := time.Duration(random.Int64N(int64(serviceMost)))
+		service := time.Duration(random.Int64N(int64(longest)))
+		silent := random.Float64() < w.script.Silent
 		lost := random.Float64() < loss
 		if !sleep(ctx, pause) {
 			return
@@ -391,7 +387,7 @@
 			continue
 		}
 		id := fmt.Sprintf("%s/%d/%d", d.id, boot, n)
-		w.group.Go(func() { w.request(ctx, d, boot, id, service, lost) })
+		w.group.Go(func() { w.request(ctx, d, boot, id, trait{service, lost, silent}) })
 	}
 }
 
@@ -399,11 +395,18 @@
 func (w *world) quiet() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.burst > 0 && time.Since(w.began)/w.burst%2 == 1
+	return w.script.Burst > 0 && time.Since(w.began)/w.script.Burst%2 == 1
+}
+
+// trait is what will become of a request.
+type trait struct {
+	service time.Duration
+	lost    bool // its release is lost
+	silent  bool // its connection goes silent while it runs
 }
 
 // request is one request at its entry.
-func (w *world) request(ctx context.Context, d *daemon, boot uint64, id string, service time.Duration, lost bool) {
+func (w *world) request(ctx context.Context, d *daemon, boot uint64, id string, its trait) {
 	asked := time.Now()
 	w.mu.Lock()
 	place, _ := d.view.Place("r1")
@@ -419,9 +422,9 @@
 	release := &wire.ReleaseRequest{Replica: "r1", Daemon: d.id, Permit: response.Permit, Request: id}
 	release.Ending = wire.Ending_ENDING_UNUSED
 	if time.Since(asked) < response.Validity.AsDuration() {
-		release.Ending = w.dispatch(response, id, service)
+		release.Ending = w.dispatch(response, id, its)
 	}
-	if lost || ctx.Err() != nil {
+	if its.lost || ctx.Err() != nil {
 		return
 	}
 	w.release(ctx, d, release)
@@ -438,10 +441,10 @@
 }
 
 // dispatch runs a request at the first host and returns how it ended.
-func (w *world) dispatch(response *wire.AcquireResponse, id string, service time.Duration) wire.Ending {
+func (w *world) dispatch(response *wire.AcquireResponse, id string, its trait) wire.Ending {
 	w.mu.Lock()
 	h := &w.hosts[0]
-	if h.missing || h.state != engine.Ready || (w.checks && response.Fence != h.fence) {
+	if h.missing || h.state != engine.Ready || (w.script.Checks && response.Fence != h.fence) {
 		w.mu.Unlock()
 		return wire.Ending_ENDING_REFUSED
 	}
@@ -450,6 +453,16 @@
 	h.note()
 	w.inspect(response.Fence)
 	w.mu.Unlock()
+	if its.silent {
+		w.group.Go(func() { w.finish(h, boot, id, its.service) })
+		_ = sleep(w.ctx, its.service/4)
+		return wire.Ending_ENDING_BROKEN
+	}
+	return w.finish(h, boot, id, its.service)
+}
+
+// finish lets a request run to its end.
+func (w *world) finish(h *host, boot uint64, id string, service time.Duration) wire.Ending {
 	_ = sleep(w.ctx, service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
