--- a/gate/adapt.go
+++ b/gate/adapt.go
@@ -26,7 +26,7 @@
 const (
 	adaptRound    = 8   // first tokens for one step
 	adaptSlow     = 1.5 // times the base at which the limit is lowered
-	adaptDecrease = 0.85
+	adaptDecrease = 0.9
 	adaptSpan     = time.Minute
 	coldSamples   = 8 // first tokens in a row that show a cold endpoint
 	coldSlow      = 4 // times the base at which they do
--- a/gate/bounds.go
+++ b/gate/bounds.go
@@ -22,10 +22,11 @@
 )
 
 const (
-	pauseLimit      = time.Second      // between looks at the view, above which the process was paused
-	wakeWait        = 2 * time.Second  // after a pause, for the peers to bring a newer view
-	reconcileWindow = 10 * time.Second // for which reports must show fewer than are held
-	lifeMargin      = 5 * time.Second  // beyond the longest request, for a permit's life
+	pauseLimit      = time.Second            // between looks at the view, above which the process was paused
+	wakeWait        = 2 * time.Second        // after a pause, for the peers to bring a newer view
+	coolTime        = ReportLag + ProbeFresh // after an endpoint turned cold, for its reports to show it
+	reconcileWindow = 10 * time.Second       // for which reports must show fewer than are held
+	lifeMargin      = 5 * time.Second        // beyond the longest request, for a permit's life
 	minRetryAfter   = 50 * time.Millisecond
 	maxRetryAfter   = 30 * time.Second
 	idleRetryAfter  = time.Second // for a replica that doesn't serve
--- a/gate/core.go
+++ b/gate/core.go
@@ -49,10 +49,12 @@
 	base    uint64       // added to a counter for permit ids
 	asks    uint64
 	permits uint64
-	boot    uint64 // of the endpoint that takes the requests
-	done    uint64 // completed by it since its boot
-	cooled  uint64 // of these, before it turned cold
-	own     uint64 // of these, completed with permits of this gate
+	address string    // of the endpoint that takes the requests
+	boot    uint64    // its boot number, as recorded
+	done    uint64    // completed by it since its boot
+	cooled  uint64    // of these, before it turned cold
+	cooling time.Time // until when reports may show work from before that
+	own     uint64    // of these, completed with permits of this gate
 	hold    time.Duration
 	adopted time.Time // when the load of the gate before was counted
 }
@@ -92,24 +94,24 @@
 	if regained {
 		c.claim.doubt()
 	}
-	c.enter(c.headBoot())
+	c.enter()
 	return c.pump(now)
 }
 
-// headBoot returns the recorded boot number of the first member.
-func (c *Core) headBoot() uint64 {
-	if len(c.members) == 0 {
-		return 0
+// enter begins a new boot of the endpoint that takes the requests, when the
+// record names one. What an endpoint ran that started again stood in a crash.
+func (c *Core) enter() {
+	var head fleet.Member
+	if len(c.members) > 0 {
+		head = c.members[0].record
 	}
-	return c.members[0].record.Boot
-}
-
-// enter begins a new boot of the endpoint.
-func (c *Core) enter(boot uint64) {
-	if boot == c.boot {
+	if head.Boot == c.boot && head.Address == c.address {
 		return
 	}
-	c.boot = boot
+	if head.Address == c.address {
+		c.strikeAll()
+	}
+	c.boot, c.address = head.Boot, head.Address
 	c.done, c.own, c.cooled = 0, 0, 0
 	c.load = nil
 	c.adapt = adapt{}
@@ -140,6 +142,9 @@
 		return
 	}
 	c.done = max(c.done, report.Completed)
+	if now.Before(c.cooling) {
+		c.cooled = c.done
+	}
 	c.note(now, report.Running+report.Waiting)
 	c.ledger.report(now, report.Running+report.Waiting)
 	if report.Waiting > 0 {
@@ -158,6 +163,9 @@
 // strikeAll notes that the endpoint started again under all requests in
 // progress.
 func (c *Core) strikeAll() {
+	if c.boot == 0 {
+		return
+	}
 	crash := crashName(c.setup.Replica.ID, c.boot)
 	for _, p := range c.ledger.held {
 		if p.crash == crash {
--- a/gate/release.go
+++ b/gate/release.go
@@ -73,6 +73,7 @@
 	c.adapt.first(now, first, c.setup.Ramp.Full)
 	if c.adapt.cold() {
 		c.cooled = c.done
+		c.cooling = now.Add(coolTime)
 	}
 }
 
