entry, once: each proof shown to fail against a broken version

Not seen by any test: the limit on writing a short answer left out (net/http clears the limit between requests of one connection).

--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -93,13 +93,11 @@
 		for i := range 20 {
 			key := fmt.Sprint("key-", i)
 			w.plain.LoseAnswers(i % 2)
-			for _, method := range []string{"POST", "GET"} {
-				w.send(ask{
-					method: method, path: "/services/ledger/x", body: " ",
-					headers: map[string]string{"Idempotency-Key": key + method},
-				})
-				is.True(w.plain.Runs(key+method) <= 1)
-			}
+			w.send(ask{
+				method: []string{"GET", "GET", "POST", "POST"}[i%4], path: "/services/ledger/x", body: "x",
+				headers: map[string]string{"Idempotency-Key": key},
+			})
+			is.True(w.plain.Runs(key) <= 1)
 		}
 	})
 }
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -72,8 +72,7 @@
 // maxWrite bounds how long a caller may take for a short answer.
 const maxWrite = 10 * time.Second
 
-// writable sets the limit on writing a short answer. A connection keeps the
-// limit of the answer before, which may lie in the past.
+// writable sets the limit on writing a short answer.
 func writable(w http.ResponseWriter) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(maxWrite)) // in-memory writers have none
 }
--- a/entry/security_test.go
+++ b/entry/security_test.go
@@ -111,7 +111,7 @@
 		is := is.New(w.t)
 		names := func(key string) (names []string) {
 			var answer entry.Models
-			got := w.send(ask{method: http.MethodGet, path: "/v1/models", body: " ", key: key})
+			got := w.send(ask{method: http.MethodGet, path: "/v1/models", key: key})
 			is.NoErr(json.Unmarshal(got.body, &answer))
 			for _, m := range answer.Data {
 				names = append(names, m.ID)
@@ -139,7 +139,7 @@
 			is.NoErr(response.Body.Close())
 			is.True(strings.HasSuffix(string(body), "[DONE]\n\n"))
 			time.Sleep(time.Minute)
-			r, err = ask{method: http.MethodGet, path: "/v1/models", body: " ", key: "wrong"}.request(context.Background())
+			r, err = ask{method: http.MethodGet, path: "/v1/models", key: "wrong"}.request(context.Background())
 			is.NoErr(err)
 			response, err = client.Do(r)
 			is.NoErr(err)
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -16,7 +16,7 @@
 )
 
 func (w *world) ask(to int) entry.Entries {
-	got := w.send(ask{to: to, method: http.MethodGet, path: "/v1/entries", body: " "})
+	got := w.send(ask{to: to, method: http.MethodGet, path: "/v1/entries"})
 	var answer entry.Entries
 	if err := json.Unmarshal(got.body, &answer); err != nil {
 		w.t.Fatal(err)
@@ -62,6 +62,7 @@
 			is.Equal(len(answer.Entries), 3)
 			firsts[answer.Entries[0].Address]++
 		}
+		is.Equal(len(firsts), 3)
 		for _, n := range firsts {
 			is.True(n > 70) // of 100 each
 		}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -274,7 +274,11 @@
 	if body == "" {
 		body = fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":%t}`, a.prompt, max(1, a.tokens), a.stream)
 	}
-	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://d%d:80%s", a.to, path), strings.NewReader(body))
+	var reader io.Reader
+	if method != http.MethodGet {
+		reader = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://d%d:80%s", a.to, path), reader)
 	if err != nil {
 		return nil, err
 	}
--- a/once/book_test.go
+++ b/once/book_test.go
@@ -213,7 +213,7 @@
 	}
 	one := rapid.Custom(func(t *rapid.T) attempt {
 		return attempt{
-			at:     seconds(20).Draw(t, "at"),
+			at:     seconds(20).Draw(t, "at") + rapid.SampledFrom([]time.Duration{0, 0, 12 * time.Minute}).Draw(t, "later"),
 			pause:  rapid.SampledFrom([]time.Duration{0, time.Second, 15 * time.Minute}).Draw(t, "pause"),
 			book:   rapid.IntRange(0, 2).Draw(t, "book"),
 			key:    rapid.IntRange(0, 2).Draw(t, "key"),
