--- a/entry/answer.go
+++ b/entry/answer.go
@@ -95,10 +95,15 @@
 // usage.
 func isToken(data []byte) bool { return !bytes.Contains(data, []byte(`"choices":[]`)) }
 
-// data ends the event that is being made with its data, and sends it.
+// data ends the event that is being made with its data, line by line, and
+// sends it.
 func (a *answer) data(data []byte) error {
-	a.event = append(a.event, "\ndata: "...)
-	a.event = append(a.event, data...)
+	for more := true; more; {
+		var line []byte
+		line, data, more = bytes.Cut(data, []byte("\n"))
+		a.event = append(a.event, "\ndata: "...)
+		a.event = append(a.event, line...)
+	}
 	a.event = append(a.event, "\n\n"...)
 	return a.send(a.event)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,9 +57,11 @@
 	seen    *seen
 	names   atomic.Uint64
 	leaving atomic.Bool
+	blind   atomic.Bool    // the store can't be asked for records
 	work    sync.WaitGroup // what goes on behind an answer
 	mu      sync.Mutex     // for server, random numbers and until
 	server  *http.Server
+	stopped bool      // Shutdown has passed
 	until   time.Time // up to which answers that name this daemon hold
 }
 
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -54,12 +54,28 @@
 		Print:   j.print,
 		At:      j.at,
 	})
+	e.watch(err)
 	if err != nil {
 		return nil, nil, e.unclaimed(j, err)
 	}
 	return claim, kept, nil
 }
 
+// watch logs when the store can't be asked for records any more, and when it
+// can again.
+func (e *Entry) watch(err error) {
+	var fault *once.Error
+	down := errors.As(err, &fault) && fault.Kind == once.Down
+	if e.blind.Swap(down) == down {
+		return
+	}
+	if down {
+		e.options.Log.Info("not-repeatable requests are refused", "cause", err.Error())
+	} else {
+		e.options.Log.Info("not-repeatable requests are taken again")
+	}
+}
+
 // unclaimed says what a claim that was not given means for the caller.
 func (e *Entry) unclaimed(j *job, err error) *Error {
 	var fault *once.Error
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -14,7 +14,8 @@
 	maxSpread     = 5 * time.Second  // until all daemons know that one is leaving
 )
 
-// Serve takes callers' connections until Shutdown. It returns nil after that.
+// Serve takes callers' connections until Shutdown. It returns nil after that,
+// and at once where Shutdown came before.
 func (e *Entry) Serve(l net.Listener) error {
 	server := &http.Server{
 		Handler:           e,
@@ -22,9 +23,9 @@
 		IdleTimeout:       maxIdleCaller,
 		MaxHeaderBytes:    maxHeader,
 	}
-	e.mu.Lock()
-	e.server = server
-	e.mu.Unlock()
+	if !e.begin(server) {
+		return l.Close()
+	}
 	err := server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -32,6 +33,14 @@
 	return err
 }
 
+// begin notes the server, unless Shutdown has passed.
+func (e *Entry) begin(server *http.Server) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server = server
+	return !e.stopped
+}
+
 // hold notes that an answer which may name this daemon holds for a while.
 func (e *Entry) hold(d time.Duration) {
 	until := time.Now().Add(d)
@@ -49,15 +58,14 @@
 // before the call. The error is the context's where that ends first.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.leaving.Store(true)
+	e.options.Log.Info("callers' interface leaves")
 	hold := time.Duration(e.options.View().Document.Limits.Entries)
 	e.hold(maxSpread + hold)
-	e.mu.Lock()
-	until, server := e.until, e.server
-	e.mu.Unlock()
-	if !pause(ctx, time.Until(until)) {
+	if !pause(ctx, time.Until(e.held())) {
 		return ctx.Err()
 	}
-	if server != nil {
+	e.options.Log.Info("callers' interface takes no new connections")
+	if server := e.stop(); server != nil {
 		if err := server.Shutdown(ctx); err != nil {
 			return err
 		}
@@ -65,6 +73,22 @@
 	return e.wait(ctx)
 }
 
+// held returns the moment at which the last answer that names this daemon runs
+// out.
+func (e *Entry) held() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.until
+}
+
+// stop returns the server, nil where there is none yet.
+func (e *Entry) stop() *http.Server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	return e.server
+}
+
 // wait waits for what goes on behind answers.
 func (e *Entry) wait(ctx context.Context) error {
 	done := make(chan struct{})
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-func pictured(t *testing.T, d conf.Document) *view.View {
+func pictured(t testing.TB, d conf.Document) *view.View {
 	envelope, err := json.Marshal(edit.Envelope{Serial: 1, Document: d})
 	if err != nil {
 		t.Fatal(err)
