entry, gate: where a gate is out of reach, entries ask the daemons that stand in for it

The order of substitutes is one pure function of package gate that gates and entries share. Options of entry gain Find (roster.Find) and Interim.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -20,6 +20,7 @@
 	"clementinehead.example/chead/roster"
 	"clementinehead.example/chead/route"
 	"clementinehead.example/chead/tally"
+	"clementinehead.example/chead/view"
 	"clementinehead.example/chead/wire"
 )
 
@@ -141,6 +142,8 @@
 		Boot:     o.boot(),
 		View:     d.relay.View,
 		Daemons:  d.roster.Daemons,
+		Find:     d.roster.Find,
+		Interim:  d.substitutes,
 		Order:    d.router.Order,
 		Observe:  d.router.Observe,
 		Gate:     d.gateAt,
@@ -155,6 +158,11 @@
 	})
 }
 
+// substitutes returns the daemons that may stand in for a replica's gate.
+func (d *Daemon) substitutes(place view.Place) []string {
+	return gate.Substitutes(place.Replica.ID, place.Domain, d.roster.Daemons(), d.relay.View().Document)
+}
+
 // gateAt returns the gate at a peer address; the own one needs no network.
 func (d *Daemon) gateAt(address string) wire.GateClient {
 	if address == d.options.Settings.Peer {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -76,7 +76,10 @@
 
 // restart forgets what came of a run that is made again. It may be called
 // only while nothing was sent.
-func (a *answer) restart() { a.whole = &whole{} }
+func (a *answer) restart() {
+	a.whole = &whole{}
+	a.times = times{accepted: a.times.accepted}
+}
 
 // add takes the next chunk.
 func (a *answer) add(chunk engine.Chunk) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,7 +31,8 @@
 	Order   func(v *view.View, account, model string, prefix []uint64, domain string) []view.Place
 	Observe func(replica string, response *wire.AcquireResponse) // nil for nothing
 	Gate    func(address string) wire.GateClient                 // by peer address
-	Interim func(replica string) []string                        // daemons to ask where the gate is out of reach; nil for none
+	Find    func(id string) (*wire.Daemon, bool)                 // nil for a search of Daemons
+	Interim func(place view.Place) []string                      // ids of the daemons to ask where the gate is out of reach; nil for none
 	Engine  *engine.Client
 	Plain   func(*http.Request) (*http.Response, error) // to plain services
 	// Fresh sends what is not repeatable. It uses each connection once, so
@@ -70,6 +71,9 @@
 	if options.Fresh == nil {
 		options.Fresh = NewTransport(true).RoundTrip
 	}
+	if options.Find == nil {
+		options.Find = search(options.Daemons)
+	}
 	e := &Entry{
 		options: options,
 		budget:  newBudget(),
@@ -82,6 +86,18 @@
 	return e
 }
 
+// search returns a function that finds a daemon by its id.
+func search(daemons func() []*wire.Daemon) func(id string) (*wire.Daemon, bool) {
+	return func(id string) (*wire.Daemon, bool) {
+		for _, d := range daemons() {
+			if d.GetId() == id {
+				return d, true
+			}
+		}
+		return nil, false
+	}
+}
+
 // silence returns the limits on the silence of endpoints in force.
 func (e *Entry) silence() engine.Limits {
 	limits := e.options.View().Document.Limits
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -219,6 +219,19 @@
 	})
 }
 
+// TestInterimGate has the daemon of the gate fail, before a request and while
+// one runs.
+func TestInterimGate(t *testing.T) {
+	within(t, 1, document(), fakes.EngineOptions{Token: 100 * time.Millisecond}, func(w *world) {
+		is := is.New(w.t)
+		time.AfterFunc(time.Second, func() { w.gone.Store(true) })
+		is.True(w.send(ask{prompt: "a", tokens: 30}).whole)
+		is.True(w.send(ask{prompt: "b", tokens: 30}).whole)
+		time.Sleep(time.Minute)
+		is.Equal(w.gates.holding(), 0)
+	})
+}
+
 func TestBudgetBoundsRetries(t *testing.T) {
 	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
 		is := is.New(w.t)
--- a/entry/permit.go
+++ b/entry/permit.go
@@ -107,28 +107,47 @@
 	return err
 }
 
-// ask asks for a permit of one replica. It returns neither a permit nor an
-// error where another replica may be asked.
+// ask asks for a permit of one replica: its gate first, and where that is out
+// of reach or isn't the gate any more, the daemons that stand in for it. It
+// returns neither a permit nor an error where another replica may be asked.
 func (h *hunt) ask(ctx context.Context, place view.Place, wait time.Duration) (*permit, *Error) {
-	for _, address := range h.entry.gates(place) {
-		if err := h.entry.over(ctx, h.job); err != nil {
-			return nil, err
-		}
-		gate := h.entry.options.Gate(address)
-		asked := time.Now()
-		response, err := h.call(ctx, gate, place, wait)
-		if err != nil {
-			continue
-		}
-		h.entry.observe(place, response)
-		if response.GetVerdict() == wire.Verdict_VERDICT_NOT_GATE {
-			continue
+	p, err, answered := h.askAt(ctx, place, place.Replica.Gate, wait)
+	if answered || err != nil {
+		return p, err
+	}
+	for _, id := range h.entry.interim(place) {
+		p, err, answered = h.askAt(ctx, place, id, wait)
+		if answered || err != nil {
+			return p, err
 		}
-		return h.judge(place, gate, asked, response)
 	}
 	return nil, nil
 }
 
+// askAt asks one daemon. Answered tells a gate's word from a daemon that can't
+// be asked or isn't the gate.
+func (h *hunt) askAt(ctx context.Context, place view.Place, id string, wait time.Duration) (p *permit, err *Error, answered bool) {
+	if err := h.entry.over(ctx, h.job); err != nil {
+		return nil, err, false
+	}
+	address, ok := h.entry.peer(id)
+	if !ok {
+		return nil, nil, false
+	}
+	gate := h.entry.options.Gate(address)
+	asked := time.Now()
+	response, failed := h.call(ctx, gate, place, wait)
+	if failed != nil {
+		return nil, h.entry.over(ctx, h.job), false
+	}
+	if response.GetVerdict() == wire.Verdict_VERDICT_NOT_GATE {
+		return nil, nil, false
+	}
+	h.entry.observe(place, response)
+	p, err = h.judge(place, gate, asked, response)
+	return p, err, true
+}
+
 func (h *hunt) call(ctx context.Context, gate wire.GateClient, place view.Place, wait time.Duration) (*wire.AcquireResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+askLimit)
 	defer cancel()
@@ -215,29 +234,22 @@
 // monotonic.
 func (p *permit) stale() bool { return time.Until(p.until) < validSpare }
 
-// gates returns the peer addresses to ask for a permit: that of the replica's
-// gate, and those of the daemons that stand in for it.
-func (e *Entry) gates(place view.Place) []string {
-	ids := []string{place.Replica.Gate}
-	if e.options.Interim != nil {
-		ids = append(ids, e.options.Interim(place.Replica.ID)...)
-	}
-	var addresses []string
-	for _, id := range ids[:min(len(ids), 1+maxInterim)] {
-		if address, ok := e.peer(id); ok {
-			addresses = append(addresses, address)
-		}
+// interim returns the first of the daemons that stand in for a gate.
+func (e *Entry) interim(place view.Place) []string {
+	if e.options.Interim == nil {
+		return nil
 	}
-	return addresses
+	ids := e.options.Interim(place)
+	return ids[:min(len(ids), maxInterim)]
 }
 
+// peer returns the peer address of a daemon that isn't dead.
 func (e *Entry) peer(id string) (string, bool) {
-	for _, d := range e.options.Daemons() {
-		if d.GetId() == id && d.GetStanding() != wire.Standing_STANDING_DEAD {
-			return d.GetPeerAddress(), true
-		}
+	d, ok := e.options.Find(id)
+	if !ok || d.GetStanding() == wire.Standing_STANDING_DEAD {
+		return "", false
 	}
-	return "", false
+	return d.GetPeerAddress(), true
 }
 
 func (e *Entry) observe(place view.Place, response *wire.AcquireResponse) {
@@ -250,9 +262,10 @@
 // of the request.
 func (e *Entry) release(ctx context.Context, j *job, p *permit, o outcome) (*wire.ReleaseResponse, error) {
 	ended := time.Now()
+	gate := p.gate
 	var failed error
 	for range releases {
-		response, err := p.gate.Release(ctx, &wire.ReleaseRequest{
+		response, err := gate.Release(ctx, &wire.ReleaseRequest{
 			Replica:    p.place.Replica.ID,
 			Daemon:     e.options.Self,
 			Permit:     p.number,
@@ -269,10 +282,25 @@
 		if !pause(ctx, releaseWait) {
 			break
 		}
+		gate = e.present(p)
 	}
 	return nil, fmt.Errorf("release: %w", failed)
 }
 
+// present returns the gate that a permit's replica has now, or the permit's own
+// where that can't be found out.
+func (e *Entry) present(p *permit) wire.GateClient {
+	place, ok := e.options.View().Place(p.place.Replica.ID)
+	if !ok {
+		return p.gate
+	}
+	address, ok := e.peer(place.Replica.Gate)
+	if !ok {
+		return p.gate
+	}
+	return e.options.Gate(address)
+}
+
 // releaseLater ends a dispatch without keeping the caller waiting.
 func (e *Entry) releaseLater(j *job, p *permit, o outcome) {
 	e.later(maxSettle+maxRelease, func(ctx context.Context) {
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -75,6 +75,9 @@
 func (t *trial) word(err *Error) *Error {
 	t.ran = max(t.ran, err.Ran)
 	err.Ran = t.ran
+	if !t.job.once && (err.Kind == Broken || err.Kind == Crashed) {
+		err.Retry = defaultBack
+	}
 	return err
 }
 
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,7 @@
 	engines []*fakes.Engine
 	plain   *fakes.Plain
 	gates   *gates
+	gone    atomic.Bool // the gates' daemon, d0
 	entries []*entry.Entry
 	books   []*once.Book
 	view    *view.View
@@ -181,11 +183,12 @@
 		Order: func(v *view.View, _, _ string, _ []uint64, _ string) []view.Place {
 			return v.Replicas("forge")
 		},
-		Gate:   func(string) wire.GateClient { return w.gates },
-		Engine: engine.New(w.network.Client(host).Do),
-		Plain:  w.network.Client(host).Do,
-		Fresh:  fresh.Do,
-		Once:   book,
+		Gate:    w.gateAt,
+		Interim: func(view.Place) []string { return []string{"d1"} },
+		Engine:  engine.New(w.network.Client(host).Do),
+		Plain:   w.network.Client(host).Do,
+		Fresh:   fresh.Do,
+		Once:    book,
 		Count: func(s tally.Sample) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -198,6 +201,25 @@
 	return e
 }
 
+// gateAt returns the gate of all replicas, unless its daemon is gone.
+func (w *world) gateAt(address string) wire.GateClient {
+	if address == "d0:81" && w.gone.Load() {
+		return absent{}
+	}
+	return w.gates
+}
+
+// absent is a daemon that can't be asked.
+type absent struct{ wire.GateClient }
+
+func (absent) Acquire(context.Context, *wire.AcquireRequest) (*wire.AcquireResponse, error) {
+	return nil, errGate
+}
+
+func (absent) Release(context.Context, *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
+	return nil, errGate
+}
+
 func (w *world) daemons() []*wire.Daemon {
 	var daemons []*wire.Daemon
 	for i := range 3 {
--- a/gate/standing.go
+++ b/gate/standing.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/fleet"
@@ -88,22 +88,20 @@
 	return s.substitute(replica.ID, domain, document) == s.self
 }
 
-// substitute returns the living daemon that comes first for a replica: one of
-// its failure domain before one of its region before any, and among these the
-// first in rendezvous order.
+// substitute returns the daemon that comes first for a replica. This one
+// counts as living, whatever the others say of it.
 func (s *standing) substitute(replica, domain string, document conf.Document) string {
-	region := document.Domains[domain].Region
-	var best string
-	var bestTier int
-	var bestWeight uint64
+	var daemons []*wire.Daemon
 	for _, id := range s.living() {
-		tier := nearness(s.daemons[id], domain, region)
-		weight := xxhash.Sum64String(replica + "/" + id)
-		if best == "" || tier < bestTier || (tier == bestTier && weight > bestWeight) {
-			best, bestTier, bestWeight = id, tier, weight
-		}
+		daemon := proto.CloneOf(s.daemons[id])
+		daemon.Standing = wire.Standing_STANDING_ALIVE
+		daemons = append(daemons, daemon)
+	}
+	ids := Substitutes(replica, domain, daemons, document)
+	if len(ids) == 0 {
+		return ""
 	}
-	return best
+	return ids[0]
 }
 
 // living returns the ids of the daemons that are alive, sorted.
