--- a/entry/answer.go
+++ b/entry/answer.go
@@ -91,6 +91,7 @@
 	}
 	a.event = append(a.event[:0], "id: "...)
 	a.event = strconv.AppendInt(a.event, int64(chunk.Offset), 10)
+	a.event = append(a.event, '\n')
 	return a.data(chunk.Data)
 }
 
@@ -104,17 +105,18 @@
 	for more := true; more; {
 		var line []byte
 		line, data, more = bytes.Cut(data, []byte("\n"))
-		a.event = append(a.event, "\ndata: "...)
+		a.event = append(a.event, "data: "...)
 		a.event = append(a.event, line...)
+		a.event = append(a.event, '\n')
 	}
-	a.event = append(a.event, "\n\n"...)
+	a.event = append(a.event, '\n')
 	return a.send(a.event)
 }
 
 // finish ends a whole answer.
 func (a *answer) finish() error {
 	if a.stream {
-		a.event = append(a.event[:0], "event: done"...)
+		a.event = a.event[:0]
 		return a.data([]byte("[DONE]"))
 	}
 	body, err := a.whole.body()
@@ -192,7 +194,7 @@
 	if failed != nil {
 		return
 	}
-	a.event = append(a.event[:0], "event: error"...)
+	a.event = append(a.event[:0], "event: error\n"...)
 	_ = a.data(text) // the caller may be gone
 }
 
--- a/entry/body.go
+++ b/entry/body.go
@@ -22,6 +22,9 @@
 	if errors.As(err, &large) {
 		return reject("admit", TooLarge, nil)
 	}
+	if err != nil && j.late() {
+		return reject("admit", Timeout, nil)
+	}
 	if err != nil {
 		return reject("admit", Cancelled, err)
 	}
--- a/entry/code.go
+++ b/entry/code.go
@@ -84,3 +84,9 @@
 // statusCancelled is the usual status for a request whose caller went away. No
 // caller reads it; it stands in the counts.
 const statusCancelled = 499
+
+// Meaning returns a code's HTTP status and message.
+func (i Code) Meaning() (status int, message string) {
+	m := meanings[i]
+	return m.status, m.text
+}
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -36,7 +36,8 @@
 )
 
 // parsePrompt reads a completion's body and returns the body for the endpoint.
-// That one always asks for a stream. It is written anew from what was read, so
+// That one always asks for a stream, and for the usage where the caller gets
+// one value, which has it. It is written anew from what was read, so
 // that the endpoint can't read a name that stands twice in another way than
 // the daemon did.
 func parsePrompt(body []byte, limits conf.Limits) (prompt, []byte, *Error) {
@@ -49,6 +50,9 @@
 		return prompt{}, nil, reject("admit", BadRequest, err)
 	}
 	fields["stream"] = json.RawMessage("true")
+	if !p.stream {
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
 	out, err := json.Marshal(fields)
 	if err != nil {
 		return prompt{}, nil, reject("admit", BadJSON, err)
