--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -28,12 +28,16 @@
 func newClients(o Options) clients {
 	return clients{
 		store:    &http.Client{Transport: storeTransport(o)},
-		endpoint: &http.Client{Transport: endpointTransport(o)},
-		fresh:    &http.Client{Transport: freshTransport(o)},
+		endpoint: &http.Client{Transport: endpointTransport(o), CheckRedirect: passRedirect},
+		fresh:    &http.Client{Transport: freshTransport(o), CheckRedirect: passRedirect},
 		peer:     &http.Client{Transport: peerTransport(o)},
 	}
 }
 
+// passRedirect leaves redirects to the caller: to follow one is to send another
+// request.
+func passRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func storeTransport(o Options) *http.Transport {
 	return &http.Transport{DialContext: o.Dial, IdleConnTimeout: idleLimit, MaxIdleConnsPerHost: 8}
 }
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -14,6 +14,7 @@
 // complete answers a completion or a chat completion.
 func (e *Entry) complete(w http.ResponseWriter, r *http.Request) {
 	j, err := e.admitCompletion(w, r)
+	defer func() { j.leave() }()
 	if j.id != "" {
 		w.Header().Set(headerRequest, j.id)
 	}
@@ -48,15 +49,18 @@
 	}
 	text, _ := engine.Prompt(j.body) // no prefix where the prompt isn't text
 	p.prefix = engine.Blocks(text)
+	if err := offers(j.view, j.account, p.model); err != nil {
+		return j, err // the report keeps no names that callers made up
+	}
 	j.prompt = p
 	j.body = body
-	return j, offers(j.view, j.account, p.model)
+	return j, nil
 }
 
 // admit reads what all requests have in common. Once says whether they are
 // not repeatable unless a caller says otherwise.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request, once bool) (*job, *Error) {
-	j := &job{view: e.options.View(), accepted: time.Now(), path: r.URL.Path, once: once}
+	j := &job{view: e.options.View(), accepted: time.Now(), path: r.URL.Path, once: once, leave: func() {}}
 	account, ok := e.keys.account(j.view, r)
 	if !ok {
 		return j, reject("admit", BadKey, nil)
@@ -66,6 +70,9 @@
 	if err := e.identify(j, r); err != nil {
 		return j, err
 	}
+	if err := e.enter(j, r); err != nil {
+		return j, err
+	}
 	if err := readBody(j, w, r); err != nil {
 		return j, err
 	}
@@ -73,6 +80,18 @@
 	return j, nil
 }
 
+// enter counts a job into the daemon's room. The job's leave takes it out.
+func (e *Entry) enter(j *job, r *http.Request) *Error {
+	j.size = admitted(r.ContentLength, j.view.Document.Limits.Body)
+	j.leave = func() { e.room.give(j.size) }
+	if e.room.take(j.size) {
+		return nil
+	}
+	err := reject("admit", Busy, nil)
+	err.Retry = defaultBack
+	return err
+}
+
 // offers tells a model that an account may not use from one that there isn't.
 func offers(v *view.View, account, model string) *Error {
 	if len(v.Offers(account, model)) > 0 {
@@ -112,7 +131,8 @@
 	if a == nil && err != nil {
 		refuse(w, err, j.id)
 	}
-	if a == nil && j.account == "" {
+	if j.account == "" {
+		e.metrics.requests.WithLabelValues(err.Kind.String()).Inc()
 		return
 	}
 	if a == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,9 +34,10 @@
 	Find    func(id string) (*wire.Daemon, bool)                 // nil for a search of Daemons
 	Interim func(place view.Place) []string                      // ids of the daemons to ask where the gate is out of reach; nil for none
 	Engine  *engine.Client
-	Plain   func(*http.Request) (*http.Response, error) // to plain services
+	Plain   func(*http.Request) (*http.Response, error) // to plain services; follows no redirects
 	// Fresh sends what is not repeatable. It uses each connection once, so
-	// that no transport sends a request twice. Nil stands for a transport
+	// that no transport sends a request twice, and follows no redirects. Nil
+	// stands for a transport
 	// made by NewTransport.
 	Fresh    func(*http.Request) (*http.Response, error)
 	Once     *once.Book
@@ -56,6 +57,7 @@
 	loads   *loads
 	metrics *metrics
 	seen    *seen
+	room    room
 	names   atomic.Uint64
 	leaving atomic.Bool
 	blind   atomic.Bool    // the store can't be asked for records
--- a/entry/job.go
+++ b/entry/job.go
@@ -23,14 +23,24 @@
 	once     bool   // not repeatable
 	key      string // under which it runs at most once
 	at       time.Time
-	attempt  int // 1, or more when the caller sends it again
+	size     int64 // of body, as counted in the daemon's room
+	attempt  int   // 1, or more when the caller sends it again
 
+	leave  func() // takes the job out of the daemon's room
 	prompt prompt // of a completion
 }
 
 // late reports whether the deadline has passed.
 func (j *job) late() bool { return !time.Now().Before(j.deadline) }
 
+// outlived reports whether a job stayed here beyond the window in which its
+// record is kept, by the clock on the wall: the monotonic one may stand still
+// while an instance is suspended.
+func (j *job) outlived() bool {
+	age := time.Now().Round(0).Sub(j.accepted.Round(0))
+	return age > time.Duration(j.view.Document.Limits.Window)
+}
+
 // record names the job's at-most-once record among those of all accounts.
 func (j *job) record() string { return j.account + "\x00" + j.key }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -20,6 +20,7 @@
 // service answers a call to a plain service.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
 	c, err := e.admitCall(w, r)
+	defer func() { c.job.leave() }()
 	w.Header().Set(headerRequest, c.job.id)
 	if err != nil {
 		err.Ran = e.truth(c.job, err)
@@ -54,7 +55,7 @@
 
 // admitCall reads a call and checks it. The call is never nil, nor is its job.
 func (e *Entry) admitCall(w http.ResponseWriter, r *http.Request) (*call, *Error) {
-	c := &call{entry: e, w: w, request: r, job: &job{}}
+	c := &call{entry: e, w: w, request: r, job: &job{leave: func() {}}}
 	t, failed := parseTarget(r.URL.EscapedPath())
 	if failed != nil {
 		return c, reject("admit", BadPath, failed)
@@ -68,10 +69,10 @@
 	if err != nil {
 		return c, err
 	}
-	j.prompt.model = t.service
 	if !found {
 		return c, reject("admit", NoService, fmt.Errorf("service %q", t.service))
 	}
+	j.prompt.served = pathServices + t.service
 	if !slices.Contains(service.Accounts, j.account) {
 		return c, reject("admit", NotAllowed, fmt.Errorf("service %q", t.service))
 	}
@@ -122,6 +123,9 @@
 	if err := c.entry.over(ctx, c.job); err != nil {
 		return "", err
 	}
+	if c.job.once && c.job.outlived() {
+		return "", reject("call", Timeout, nil)
+	}
 	address, ok := c.entry.loads.take(addresses, c.service.Inflight)
 	if !ok {
 		err := reject("call", Busy, nil)
@@ -241,7 +245,7 @@
 	if c.job.account != "" {
 		e.count(tally.Sample{
 			Account: c.job.account,
-			Model:   pathServices + c.target.service,
+			Model:   c.job.prompt.name(),
 		}, err)
 	}
 	if c.broken {
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -43,6 +43,10 @@
 		t.entry.releaseLater(t.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
 		return t.word(unavailable(errNobody))
 	}
+	if t.job.once && t.job.outlived() {
+		t.entry.releaseLater(t.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
+		return t.word(reject("acquire", Timeout, nil))
+	}
 	o := t.entry.dispatch(ctx, t.job, p, t.answer)
 	t.place(p)
 	if o.err == nil {
