--- a/daemon/build.go
+++ b/daemon/build.go
@@ -21,6 +21,7 @@
 	"clementinehead.example/chead/roster"
 	"clementinehead.example/chead/route"
 	"clementinehead.example/chead/tally"
+	"clementinehead.example/chead/view"
 	"clementinehead.example/chead/wire"
 )
 
@@ -142,6 +143,8 @@
 		Boot:     o.boot(),
 		View:     d.relay.View,
 		Daemons:  d.roster.Daemons,
+		Find:     d.roster.Find,
+		Interim:  d.substitutes,
 		Order:    d.router.Order,
 		Observe:  d.router.Observe,
 		Gate:     d.gateAt,
@@ -156,6 +159,11 @@
 	})
 }
 
+// substitutes returns the daemons that may stand in for a replica's gate.
+func (d *Daemon) substitutes(place view.Place) []string {
+	return gate.Substitutes(d.relay.View(), d.roster.Daemons(), place.Replica.ID)
+}
+
 // gateAt returns the gate at a peer address; the own one needs no network.
 func (d *Daemon) gateAt(address string) wire.GateClient {
 	if address == d.options.Settings.Peer {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -76,7 +76,10 @@
 
 // restart forgets what came of a run that is made again. It may be called
 // only while nothing was sent.
-func (a *answer) restart() { a.whole = &whole{} }
+func (a *answer) restart() {
+	a.whole = &whole{}
+	a.times = times{accepted: a.times.accepted}
+}
 
 // add takes the next chunk.
 func (a *answer) add(chunk engine.Chunk) error {
@@ -88,6 +91,7 @@
 	}
 	a.event = append(a.event[:0], "id: "...)
 	a.event = strconv.AppendInt(a.event, int64(chunk.Offset), 10)
+	a.event = append(a.event, '\n')
 	return a.data(chunk.Data)
 }
 
@@ -95,18 +99,24 @@
 // usage.
 func isToken(data []byte) bool { return !bytes.Contains(data, []byte(`"choices":[]`)) }
 
-// data ends the event that is being made with its data, and sends it.
+// data ends the event that is being made with its data, line by line, and
+// sends it.
 func (a *answer) data(data []byte) error {
-	a.event = append(a.event, "\ndata: "...)
-	a.event = append(a.event, data...)
-	a.event = append(a.event, "\n\n"...)
+	for more := true; more; {
+		var line []byte
+		line, data, more = bytes.Cut(data, []byte("\n"))
+		a.event = append(a.event, "data: "...)
+		a.event = append(a.event, line...)
+		a.event = append(a.event, '\n')
+	}
+	a.event = append(a.event, '\n')
 	return a.send(a.event)
 }
 
 // finish ends a whole answer.
 func (a *answer) finish() error {
 	if a.stream {
-		a.event = append(a.event[:0], "event: done"...)
+		a.event = a.event[:0]
 		return a.data([]byte("[DONE]"))
 	}
 	body, err := a.whole.body()
@@ -184,7 +194,7 @@
 	if failed != nil {
 		return
 	}
-	a.event = append(a.event[:0], "event: error"...)
+	a.event = append(a.event[:0], "event: error\n"...)
 	_ = a.data(text) // the caller may be gone
 }
 
