--- /dev/null
+++ b/cmd/chsize/world.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/store"
+)
+
+type worldCommand struct {
+	Listen  string `default:"127.0.0.1:19000" help:"Address of the store."`
+	Runners int    `default:"60" help:"Endpoints."`
+	Domains int    `default:"3" help:"Failure domains."`
+}
+
+// Run serves until it is told to end.
+func (c worldCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	kv := fakes.NewStore()
+	var instances []store.Instance
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range c.Runners {
+		instance := c.instance(i)
+		instances = append(instances, instance)
+		e := fakes.NewEngine(fakes.EngineOptions{ID: instance.ID})
+		group.Go(func() error { return listen(ctx, instance.Address, e) })
+	}
+	kv.SetInstances(instances...)
+	group.Go(func() error { return listen(ctx, c.Listen, kv) })
+	return group.Wait()
+}
+
+// instance places the endpoints in turn over the failure domains, and inside
+// one into fabric domains of fabricSize.
+func (c worldCommand) instance(i int) store.Instance {
+	domain := i % c.Domains
+	fabric := i / c.Domains / fabricSize
+	return store.Instance{
+		ID:       fmt.Sprintf("instance-%03d", i),
+		Address:  address(enginePort + i),
+		Fabric:   fmt.Sprintf("%s-%d", domainName(domain), fabric),
+		Domain:   domainName(domain),
+		Region:   regionOf(domain),
+		Chips:    chips,
+		Checks:   true,
+		Standing: store.Live,
+	}
+}
+
+func listen(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
