--- a/fleet/cause.go
+++ b/fleet/cause.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Why is the kind of reason for a decision.
 type Why int
@@ -37,7 +40,8 @@
 	Subject string // replica or fabric domain
 	Group   string // group of the replica, empty for a fabric domain
 	Why     Why
-	Reason  string // in words, with the names concerned
+	Reason  string    // in words, with the names concerned
+	From    time.Time // since when it holds, zero for the decision's time
 }
 
 // String names the action, its subject and the reason.
@@ -49,10 +53,11 @@
 type reason struct {
 	why  Why
 	text string
+	from time.Time // since when it holds, zero for now
 }
 
 func because(why Why, format string, arguments ...any) reason {
-	return reason{why, fmt.Sprintf(format, arguments...)}
+	return reason{why: why, text: fmt.Sprintf(format, arguments...)}
 }
 
 // given reports whether there is a reason.
--- a/fleet/judge.go
+++ b/fleet/judge.go
@@ -87,7 +87,9 @@
 	case !ok:
 		return because(Vanished, "member %s gone", member.Instance)
 	case seen.State == chart.Silent:
-		return because(Silent, "member %s silent", member.Instance)
+		why := because(Silent, "member %s silent", member.Instance)
+		why.from = seen.At
+		return why
 	default:
 		return reason{}
 	}
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -131,7 +131,7 @@
 }
 
 func (p *plan) note(action, subject, group string, why reason) {
-	p.causes = append(p.causes, Cause{action, subject, group, why.why, why.text})
+	p.causes = append(p.causes, Cause{action, subject, group, why.why, why.text, why.from})
 }
 
 // fence returns a fencing number that was never given out.
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -41,7 +41,7 @@
 	}
 	o := l.causes[cause.Group]
 	if o == nil {
-		o = &outage{from: now, why: cause.Why}
+		o = &outage{from: cause.From, why: cause.Why}
 		l.causes[cause.Group] = o
 	}
 	o.words = append(o.words, cause.Reason)
@@ -50,12 +50,15 @@
 	}
 }
 
-// measure opens and closes the outage of a group.
-func (l *ledger) measure(group string, lacks int, now time.Time) {
+// measure opens and closes the outage of a group. It returns how long one that
+// it opens had gone on unnoticed.
+func (l *ledger) measure(group string, lacks int, now time.Time) time.Duration {
+	var unnoticed time.Duration
 	o := l.open[group]
 	switch {
 	case lacks > 0 && o == nil:
 		l.open[group] = l.begin(group, now)
+		unnoticed = now.Sub(l.open[group].from)
 	case lacks <= 0 && o != nil:
 		l.over = append(l.over, o.line(group, now))
 		l.over = l.over[max(0, len(l.over)-remembered):]
@@ -64,6 +67,7 @@
 	if lacks <= 0 {
 		delete(l.causes, group)
 	}
+	return unnoticed
 }
 
 // begin opens an outage with the causes noted so far, or with those to come.
@@ -72,7 +76,9 @@
 		l.causes[group] = &outage{why: fleet.Wanted}
 	}
 	o := l.causes[group]
-	o.from = now
+	if o.from.IsZero() {
+		o.from = now
+	}
 	return o
 }
 
--- a/keeper/meter.go
+++ b/keeper/meter.go
@@ -87,9 +87,10 @@
 	l.last = now
 	for group := range v.Document.Groups {
 		lacks := result.Share[value.Name][group] - served(value, group)
-		l.measure(group, lacks, now)
+		unnoticed := l.measure(group, lacks, now)
 		if lacks > 0 {
-			m.down.WithLabelValues(group, label(l.open[group].why)).Add(float64(lacks) * passed.Seconds())
+			lost := max(passed, unnoticed)
+			m.down.WithLabelValues(group, label(l.open[group].why)).Add(float64(lacks) * lost.Seconds())
 		}
 	}
 	m.strand(l, value, seen, passed)
--- a/keeper/rapid_test.go
+++ b/keeper/rapid_test.go
@@ -80,16 +80,10 @@
 }
 
 // lose makes all daemons believe that one is dead, or that it is back.
-func (w *world) lose(lost *host, dead bool) {
-	for _, h := range w.hosts {
-		for _, d := range h.daemons {
-			if d.Id == lost.id {
-				d.Standing = wire.Standing_STANDING_ALIVE
-				if dead {
-					d.Standing = wire.Standing_STANDING_DEAD
-				}
-			}
-		}
+func (w *world) lose(h *host, dead bool) {
+	w.standings[h.id] = wire.Standing_STANDING_ALIVE
+	if dead {
+		w.standings[h.id] = wire.Standing_STANDING_DEAD
 	}
 }
 
@@ -165,7 +159,9 @@
 				}
 			}
 			w.calm()
-			w.watch(150 * time.Second)
+			w.watch(20 * time.Second)
+			time.Sleep(100 * time.Second)
+			w.watch(time.Second)
 			if len(w.faults) > 0 {
 				t.Fatal(w.faults[0])
 			}
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -30,22 +30,23 @@
 
 // world is one fabric domain, or several, with the keepers of some daemons.
 type world struct {
-	mu       sync.Mutex
-	store    *fakes.Store
-	load     time.Duration // of weights
-	document conf.Document
-	points   map[string]*point
-	hosts    []*host
-	entries  map[string]store.Entry
-	picture  *view.View        // of the entries, nil after a change
-	fence    uint64            // of the newest value
-	orders   map[uint64]string // what was ordered with a fencing number
-	offers   map[string]offer  // every replica that was ever written as serving
-	drop     int               // writes yet to be lost on their way
-	faults   []string          // broken rules
-	trail    []audit.Entry
-	late     sync.WaitGroup
-	sent     int // orders that arrive late
+	mu        sync.Mutex
+	store     *fakes.Store
+	load      time.Duration // of weights
+	document  conf.Document
+	points    map[string]*point
+	standings map[string]wire.Standing // of the daemons, by id
+	hosts     []*host
+	entries   map[string]store.Entry
+	picture   *view.View        // of the entries, nil after a change
+	fence     uint64            // of the newest value
+	orders    map[uint64]string // what was ordered with a fencing number
+	offers    map[string]offer  // every replica that was ever written as serving
+	drop      int               // writes yet to be lost on their way
+	faults    []string          // broken rules
+	trail     []audit.Entry
+	late      sync.WaitGroup
+	sent      int // orders that arrive late
 }
 
 // point is an endpoint.
@@ -65,27 +66,28 @@
 
 // host is a daemon with its keeper.
 type host struct {
-	w       *world
-	id      string
-	keeper  *Keeper
-	cancel  context.CancelFunc
-	done    chan struct{}
-	paused  bool
-	cut     map[string]bool // instances that it can't reach
-	delay   time.Duration   // orders are not answered, and arrive so late
-	frozen  *view.View      // its picture, while no news reaches it
-	daemons []*wire.Daemon
+	w      *world
+	id     string
+	keeper *Keeper
+	cancel context.CancelFunc
+	done   chan struct{}
+	paused bool
+	cut    map[string]bool // instances that it can't reach
+	delay  time.Duration   // orders are not answered, and arrive so late
+	frozen *view.View      // its picture, while no news reaches it
+	domain string
 }
 
 func newWorld() *world {
 	return &world{
-		store:    fakes.NewStore(),
-		load:     4 * time.Second,
-		document: conf.Fill(conf.Document{Groups: map[string]conf.Group{}, Instances: map[string]conf.Instance{}}),
-		points:   map[string]*point{},
-		entries:  map[string]store.Entry{},
-		orders:   map[uint64]string{},
-		offers:   map[string]offer{},
+		store:     fakes.NewStore(),
+		load:      4 * time.Second,
+		document:  conf.Fill(conf.Document{Groups: map[string]conf.Group{}, Instances: map[string]conf.Instance{}}),
+		points:    map[string]*point{},
+		standings: map[string]wire.Standing{},
+		entries:   map[string]store.Entry{},
+		orders:    map[uint64]string{},
+		offers:    map[string]offer{},
 	}
 }
 
@@ -112,7 +114,7 @@
 }
 
 func (w *world) start(ctx context.Context, id, domain string) *host {
-	h := &host{w: w, id: id, cut: map[string]bool{}, done: make(chan struct{})}
+	h := &host{w: w, id: id, domain: domain, cut: map[string]bool{}, done: make(chan struct{})}
 	ctx, h.cancel = context.WithCancel(ctx)
 	h.keeper = New(Options{
 		Self:    id,
@@ -120,20 +122,17 @@
 		Store:   h.keeperStore(),
 		View:    h.view,
 		Learn:   w.learn,
-		Daemons: func() []*wire.Daemon { w.mu.Lock(); defer w.mu.Unlock(); return h.daemons },
+		Daemons: w.daemons,
 		Probe:   h.probe,
 		Order:   h.order,
 		Audit:   func(e audit.Entry) { w.mu.Lock(); defer w.mu.Unlock(); w.trail = append(w.trail, e) },
 		Log:     logr.Discard(),
 		Rand:    rand.New(rand.NewPCG(1, uint64(len(w.hosts)))),
 	})
-	w.hosts = append(w.hosts, h)
-	for _, other := range w.hosts {
-		other.daemons = nil
-		for _, d := range w.hosts {
-			other.daemons = append(other.daemons, &wire.Daemon{Id: d.id, Domain: domain, Standing: wire.Standing_STANDING_ALIVE})
-		}
-	}
+	w.set(func() {
+		w.hosts = append(w.hosts, h)
+		w.standings[id] = wire.Standing_STANDING_ALIVE
+	})
 	stagger := time.Duration(len(w.hosts)) * 7 * time.Millisecond
 	go func() {
 		defer close(h.done)
@@ -143,6 +142,17 @@
 	return h
 }
 
+// daemons returns the roster, which all daemons share.
+func (w *world) daemons() []*wire.Daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []*wire.Daemon
+	for _, h := range w.hosts {
+		all = append(all, &wire.Daemon{Id: h.id, Domain: h.domain, Standing: w.standings[h.id]})
+	}
+	return all
+}
+
 // stop ends all daemons.
 func (w *world) stop() {
 	for _, h := range w.hosts {
@@ -220,14 +230,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if fabric.Fence < w.fence {
-		w.faults = append(w.faults, fmt.Sprintf("fencing number %d after %d", fabric.Fence, w.fence))
+		w.broken(fmt.Sprintf("fencing number %d after %d", fabric.Fence, w.fence))
 	}
 	w.fence = fabric.Fence
 	owners := map[string]string{}
 	for _, r := range fabric.Replicas {
 		for _, m := range r.Members {
 			if owners[m.Instance] != "" {
-				w.faults = append(w.faults, "instance "+m.Instance+" in two replicas by one value")
+				w.broken("instance " + m.Instance + " in two replicas by one value")
 			}
 			owners[m.Instance] = r.ID
 		}
@@ -270,15 +280,25 @@
 	return p.report, nil
 }
 
-// ordered notes an order, and checks that its fencing number was given to no
-// other one.
+// broken notes that a rule is broken.
+func (w *world) broken(rule string) {
+	if !slices.Contains(w.faults, rule) {
+		w.faults = append(w.faults, rule)
+	}
+}
+
+// ordered notes an order, and checks that its fencing number was written
+// before, and was given to no other one.
 func (w *world) ordered(order engine.Order) {
+	if order.Fence > w.fence {
+		w.broken(fmt.Sprintf("fencing number %d ordered before it was written", order.Fence))
+	}
 	if order.Replica == "" {
 		return
 	}
 	text := fmt.Sprint(order.Replica, order.Version, order.Members)
 	if before := w.orders[order.Fence]; before != "" && before != text {
-		w.faults = append(w.faults, fmt.Sprintf("fencing number %d for %s and %s", order.Fence, before, text))
+		w.broken(fmt.Sprintf("fencing number %d for %s and %s", order.Fence, before, text))
 	}
 	w.orders[order.Fence] = text
 }
@@ -383,15 +403,15 @@
 			continue
 		}
 		if !w.complete(o) {
-			w.faults = append(w.faults, "replica "+o.ID+" serves with a member missing")
+			w.broken("replica " + o.ID + " serves with a member missing")
 		}
 		for _, m := range o.Members {
 			other, taken := holders[m.Instance]
 			switch {
 			case taken && other.ID != o.ID:
-				w.faults = append(w.faults, "instance "+m.Instance+" serves "+o.ID+" and "+other.ID)
+				w.broken("instance " + m.Instance + " serves " + o.ID + " and " + other.ID)
 			case taken && other.Gate != o.Gate:
-				w.faults = append(w.faults, "replica "+o.ID+" has gates "+o.Gate+" and "+other.Gate)
+				w.broken("replica " + o.ID + " has gates " + o.Gate + " and " + other.Gate)
 			}
 			holders[m.Instance] = o
 		}
