--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,11 +31,13 @@
 	Order   func(v *view.View, account, model string, prefix []uint64, domain string) []view.Place
 	Observe func(replica string, response *wire.AcquireResponse) // nil for nothing
 	Gate    func(address string) wire.GateClient                 // by peer address
-	Interim func(replica string) []string                        // daemons to ask where the gate is out of reach; nil for none
+	Find    func(id string) (*wire.Daemon, bool)                 // nil for a search of Daemons
+	Interim func(place view.Place) []string                      // ids of the daemons to ask where the gate is out of reach; nil for none
 	Engine  *engine.Client
-	Plain   func(*http.Request) (*http.Response, error) // to plain services
+	Plain   func(*http.Request) (*http.Response, error) // to plain services; follows no redirects
 	// Fresh sends what is not repeatable. It uses each connection once, so
-	// that no transport sends a request twice. Nil stands for a transport
+	// that no transport sends a request twice, and follows no redirects. Nil
+	// stands for a transport
 	// made by NewTransport.
 	Fresh    func(*http.Request) (*http.Response, error)
 	Once     *once.Book
@@ -55,11 +57,14 @@
 	loads   *loads
 	metrics *metrics
 	seen    *seen
+	room    room
 	names   atomic.Uint64
 	leaving atomic.Bool
+	blind   atomic.Bool    // the store can't be asked for records
 	work    sync.WaitGroup // what goes on behind an answer
 	mu      sync.Mutex     // for server, random numbers and until
 	server  *http.Server
+	stopped bool      // Shutdown has passed
 	until   time.Time // up to which answers that name this daemon hold
 }
 
@@ -68,6 +73,9 @@
 	if options.Fresh == nil {
 		options.Fresh = NewTransport(true).RoundTrip
 	}
+	if options.Find == nil {
+		options.Find = search(options.Daemons)
+	}
 	e := &Entry{
 		options: options,
 		budget:  newBudget(),
@@ -80,6 +88,18 @@
 	return e
 }
 
+// search returns a function that finds a daemon by its id.
+func search(daemons func() []*wire.Daemon) func(id string) (*wire.Daemon, bool) {
+	return func(id string) (*wire.Daemon, bool) {
+		for _, d := range daemons() {
+			if d.GetId() == id {
+				return d, true
+			}
+		}
+		return nil, false
+	}
+}
+
 // silence returns the limits on the silence of endpoints in force.
 func (e *Entry) silence() engine.Limits {
 	limits := e.options.View().Document.Limits
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -11,8 +11,8 @@
 	"clementinehead.example/chead/engine"
 )
 
-// complete runs a request and answers it.
-func (l *life) complete(w http.ResponseWriter, r *http.Request) {
+// submit runs a request and answers it.
+func (l *life) submit(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	a, err := readAsk(body, strings.HasPrefix(r.URL.Path, "/v1/chat/"))
 	if err != nil {
@@ -23,7 +23,8 @@
 	j := newJob(l, r.Header.Get(engine.HeaderRequest), a)
 	j.priority, _ = strconv.Atoi(r.Header.Get(engine.HeaderPriority))
 	j.alone = r.Header.Get(engine.HeaderAlone) != ""
-	if status, reason := l.begin(j, r.Header.Get(engine.HeaderFence)); reason != "" {
+	j.fence = r.Header.Get(engine.HeaderFence)
+	if status, reason := l.begin(j); reason != "" {
 		j.cancel()
 		notRun(w, status, reason)
 		return
@@ -37,11 +38,11 @@
 
 // begin takes a job in, or returns the status and reason of its refusal. A
 // request above what the engine bears crashes it.
-func (l *life) begin(j *job, fence string) (int, string) {
+func (l *life) begin(j *job) (int, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.abortIfOver()
-	if status, reason := l.refusal(fence); reason != "" {
+	if status, reason := l.refusal(j.fence); reason != "" {
 		return status, reason
 	}
 	if bears := l.bears(); bears < l.engine.options.Full && l.batch.progress() >= bears {
@@ -77,24 +78,45 @@
 
 // stream writes the events of a job from an offset on.
 func (l *life) stream(w http.ResponseWriter, r *http.Request, j *job, offset int) {
-	defer j.detach(l.engine.options.Keep, func() { l.forget(j) })
+	defer j.detach(l.engine.options.Keep, func() { l.expire(j) })
 	w.Header().Set("Content-Type", "text/event-stream")
-	flusher := http.NewResponseController(w)
-	_ = flusher.Flush()
-	for ; ; offset++ {
+	_ = http.NewResponseController(w).Flush()
+	for l.send(w, r, j, l.jumbled(r, j, offset)...) {
+		offset++
+	}
+	l.abortUnlessWhole(j)
+}
+
+// jumbled returns the offsets of the events to send in the place of one. The
+// end of a stream stays where it is.
+func (l *life) jumbled(r *http.Request, j *job, offset int) []int {
+	every := l.engine.options.Jumble
+	if every == 0 || offset%every < every-1 {
+		return []int{offset}
+	}
+	next, ok := j.at(r.Context(), offset+1)
+	if !ok || string(next) == doneData {
+		return []int{offset}
+	}
+	return []int{offset + 1, offset}
+}
+
+// send writes the events at some offsets, those behind the end excepted. It
+// reports whether the last one was written.
+func (l *life) send(w http.ResponseWriter, r *http.Request, j *job, offsets ...int) bool {
+	sent := false
+	for _, offset := range offsets {
 		event, ok := j.at(r.Context(), offset)
-		if !ok {
-			break
-		}
-		if !l.engine.awake(r.Context(), l) {
-			break
+		sent = ok && l.engine.awake(r.Context(), l)
+		if !sent {
+			continue
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, event); err != nil {
-			break
+			return false
 		}
-		_ = flusher.Flush()
+		_ = http.NewResponseController(w).Flush()
 	}
-	l.abortUnlessWhole(j)
+	return sent
 }
 
 // abortUnlessWhole breaks the connection of an answer that is not complete.
@@ -106,7 +128,7 @@
 
 // answer writes the whole answer of a job at once.
 func (l *life) answer(w http.ResponseWriter, r *http.Request, j *job) {
-	defer j.detach(l.engine.options.Keep, func() { l.forget(j) })
+	defer j.detach(l.engine.options.Keep, func() { l.expire(j) })
 	j.finished(r.Context())
 	l.abortUnlessWhole(j)
 	if !l.engine.awake(r.Context(), l) {
@@ -139,16 +161,16 @@
 	}
 	l.mu.Lock()
 	j := l.jobs[r.PathValue("id")]
-	status, reason := l.refusal(r.Header.Get(engine.HeaderFence))
-	if j != nil && reason == "" {
+	known := j != nil && (j.fence == r.Header.Get(engine.HeaderFence) || l.engine.options.Ignore)
+	if known {
 		j.attach()
 	}
 	l.mu.Unlock()
 	switch {
 	case j == nil:
 		http.Error(w, "no such stream", http.StatusNotFound)
-	case reason != "":
-		http.Error(w, reason, status)
+	case !known:
+		http.Error(w, "the stream has another fencing number", http.StatusConflict)
 	default:
 		l.stream(w, r, j, offset)
 	}
--- a/roster/table.go
+++ b/roster/table.go
@@ -26,16 +26,34 @@
 	told   int          // times that the entry still has to be passed on
 }
 
+// place is a daemon's place in the ring.
+type place struct {
+	hash uint64
+	id   string
+}
+
+func placeOf(id string) place { return place{hash: xxhash.Sum64String(id), id: id} }
+
+func (p place) compare(q place) int {
+	return cmp.Or(cmp.Compare(p.hash, q.hash), cmp.Compare(p.id, q.id))
+}
+
 // table holds all daemons by id. Its methods are pure but for the table
 // itself: time comes in as an argument.
 type table struct {
 	self    string
 	members map[string]*member
-	ring    []string // ids that are not dead, by hash
+	order   []string           // all ids, sorted
+	ring    []place            // daemons that are not dead, by hash
+	expires map[string]*member // the suspect and the dead
+	fresh   map[string]*member // those that still have to be passed on
+	sum     uint64             // digest of who is a member and in which standing, without the dead
 }
 
 func newTable(self *wire.Daemon, now time.Time) *table {
-	t := &table{self: self.Id, members: map[string]*member{}}
+	t := &table{
+		self: self.Id, members: map[string]*member{}, fresh: map[string]*member{}, expires: map[string]*member{},
+	}
 	t.set(self, now)
 	return t
 }
@@ -59,9 +77,6 @@
 		return t.refute(entry, now)
 	}
 	known, ok := t.members[entry.Id]
-	if !ok && entry.Standing == wire.Standing_STANDING_DEAD {
-		return false
-	}
 	order := 1
 	if ok {
 		order = compare(entry, known.daemon)
@@ -111,16 +126,32 @@
 	if !ok {
 		known = &member{since: now}
 		t.members[entry.Id] = known
+		at, _ := slices.BinarySearch(t.order, entry.Id)
+		t.order = slices.Insert(t.order, at, entry.Id)
 	}
 	if !ok || known.daemon.Standing != entry.Standing {
 		known.since = now
 	}
-	ringed := ok && known.daemon.Standing != wire.Standing_STANDING_DEAD
+	ringed := ok && reachable(known.daemon)
+	t.sum ^= hashOf(known.daemon) ^ hashOf(entry)
 	known.daemon = entry
-	if ringed != (entry.Standing != wire.Standing_STANDING_DEAD) {
-		t.arrange()
+	if ringed != reachable(entry) {
+		t.arrange(entry)
+	}
+	delete(t.expires, entry.Id)
+	if entry.Standing == wire.Standing_STANDING_SUSPECT || !reachable(entry) {
+		t.expires[entry.Id] = known
 	}
-	known.told = t.repeats()
+	known.told = t.repeats(entry.Standing)
+	t.fresh[entry.Id] = known
+}
+
+// forget drops a dead daemon.
+func (t *table) forget(id string) {
+	delete(t.members, id)
+	delete(t.fresh, id)
+	delete(t.expires, id)
+	t.order = slices.DeleteFunc(t.order, func(other string) bool { return other == id })
 }
 
 // stand changes the standing of a daemon and reports whether it did.
@@ -136,15 +167,30 @@
 	return true
 }
 
-// repeats is how often a change is passed on: enough for every daemon to hear
-// of it with high probability.
-func (t *table) repeats() int { return 3 * bits.Len(uint(len(t.members))) }
+// repeats is how often each daemon passes an entry on. A new daemon has time:
+// the few that miss it find out by the roster hash. Other standings are told
+// often enough that hardly any daemon misses them.
+func (t *table) repeats(standing wire.Standing) int {
+	n := bits.Len(uint(len(t.members)))
+	if standing == wire.Standing_STANDING_ALIVE {
+		return n
+	}
+	return 3 * n
+}
+
+// still keeps an entry from being passed on: whoever sent a whole roster has
+// told others before.
+func (t *table) still(id string) {
+	if known, ok := t.members[id]; ok {
+		known.told = 0
+	}
+}
 
 // expire turns long suspects into dead ones, whose ids it returns, and forgets
 // those that died long ago.
 func (t *table) expire(now time.Time) []string {
 	var dead []string
-	for _, id := range slices.Sorted(maps.Keys(t.members)) {
+	for _, id := range slices.Sorted(maps.Keys(t.expires)) {
 		known := t.members[id]
 		switch known.daemon.Standing {
 		case wire.Standing_STANDING_SUSPECT:
@@ -154,7 +200,7 @@
 			}
 		case wire.Standing_STANDING_DEAD:
 			if now.Sub(known.since) >= tombstone {
-				delete(t.members, id)
+				t.forget(id)
 			}
 		}
 	}
@@ -164,27 +210,28 @@
 // forgive gives all suspects their full time again, for a daemon that was
 // itself paused.
 func (t *table) forgive(now time.Time) {
-	for _, known := range t.members {
+	for _, known := range t.expires {
 		if known.daemon.Standing == wire.Standing_STANDING_SUSPECT {
 			known.since = now
 		}
 	}
 }
 
-// news returns at most limit entries to pass on, those told least first.
+// news returns at most limit entries to pass on, those told least first. The
+// own entry travels with every heartbeat anyway.
 func (t *table) news(limit int) []*wire.Daemon {
 	var due []*member
-	for _, known := range t.members {
-		if known.told > 0 && known.daemon.Id != t.self {
-			due = append(due, known)
+	for id, known := range t.fresh {
+		if known.told <= 0 || id == t.self {
+			delete(t.fresh, id)
+			continue
 		}
+		due = append(due, known)
 	}
 	slices.SortFunc(due, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(b.told, a.told), cmp.Compare(a.daemon.Id, b.daemon.Id))
 	})
-	if len(due) > limit {
-		due = due[:limit]
-	}
+	due = due[:min(limit, len(due))]
 	entries := make([]*wire.Daemon, 0, len(due))
 	for _, known := range due {
 		known.told--
@@ -193,18 +240,12 @@
 	return entries
 }
 
-// hash digests who is a member and in which standing, without the dead.
-func (t *table) hash() uint64 {
-	var sum uint64
-	for _, known := range t.members {
-		if known.daemon.Standing != wire.Standing_STANDING_DEAD {
-			sum ^= hashOf(known.daemon)
-		}
-	}
-	return sum
-}
-
+// hashOf digests an entry. Dead and absent daemons have none, so that it does
+// not matter when one is forgotten.
 func hashOf(d *wire.Daemon) uint64 {
+	if d == nil || !reachable(d) {
+		return 0
+	}
 	buffer := make([]byte, 0, len(d.Id)+3*binary.MaxVarintLen64)
 	buffer = append(buffer, d.Id...)
 	buffer = binary.AppendUvarint(buffer, d.Boot)
@@ -213,17 +254,16 @@
 	return xxhash.Sum64(buffer)
 }
 
-// arrange orders the ring anew.
-func (t *table) arrange() {
-	t.ring = t.ring[:0]
-	for id, known := range t.members {
-		if known.daemon.Standing != wire.Standing_STANDING_DEAD {
-			t.ring = append(t.ring, id)
-		}
+// arrange puts a daemon into the ring or takes a dead one out.
+func (t *table) arrange(entry *wire.Daemon) {
+	own := placeOf(entry.Id)
+	at, found := slices.BinarySearchFunc(t.ring, own, place.compare)
+	switch {
+	case found && !reachable(entry):
+		t.ring = slices.Delete(t.ring, at, at+1)
+	case !found && reachable(entry):
+		t.ring = slices.Insert(t.ring, at, own)
 	}
-	slices.SortFunc(t.ring, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
 }
 
 // successor returns the daemon that stands n places behind this one in the
@@ -232,20 +272,19 @@
 	if len(t.ring) < 2 {
 		return nil
 	}
-	at := slices.Index(t.ring, t.self)
-	n = n % min(successors, len(t.ring)-1)
-	return t.members[t.ring[(at+1+n)%len(t.ring)]].daemon
+	at, _ := slices.BinarySearchFunc(t.ring, placeOf(t.self), place.compare)
+	n %= min(successors, len(t.ring)-1)
+	return t.members[t.ring[(at+1+n)%len(t.ring)].id].daemon
 }
 
 // peers returns all other daemons for which keep holds, by id.
 func (t *table) peers(keep func(*wire.Daemon) bool) []*wire.Daemon {
 	var peers []*wire.Daemon
-	for _, known := range t.members {
-		if known.daemon.Id != t.self && keep(known.daemon) {
-			peers = append(peers, known.daemon)
+	for _, id := range t.order {
+		if daemon := t.members[id].daemon; id != t.self && keep(daemon) {
+			peers = append(peers, daemon)
 		}
 	}
-	slices.SortFunc(peers, func(a, b *wire.Daemon) int { return cmp.Compare(a.Id, b.Id) })
 	return peers
 }
 
