--- a/cmd/chfake/platform.go
+++ b/cmd/chfake/platform.go
@@ -21,8 +21,15 @@
 )
 
 // platform is the store's process as the other stand-ins see it, at an URL
-// without a path.
-type platform struct{ base string }
+// without a path. Do sends a request.
+type platform struct {
+	base string
+	do   func(*http.Request) (*http.Response, error)
+}
+
+func newPlatform(base string) platform {
+	return platform{base: base, do: http.DefaultClient.Do}
+}
 
 // register tells the list of instances of an engine again and again, and takes
 // it out of the list at the end.
@@ -61,6 +68,27 @@
 	return count.Runs, err
 }
 
+// violations returns what was broken towards the engines of the list, by the
+// breach's name. An engine that does not answer is passed over.
+func (p platform) violations(ctx context.Context) (map[string]int, error) {
+	var instances []store.Instance
+	if err := p.call(ctx, http.MethodGet, "/v1/instances", nil, &instances); err != nil {
+		return nil, err
+	}
+	counts := map[string]int{}
+	for _, instance := range instances {
+		e := platform{base: "http://" + instance.Address, do: p.do}
+		var found []fakes.Violation
+		if e.call(ctx, http.MethodGet, "/fake/violations", nil, &found) != nil {
+			continue
+		}
+		for _, v := range found {
+			counts[v.Breach.String()]++
+		}
+	}
+	return counts, nil
+}
+
 func runsPath(key string) string { return pathRuns + "?key=" + url.QueryEscape(key) }
 
 func (p platform) call(ctx context.Context, method, path string, in, out any) error {
@@ -78,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := p.do(request)
 	if err != nil {
 		return err
 	}
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
 	"clementinehead.example/chead/admin"
@@ -20,6 +21,7 @@
 	"clementinehead.example/chead/roster"
 	"clementinehead.example/chead/route"
 	"clementinehead.example/chead/tally"
+	"clementinehead.example/chead/view"
 	"clementinehead.example/chead/wire"
 )
 
@@ -141,6 +143,8 @@
 		Boot:     o.boot(),
 		View:     d.relay.View,
 		Daemons:  d.roster.Daemons,
+		Find:     d.roster.Find,
+		Interim:  d.substitutes,
 		Order:    d.router.Order,
 		Observe:  d.router.Observe,
 		Gate:     d.gateAt,
@@ -155,6 +159,11 @@
 	})
 }
 
+// substitutes returns the daemons that may stand in for a replica's gate.
+func (d *Daemon) substitutes(place view.Place) []string {
+	return gate.Substitutes(d.relay.View(), d.roster.Daemons(), place.Replica.ID)
+}
+
 // gateAt returns the gate at a peer address; the own one needs no network.
 func (d *Daemon) gateAt(address string) wire.GateClient {
 	if address == d.options.Settings.Peer {
@@ -198,12 +207,17 @@
 	})
 }
 
+// compressFrom is the size from which answers to other daemons are compressed,
+// in bytes. Heartbeats and permits are smaller.
+const compressFrom = 4 << 10
+
 // peerHandler serves the other daemons.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewRosterHandler(d.roster))
-	mux.Handle(wire.NewRelayHandler(d.relay))
-	mux.Handle(wire.NewGateHandler(d.gate))
-	mux.Handle(wire.NewTallyHandler(d.holder))
+	compress := connect.WithCompressMinBytes(compressFrom)
+	mux.Handle(wire.NewRosterHandler(d.roster, compress))
+	mux.Handle(wire.NewRelayHandler(d.relay, compress))
+	mux.Handle(wire.NewGateHandler(d.gate, compress))
+	mux.Handle(wire.NewTallyHandler(d.holder, compress))
 	return mux
 }
