--- /dev/null
+++ b/roster/bench_test.go
@@ -0,0 +1,74 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"clementinehead.example/chead/wire"
+)
+
+// filled returns a roster that knows n daemons.
+func filled(n int, client func(string) wire.RosterClient) *Roster {
+	r := New(Options{
+		Self: daemon("d000", 1, 0, alive), Client: client, Log: logr.Discard(), Rand: rand.New(rand.NewPCG(1, 1)),
+		Digest: func() *wire.Digest { return &wire.Digest{Hash: 1, Revision: 1, Ready: true} },
+	})
+	for i := range n {
+		r.table.set(daemon(fmt.Sprintf("d%03d", i), 1, 0, alive), time.Now())
+		r.table.still(fmt.Sprintf("d%03d", i))
+	}
+	return r
+}
+
+// BenchmarkBeat is one heartbeat over loopback: the processor time of both
+// ends together.
+func BenchmarkBeat(b *testing.B) {
+	for _, n := range []int{9, 60, 410} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			mux := http.NewServeMux()
+			mux.Handle(wire.NewRosterHandler(filled(n, nil)))
+			server := httptest.NewServer(mux)
+			defer server.Close()
+			client := wire.NewRosterClient(server.Client(), server.URL)
+			r := filled(n, func(string) wire.RosterClient { return client })
+			b.ReportAllocs()
+			for b.Loop() {
+				if !r.beat(context.Background(), "d001:7000") {
+					b.Fatal("not answered")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkDue is the choice of the next heartbeats.
+func BenchmarkDue(b *testing.B) {
+	for _, n := range []int{9, 60, 410} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := filled(n, nil)
+			for b.Loop() {
+				r.due()
+			}
+		})
+	}
+}
+
+// BenchmarkMergeList takes in the whole roster of a peer.
+func BenchmarkMergeList(b *testing.B) {
+	for _, n := range []int{9, 60, 410} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := filled(n, nil).Daemons()
+			for b.Loop() {
+				r := filled(1, nil)
+				r.takeList(list)
+			}
+		})
+	}
+}
--- a/roster/cluster_test.go
+++ b/roster/cluster_test.go
@@ -44,6 +44,7 @@
 	random *rand.Rand
 	loss   float64 // share of calls that get no answer
 	cut    func(from, to string) bool
+	serial uint64 // of the last configuration written
 }
 
 // node is one daemon with its roster and relay.
