--- a/edit/apply_test.go
+++ b/edit/apply_test.go
@@ -102,7 +102,7 @@
 			current := history[len(history)-1]
 			base := history[rapid.IntRange(0, len(history)-1).Draw(t, "base")]
 			wanted := drawChange(t, base.Document)
-			next, err := edit.Apply(current, whole(t, fmt.Sprint("e", i), base.Serial, wanted))
+			next, err := edit.Apply(current, whole(fmt.Sprint("e", i), base.Serial, wanted))
 			clash := clashes(base, current, wanted)
 			if len(clash) > 0 {
 				var failure *edit.Error
@@ -144,7 +144,7 @@
 	return d
 }
 
-func whole(t *rapid.T, id string, base uint64, d conf.Document) edit.Edit {
+func whole(id string, base uint64, d conf.Document) edit.Edit {
 	e := edit.Edit{ID: id, Base: base, Who: "w", Sections: map[string]json.RawMessage{}}
 	for _, key := range conf.Sections() {
 		e.Sections[key] = json.RawMessage(text(d, key))
--- a/relay/shelf.go
+++ b/relay/documents.go
@@ -13,19 +13,19 @@
 	"clementinehead.example/chead/wire"
 )
 
-// shelf holds the newest revision known of every document, deleted ones
+// documents holds the newest revision known of every document, deleted ones
 // included.
-type shelf struct {
+type documents struct {
 	entries map[string]store.Entry
 	hash    uint64 // of all keys and revisions
 	top     uint64 // the highest revision
 }
 
-func newShelf() *shelf { return &shelf{entries: map[string]store.Entry{}} }
+func newDocuments() *documents { return &documents{entries: map[string]store.Entry{}} }
 
 // put keeps an entry that is newer than the one known and reports whether it
 // was.
-func (s *shelf) put(entry store.Entry) bool {
+func (s *documents) put(entry store.Entry) bool {
 	known, ok := s.entries[entry.Key]
 	if entry.Revision <= known.Revision {
 		return false
@@ -45,7 +45,7 @@
 
 // absent returns deletions of the documents under a prefix that a complete
 // listing does not have.
-func (s *shelf) absent(prefix string, listing store.Listing) []store.Entry {
+func (s *documents) absent(prefix string, listing store.Listing) []store.Entry {
 	listed := map[string]bool{}
 	for _, entry := range listing.Entries {
 		listed[entry.Key] = true
@@ -60,7 +60,7 @@
 }
 
 // versions returns the versions of all documents, by key.
-func (s *shelf) versions() []*wire.Version {
+func (s *documents) versions() []*wire.Version {
 	versions := make([]*wire.Version, 0, len(s.entries))
 	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
 		versions = append(versions, &wire.Version{Key: key, Revision: s.entries[key].Revision})
@@ -70,7 +70,7 @@
 
 // newer returns the documents of which the named versions are older or
 // missing, by key.
-func (s *shelf) newer(versions []*wire.Version) []*wire.Document {
+func (s *documents) newer(versions []*wire.Version) []*wire.Document {
 	held := make(map[string]uint64, len(versions))
 	for _, version := range versions {
 		held[version.Key] = version.Revision
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	fetching = 5 * time.Second        // limit of a fetch
-	respite  = 250 * time.Millisecond // between two fetches
-	oldest   = 24 * time.Hour         // an older vouching is worth nothing
+	fetching   = 5 * time.Second        // limit of a fetch
+	fetchPause = 250 * time.Millisecond // between two fetches
+	oldest     = 24 * time.Hour         // an older vouching is worth nothing
 )
 
 // Digest stands for all documents held, for heartbeats to carry.
@@ -18,8 +18,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return &wire.Digest{
-		Hash:     r.shelf.hash,
-		Revision: r.shelf.top,
+		Hash:     r.documents.hash,
+		Revision: r.documents.top,
 		Ready:    r.ready,
 		Age:      r.age(),
 	}
@@ -35,11 +35,11 @@
 // where the peer may know more, its documents are fetched.
 func (r *Relay) Compare(peer *wire.Daemon, digest *wire.Digest, held time.Time) {
 	r.mu.Lock()
-	equal := digest.Hash == r.shelf.hash
+	equal := digest.Hash == r.documents.hash
 	if equal && digest.Ready && !held.IsZero() {
 		r.adopt(held, digest.Age)
 	}
-	lacking := !equal && digest.Revision >= r.shelf.top || digest.Ready && !r.ready
+	lacking := !equal && digest.Revision >= r.documents.top || digest.Ready && !r.ready
 	r.mu.Unlock()
 	if !lacking {
 		return
@@ -68,7 +68,7 @@
 		case address := <-r.behind:
 			r.fetch(ctx, address)
 		}
-		if !sleep(ctx, respite) {
+		if !sleep(ctx, fetchPause) {
 			return nil
 		}
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -35,7 +35,7 @@
 }
 
 func (r *Relay) wants(offered *wire.Version, now time.Time) bool {
-	if !spread(offered.Key) || offered.Revision <= r.shelf.entries[offered.Key].Revision {
+	if !spread(offered.Key) || offered.Revision <= r.documents.entries[offered.Key].Revision {
 		return false
 	}
 	pending := r.awaited[offered.Key]
@@ -51,7 +51,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return &wire.FetchResponse{
-		Documents: r.shelf.newer(request.Versions),
+		Documents: r.documents.newer(request.Versions),
 		Ready:     r.ready,
 		Age:       r.age(),
 	}, nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,32 +39,32 @@
 	offers  chan offer  // to be pushed on
 	behind  chan string // addresses of peers that hold newer documents
 
-	mu      sync.Mutex
-	shelf   *shelf
-	inForce map[string]uint64 // by key: the revision that the view is made of
-	view    *view.View
-	changed chan struct{}
-	ready   bool
-	vouched map[string]time.Time // by prefix: until when the store vouched
-	awaited map[string]awaited   // by key
-	random  *rand.Rand
+	mu        sync.Mutex
+	documents *documents
+	inForce   map[string]uint64 // by key: the revision that the view is made of
+	view      *view.View
+	changed   chan struct{}
+	ready     bool
+	vouched   map[string]time.Time // by prefix: until when the store vouched
+	awaited   map[string]awaited   // by key
+	random    *rand.Rand
 }
 
 // New returns a relay that knows no document.
 func New(options Options) *Relay {
 	empty, _ := view.New(nil) // of nothing there is nothing to fail
 	return &Relay{
-		options: options,
-		metrics: newMetrics(options.Registry),
-		offers:  make(chan offer, backlog),
-		behind:  make(chan string, 1),
-		shelf:   newShelf(),
-		inForce: map[string]uint64{},
-		view:    empty,
-		changed: make(chan struct{}),
-		vouched: map[string]time.Time{},
-		awaited: map[string]awaited{},
-		random:  options.Rand,
+		options:   options,
+		metrics:   newMetrics(options.Registry),
+		offers:    make(chan offer, backlog),
+		behind:    make(chan string, 1),
+		documents: newDocuments(),
+		inForce:   map[string]uint64{},
+		view:      empty,
+		changed:   make(chan struct{}),
+		vouched:   map[string]time.Time{},
+		awaited:   map[string]awaited{},
+		random:    options.Rand,
 	}
 }
 
@@ -98,7 +98,7 @@
 func (r *Relay) Get(key string) (store.Entry, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	entry, ok := r.shelf.entries[key]
+	entry, ok := r.documents.entries[key]
 	return entry, ok && !entry.Deleted
 }
 
@@ -119,7 +119,7 @@
 func (r *Relay) Versions() []*wire.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.shelf.versions()
+	return r.documents.versions()
 }
 
 // Ready reports whether the store, or a peer that was ready, has answered
@@ -179,7 +179,7 @@
 func (r *Relay) keep(entries []store.Entry) []store.Entry {
 	var fresh []store.Entry
 	for _, entry := range entries {
-		if spread(entry.Key) && r.shelf.put(entry) {
+		if spread(entry.Key) && r.documents.put(entry) {
 			fresh = append(fresh, entry)
 			delete(r.awaited, entry.Key)
 		}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -62,7 +62,7 @@
 		return 0, &Error{Op: "list", Kind: Store, Err: err}
 	}
 	r.mu.Lock()
-	deleted := r.shelf.absent(prefix, listing)
+	deleted := r.documents.absent(prefix, listing)
 	r.mu.Unlock()
 	r.learn("store", 0, append(listing.Entries, deleted...)...)
 	r.mu.Lock()
--- a/roster/beat.go
+++ b/roster/beat.go
@@ -46,7 +46,7 @@
 	}
 	r.mu.Unlock()
 	if len(dead) > 0 {
-		r.hurry()
+		r.wake()
 	}
 }
 
@@ -93,7 +93,7 @@
 	if r.beat(ctx, peer.PeerAddress) || ctx.Err() != nil {
 		return
 	}
-	if peer.Standing == wire.Standing_STANDING_DEAD || r.beatThrough(ctx, peer) || ctx.Err() != nil {
+	if peer.Standing == wire.Standing_STANDING_DEAD || r.probeIndirectly(ctx, peer) || ctx.Err() != nil {
 		return
 	}
 	standing := wire.Standing_STANDING_SUSPECT
@@ -110,7 +110,7 @@
 	r.mu.Unlock()
 	if changed {
 		r.metrics.beats.WithLabelValues("suspected").Inc()
-		r.hurry()
+		r.wake()
 	}
 }
 
@@ -139,7 +139,7 @@
 	defer r.mu.Unlock()
 	return &wire.BeatRequest{
 		From:       r.table.members[r.table.self].daemon,
-		Changed:    r.table.news(piggyback),
+		Changed:    r.table.updates(piggyback),
 		RosterHash: r.table.sum,
 		Digest:     digest,
 	}
@@ -189,19 +189,19 @@
 	return true
 }
 
-// beatThrough asks random peers to beat a target and reports whether one of
+// probeIndirectly asks random peers to beat a target and reports whether one of
 // them got an answer.
-func (r *Roster) beatThrough(ctx context.Context, target *wire.Daemon) bool {
+func (r *Roster) probeIndirectly(ctx context.Context, target *wire.Daemon) bool {
 	r.mu.Lock()
-	helpers := r.pick(func(d *wire.Daemon) bool {
+	asked := r.pick(func(d *wire.Daemon) bool {
 		return d.Standing == wire.Standing_STANDING_ALIVE && d.Id != target.Id
-	}, through)
+	}, helpers)
 	r.mu.Unlock()
-	answers := make(chan bool, len(helpers))
+	answers := make(chan bool, len(asked))
 	var group errgroup.Group
-	for _, helper := range helpers {
+	for _, helper := range asked {
 		group.Go(func() error {
-			answers <- r.askToBeat(ctx, helper.PeerAddress, target.Id)
+			answers <- r.askToProbe(ctx, helper.PeerAddress, target.Id)
 			return nil
 		})
 	}
@@ -215,7 +215,7 @@
 	return false
 }
 
-func (r *Roster) askToBeat(ctx context.Context, address, target string) bool {
+func (r *Roster) askToProbe(ctx context.Context, address, target string) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*limit)
 	defer cancel()
 	request := &wire.RelayRequest{Target: target}
--- a/roster/bench_test.go
+++ b/roster/bench_test.go
@@ -22,7 +22,7 @@
 	})
 	for i := range n {
 		r.table.set(daemon(fmt.Sprintf("d%03d", i), 1, 0, alive), time.Now())
-		r.table.still(fmt.Sprintf("d%03d", i))
+		r.table.stopSpreading(fmt.Sprintf("d%03d", i))
 	}
 	return r
 }
--- a/roster/handler.go
+++ b/roster/handler.go
@@ -27,7 +27,7 @@
 	r.joined = true
 	response := &wire.BeatResponse{
 		From:       r.table.members[r.table.self].daemon,
-		Changed:    r.table.news(piggyback),
+		Changed:    r.table.updates(piggyback),
 		RosterHash: r.table.sum,
 		Digest:     digest,
 	}
--- a/roster/record.go
+++ b/roster/record.go
@@ -18,8 +18,8 @@
 	apart      = 15 * time.Second // between two daemons' readings of the records
 	longest    = time.Hour        // between two readings by one daemon
 	stale      = time.Minute      // dead for so long, a daemon's record is removed
-	farewell   = 2 * time.Second  // for removing the own record
-	patience   = 3                // unanswered readings until a stranger's record is removed
+	removal    = 2 * time.Second  // for removing the own record
+	silences   = 3                // unanswered readings until a unknown daemon's record is removed
 )
 
 // record is the value under a daemon's key: where it can be reached. It is
@@ -39,7 +39,7 @@
 // goroutine.
 type records struct {
 	roster *Roster
-	silent map[string]int // readings in which a stranger did not answer, by id
+	silent map[string]int // readings in which an unknown daemon did not answer, by id
 }
 
 // register reads the others' records, writes the own one, and reads them again
@@ -96,7 +96,7 @@
 	}
 }
 
-// sync records this daemon, greets the others that are recorded, and cleans up
+// sync records this daemon, contacts the others that are recorded, and cleans up
 // after dead ones. It reads the records after writing its own, so that of two
 // daemons that start at once one sees the other.
 func (s *records) sync(ctx context.Context) error {
@@ -114,7 +114,7 @@
 			return err
 		}
 	}
-	s.greet(ctx, others)
+	s.contact(ctx, others)
 	s.clean(ctx, others)
 	return nil
 }
@@ -161,9 +161,9 @@
 	return nil
 }
 
-// greet beats recorded daemons that are unknown here. The first that answers
+// contact beats recorded daemons that are unknown here. The first that answers
 // brings its whole roster, which makes most of the others known.
-func (s *records) greet(ctx context.Context, others []record) {
+func (s *records) contact(ctx context.Context, others []record) {
 	s.roster.shuffle(others)
 	answered := len(others) == 0
 	for _, other := range others {
@@ -203,7 +203,7 @@
 // that lives behind a partition writes its record again.
 func (s *records) clean(ctx context.Context, others []record) {
 	for _, other := range others {
-		if s.roster.longDead(other.ID) || s.silent[other.ID] >= patience {
+		if s.roster.longDead(other.ID) || s.silent[other.ID] >= silences {
 			delete(s.silent, other.ID)
 			// Failing is harmless: the next reading tries again.
 			_ = s.roster.options.Store.Delete(ctx, Prefix+other.ID, other.revision)
@@ -220,7 +220,7 @@
 
 // remove deletes the own record. Where that fails, others clean it up.
 func (s *records) remove(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, farewell)
+	ctx, cancel := context.WithTimeout(ctx, removal)
 	defer cancel()
 	client := s.roster.options.Store
 	key := Prefix + s.roster.options.Self.Id
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -21,7 +21,7 @@
 	often      = 4                      // heartbeats for one more to a random peer
 	seldom     = 16                     // heartbeats for one more to a dead daemon
 	limit      = 500 * time.Millisecond // of a heartbeat
-	through    = 3                      // peers that repeat an unanswered heartbeat
+	helpers    = 3                      // peers that repeat an unanswered heartbeat
 	burst      = 3                      // peers that hear of a change at once
 	spacing    = 250 * time.Millisecond // between such bursts
 	piggyback  = 8                      // entries passed on with a heartbeat
@@ -116,7 +116,7 @@
 	changed := r.table.stand(r.table.self, wire.Standing_STANDING_LEAVING, time.Now())
 	r.mu.Unlock()
 	if changed {
-		r.hurry()
+		r.wake()
 	}
 }
 
@@ -148,7 +148,7 @@
 	defer r.mu.Unlock()
 	for _, entry := range entries {
 		if r.merge(entry) && entry.Standing != wire.Standing_STANDING_ALIVE {
-			r.hurry()
+			r.wake()
 		}
 	}
 }
@@ -159,7 +159,7 @@
 	defer r.mu.Unlock()
 	for _, entry := range entries {
 		if r.merge(entry) && entry.Id != r.table.self {
-			r.table.still(entry.Id)
+			r.table.stopSpreading(entry.Id)
 		}
 	}
 }
@@ -182,8 +182,8 @@
 		"boot", daemon.Boot, "incarnation", daemon.Incarnation)
 }
 
-// hurry asks for changes to be told before the next heartbeat.
-func (r *Roster) hurry() {
+// wake asks for changes to be told before the next heartbeat.
+func (r *Roster) wake() {
 	select {
 	case r.urgent <- struct{}{}:
 	default:
--- a/roster/table.go
+++ b/roster/table.go
@@ -178,9 +178,9 @@
 	return 3 * n
 }
 
-// still keeps an entry from being passed on: whoever sent a whole roster has
+// stopSpreading keeps an entry from being passed on: whoever sent a whole roster has
 // told others before.
-func (t *table) still(id string) {
+func (t *table) stopSpreading(id string) {
 	if known, ok := t.members[id]; ok {
 		known.told = 0
 	}
@@ -217,9 +217,9 @@
 	}
 }
 
-// news returns at most limit entries to pass on, those told least first. The
+// updates returns at most limit entries to pass on, those told least first. The
 // own entry travels with every heartbeat anyway.
-func (t *table) news(limit int) []*wire.Daemon {
+func (t *table) updates(limit int) []*wire.Daemon {
 	var due []*member
 	for id, known := range t.fresh {
 		if known.told <= 0 || id == t.self {
