--- a/admin/admin.go
+++ b/admin/admin.go
@@ -36,6 +36,7 @@
 	Confirm  func(ctx context.Context, key string, revision uint64) []string         // relay.Confirm
 	Record   func(audit.Entry)                                                       // audit.Trail.Add
 	Read     func(ctx context.Context, from, until time.Time) ([]audit.Entry, error) // audit.Trail.Read
+	Ready    func() bool                                                             // whether the document is known here; nil for always
 	Status   func() any                                                              // body of /admin/v1/status
 	Secret   string                                                                  // SHA-256 of the operators' key, hexadecimal; empty for none
 	Log      logr.Logger
--- a/admin/config.go
+++ b/admin/config.go
@@ -14,6 +14,10 @@
 
 // getConfig answers with the document that is in force at this daemon.
 func (a *Admin) getConfig(w http.ResponseWriter, request *http.Request) {
+	if a.options.Ready != nil && !a.options.Ready() {
+		refuse(w, "", &Error{Op: "get", Kind: Unavailable, Err: errors.New("this daemon does not know the document yet")})
+		return
+	}
 	entry, _ := a.options.Get(fleet.Conf)
 	envelope, err := edit.Read(entry.Value)
 	if err != nil {
--- a/admin/fleet_test.go
+++ b/admin/fleet_test.go
@@ -120,7 +120,7 @@
 	})
 	d.trail = audit.New(audit.Options{Daemon: d.host, Boot: self.Boot, Store: kv, Log: logr.Discard()})
 	operators := admin.New(admin.Options{
-		Store: kv, Get: d.relay.Get, Learn: d.relay.Learn, Confirm: d.relay.Confirm,
+		Store: kv, Ready: d.relay.Ready, Get: d.relay.Get, Learn: d.relay.Learn, Confirm: d.relay.Confirm,
 		Record: d.trail.Add, Read: d.trail.Read, Status: func() any { return d.host }, Log: logr.Discard(),
 	})
 	peers := http.NewServeMux()
--- a/admin/http_test.go
+++ b/admin/http_test.go
@@ -22,6 +22,10 @@
 const secret = "41ef4bb0b23661e66301aac36066912dac037827b4ae63a7b1165a5aa93ed4eb"
 
 func handler(secret string) *admin.Admin {
+	return admin.New(options(secret))
+}
+
+func options(secret string) admin.Options {
 	kv := fakes.NewStore()
 	do := func(r *http.Request) (*http.Response, error) {
 		if r.Body == nil {
@@ -31,7 +35,7 @@
 		kv.ServeHTTP(w, r)
 		return w.Result(), nil
 	}
-	return admin.New(admin.Options{
+	return admin.Options{
 		Store:   store.New("http://kv", do),
 		Get:     func(string) (store.Entry, bool) { return store.Entry{}, false },
 		Learn:   func(store.Entry) bool { return true },
@@ -41,7 +45,19 @@
 		Status:  func() any { return map[string]string{"daemon": "d0"} },
 		Secret:  secret,
 		Log:     logr.Discard(),
-	})
+	}
+}
+
+// TestNotReady asks a daemon that does not know the document: it does not show
+// an empty one, on which an operator might base an edit.
+func TestNotReady(t *testing.T) {
+	is := is.New(t)
+	options := options("")
+	options.Ready = func() bool { return false }
+	w := httptest.NewRecorder()
+	admin.New(options).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/admin/v1/config", nil))
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.True(w.Header().Get("Retry-After") != "")
 }
 
 func TestAnswers(t *testing.T) {
--- a/roster/beat.go
+++ b/roster/beat.go
@@ -125,7 +125,7 @@
 		return false
 	}
 	r.metrics.beats.WithLabelValues("answered").Inc()
-	r.take(append(response.Changed, response.From)...)
+	r.take(response.From, response.Changed)
 	r.compareDigests(response.From, response.Digest, sent)
 	if r.differs(response.RosterHash) {
 		r.list(ctx, address)
--- a/roster/handler.go
+++ b/roster/handler.go
@@ -18,7 +18,7 @@
 	if from.GetId() == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, &Error{Op: "beat", Kind: Join})
 	}
-	r.take(append(request.Changed, from)...)
+	r.take(from, request.Changed)
 	// How long the request was under way is unknown, so it vouches for nothing.
 	r.compareDigests(from, request.Digest, time.Time{})
 	digest := r.digest()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +81,8 @@
 }
 
 // Daemons returns all known daemons, the own and the dead ones included, by
-// id. Nobody may change the entries.
+// id. Nobody may change the entries. Applied and Load are fresh for the daemons
+// that exchange heartbeats with this one, and may be old for others.
 func (r *Roster) Daemons() []*wire.Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,16 +143,17 @@
 	known.daemon = fresh
 }
 
-// take merges entries that came with a heartbeat and tells others at once of
-// changes of standing.
-func (r *Roster) take(entries ...*wire.Daemon) {
+// take merges what came with a heartbeat, the sender's own entry and those that
+// it passes on, and tells others at once of changes of standing.
+func (r *Roster) take(from *wire.Daemon, changed []*wire.Daemon) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, entry := range entries {
+	for _, entry := range append(slices.Clip(changed), from) {
 		if r.merge(entry) && entry.Standing != wire.Standing_STANDING_ALIVE {
 			r.wake()
 		}
 	}
+	r.table.refresh(from)
 }
 
 // takeList merges a peer's whole roster, which need not be passed on.
--- a/roster/table.go
+++ b/roster/table.go
@@ -77,28 +77,23 @@
 		return t.refute(entry, now)
 	}
 	known, ok := t.members[entry.Id]
-	order := 1
-	if ok {
-		order = compare(entry, known.daemon)
-	}
-	if order == 0 {
-		t.refresh(known, entry)
-	}
-	if order <= 0 {
+	if ok && compare(entry, known.daemon) <= 0 {
 		return false
 	}
 	t.set(proto.CloneOf(entry), now)
 	return true
 }
 
-// refresh takes the figures that change without a change of standing.
-func (t *table) refresh(known *member, entry *wire.Daemon) {
-	if entry.Applied <= known.daemon.Applied && entry.Load == known.daemon.Load {
+// refresh takes the figures that change without a change of standing from a
+// daemon's own entry. Those that others pass on may be older.
+func (t *table) refresh(own *wire.Daemon) {
+	known, ok := t.members[own.GetId()]
+	if !ok || compare(own, known.daemon) != 0 {
 		return
 	}
 	fresh := proto.CloneOf(known.daemon)
-	fresh.Applied = max(fresh.Applied, entry.Applied)
-	fresh.Load = entry.Load
+	fresh.Applied = max(fresh.Applied, own.Applied)
+	fresh.Load = own.Load
 	known.daemon = fresh
 }
 
