--- a/relay/watch.go
+++ b/relay/watch.go
@@ -15,7 +15,7 @@
 	answering  = 2 * time.Second        // for an answer of the store
 	firstRetry = 500 * time.Millisecond // after a failed call to the store
 	lastRetry  = 5 * time.Second
-	batching   = 100 * time.Millisecond // between two calls, so that one answer brings several changes
+	batching   = 200 * time.Millisecond // between two calls, so that one answer brings several changes
 	idle       = time.Second            // between looks at the roster by a daemon that does not watch
 	orphaned   = 30 * time.Second       // without vouching, any daemon asks the store itself
 	askPeers   = 5                      // peers asked at the start while the store is down
--- a/roster/capacity_test.go
+++ b/roster/capacity_test.go
@@ -11,14 +11,15 @@
 )
 
 const (
-	target     = 19 * time.Second // for an edit to be in force everywhere
-	noticed    = 10 * time.Second // for a dead daemon to be known to all
-	byteBudget = 2048             // bytes a second and daemon
-	callBudget = 100              // calls a second to the store by all daemons
-	settle     = time.Minute
-	measured   = time.Minute
-	editsTried = 8
-	content    = 40 << 10 // bytes of the configuration that is spread
+	target      = 19 * time.Second // for an edit to be in force everywhere
+	noticed     = 10 * time.Second // for a dead daemon to be known to all
+	byteBudget  = 2048             // bytes a second and daemon
+	callBudget  = 100              // the same in an outage and after it
+	storeBudget = 1000             // calls a second to the store by all daemons under constant change
+	settle      = time.Minute
+	measured    = time.Minute
+	editsTried  = 8
+	content     = 40 << 10 // bytes of the configuration that is spread
 )
 
 var full = flag.Bool("full", false, "measure at 410 daemons, too; takes a minute or two")
@@ -57,6 +58,7 @@
 				c.setLoss(0)
 				time.Sleep(settle)
 				is.Equal(c.measureLoss(r), 0) // live daemons taken for dead
+				is.True(c.measureStorm(r) <= storeBudget)
 				is.True(c.measureOutage(r) <= callBudget)
 				is.True(c.measureJoins(r) <= noticed)
 				is.True(c.measureDeaths(r) <= noticed)
--- a/roster/measure_test.go
+++ b/roster/measure_test.go
@@ -126,6 +126,57 @@
 	return longest
 }
 
+// measureStorm writes fabric domains' values for ten seconds, as keepers do when
+// a failure domain goes dark, and returns the store's calls a second.
+func (c *cluster) measureStorm(r *report) float64 {
+	const lasts, apart = 10 * time.Second, 50 * time.Millisecond
+	const fabrics, value = 30, 6 << 10 // bytes
+	c.resetBytes()
+	before := c.storeCalls()
+	start := time.Now()
+	for i := 0; time.Since(start) < lasts; i++ {
+		at := c.any()
+		at.relay.Learn(c.writeFabric(at, fmt.Sprintf("f%02d", i%fabrics), value))
+		time.Sleep(apart)
+	}
+	calls := float64(c.storeCalls()-before) / lasts.Seconds()
+	sum, _, _ := c.totals()
+	r.add("20 revisions/s of fabric domains for 10 s: store calls/s", "%.0f", calls)
+	r.add("bytes/s a daemon meanwhile", "%.0f", sum/float64(r.daemons)/lasts.Seconds())
+	quiet := time.Now()
+	for !c.allEqual() && time.Since(quiet) < time.Minute {
+		time.Sleep(100 * time.Millisecond)
+	}
+	r.add("after it, until all hold the same", "%v", time.Since(quiet).Round(time.Millisecond))
+	return calls
+}
+
+func (c *cluster) writeFabric(at *node, name string, size int) store.Entry {
+	client := store.New("http://store", at.do)
+	key := fleet.Key(name)
+	current, err := client.Get(c.t.Context(), key)
+	if err != nil {
+		current = store.Entry{} // there is none yet
+	}
+	value, err := json.Marshal(fleet.Fabric{Name: name, Cause: strings.Repeat("x", size)})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	revision, err := client.Put(c.t.Context(), store.Put{Key: key, Value: value, Prev: current.Revision})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return store.Entry{Key: key, Value: value, Revision: revision}
+}
+
+func (c *cluster) allEqual() bool {
+	hashes := map[uint64]bool{}
+	for _, n := range c.nodes {
+		hashes[n.relay.Digest().Hash] = true
+	}
+	return len(hashes) == 1
+}
+
 // any returns a random daemon that lives.
 func (c *cluster) any() *node {
 	var living []string
