--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	often      = 4                      // heartbeats for one more to a random peer
 	seldom     = 16                     // heartbeats for one more to a dead daemon
 	limit      = 500 * time.Millisecond // of a heartbeat
-	through    = 3                      // peers that repeat an unanswered heartbeat
+	helpers    = 3                      // peers that repeat an unanswered heartbeat
 	burst      = 3                      // peers that hear of a change at once
 	spacing    = 250 * time.Millisecond // between such bursts
 	piggyback  = 8                      // entries passed on with a heartbeat
@@ -80,7 +81,8 @@
 }
 
 // Daemons returns all known daemons, the own and the dead ones included, by
-// id. Nobody may change the entries.
+// id. Nobody may change the entries. Applied and Load are fresh for the daemons
+// that exchange heartbeats with this one, and may be old for others.
 func (r *Roster) Daemons() []*wire.Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -116,7 +118,7 @@
 	changed := r.table.stand(r.table.self, wire.Standing_STANDING_LEAVING, time.Now())
 	r.mu.Unlock()
 	if changed {
-		r.hurry()
+		r.wake()
 	}
 }
 
@@ -141,16 +143,17 @@
 	known.daemon = fresh
 }
 
-// take merges entries that came with a heartbeat and tells others at once of
-// changes of standing.
-func (r *Roster) take(entries ...*wire.Daemon) {
+// take merges what came with a heartbeat, the sender's own entry and those that
+// it passes on, and tells others at once of changes of standing.
+func (r *Roster) take(from *wire.Daemon, changed []*wire.Daemon) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, entry := range entries {
+	for _, entry := range append(slices.Clip(changed), from) {
 		if r.merge(entry) && entry.Standing != wire.Standing_STANDING_ALIVE {
-			r.hurry()
+			r.wake()
 		}
 	}
+	r.table.refresh(from)
 }
 
 // takeList merges a peer's whole roster, which need not be passed on.
@@ -159,7 +162,7 @@
 	defer r.mu.Unlock()
 	for _, entry := range entries {
 		if r.merge(entry) && entry.Id != r.table.self {
-			r.table.still(entry.Id)
+			r.table.stopSpreading(entry.Id)
 		}
 	}
 }
@@ -182,8 +185,8 @@
 		"boot", daemon.Boot, "incarnation", daemon.Incarnation)
 }
 
-// hurry asks for changes to be told before the next heartbeat.
-func (r *Roster) hurry() {
+// wake asks for changes to be told before the next heartbeat.
+func (r *Roster) wake() {
 	select {
 	case r.urgent <- struct{}{}:
 	default:
