--- a/gate/world_test.go
+++ b/gate/world_test.go
@@ -420,16 +420,10 @@
 // request is one request at its entry.
 func (w *world) request(ctx context.Context, d *daemon, boot uint64, id string, its trait) {
 	asked := time.Now()
-	w.mu.Lock()
-	place, _ := d.view.Place("r1")
-	w.mu.Unlock()
-	client := &peer{world: w, from: d, to: place.Replica.Gate}
-	response, err := client.Acquire(ctx, &wire.AcquireRequest{
-		Replica: "r1", Daemon: d.id, Boot: boot, Request: id, Account: "a", Tokens: 10,
-	})
+	client, response := w.acquire(ctx, d, boot, id)
 	_ = sleep(ctx, its.delay)
 	w.awake(d)
-	if err != nil || response.Verdict != wire.Verdict_VERDICT_GRANTED || ctx.Err() != nil {
+	if response == nil || ctx.Err() != nil {
 		return
 	}
 	release := &wire.ReleaseRequest{Replica: "r1", Daemon: d.id, Permit: response.Permit, Request: id}
@@ -440,10 +434,34 @@
 	if its.lost || ctx.Err() != nil {
 		return
 	}
-	w.release(ctx, d, release)
+	w.awake(d)
+	if _, err := client.Release(ctx, release); err != nil {
+		w.release(ctx, d, release)
+	}
+}
+
+// acquire asks the gate for a permit, and where it can't be reached those that
+// may stand in for it.
+func (w *world) acquire(ctx context.Context, d *daemon, boot uint64, id string) (*peer, *wire.AcquireResponse) {
+	w.mu.Lock()
+	v := d.view
+	w.mu.Unlock()
+	place, _ := v.Place("r1")
+	gates := append([]string{place.Replica.Gate}, Substitutes(v, w.roster(d), "r1")...)
+	for _, gate := range gates {
+		client := &peer{world: w, from: d, to: gate}
+		response, err := client.Acquire(ctx, &wire.AcquireRequest{
+			Replica: "r1", Daemon: d.id, Boot: boot, Request: id, Account: "a", Tokens: 10,
+		})
+		if err == nil && response.Verdict == wire.Verdict_VERDICT_GRANTED {
+			return client, response
+		}
+	}
+	return nil, nil
 }
 
-// release tells the replica's present gate.
+// release tells the replica's present gate, where the one that gave the permit
+// can't be reached.
 func (w *world) release(ctx context.Context, d *daemon, release *wire.ReleaseRequest) {
 	w.awake(d)
 	w.mu.Lock()
