--- a/roster/beat.go
+++ b/roster/beat.go
@@ -21,7 +21,9 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case now := <-ticker.C:
+			case <-ticker.C:
+				// The tick itself names the time for which it was set.
+				now := time.Now()
 				r.expire(now, now.Sub(last) > 3*interval)
 				last = now
 				r.beatDue(ctx, group)
@@ -138,7 +140,7 @@
 	return &wire.BeatRequest{
 		From:       r.table.members[r.table.self].daemon,
 		Changed:    r.table.news(piggyback),
-		RosterHash: r.table.hash(),
+		RosterHash: r.table.sum,
 		Digest:     digest,
 	}
 }
@@ -162,7 +164,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.joined = true
-	if hash == r.table.hash() {
+	if hash == r.table.sum {
 		r.differed = 0
 		return false
 	}
@@ -183,7 +185,7 @@
 		return false
 	}
 	r.metrics.lists.Inc()
-	r.take(response.Daemons...)
+	r.takeList(response.Daemons)
 	return true
 }
 
