Golden tables of shed behaviour and of kinds of limits

Before: fixed limit of 64 at an endpoint whose knee lies at 16; after: the same with the adaptive limit. See gate/testdata/limits.golden for goodput and the smallest part of a small account, at 0.5, 1, 2 and 5 times capacity. Ruled out: limits split among nine unevenly loaded entries, which either leave capacity unused or overrun the endpoint, and starve the small accounts. Conclusion: central permits with an adaptive limit.

--- a/gate/main_test.go
+++ b/gate/main_test.go
@@ -3,9 +3,28 @@
 import (
 	"flag"
 	"os"
+	"path/filepath"
 	"testing"
+
+	"github.com/matryer/is"
 )
 
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// golden compares a table with a file, and prints it.
+func golden(t *testing.T, name, table string) {
+	t.Helper()
+	t.Log("\n" + table)
+	is := is.New(t)
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(table), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(table, string(want))
+}
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	seeded := false
--- a/gate/release.go
+++ b/gate/release.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,7 +29,7 @@
 	default:
 		c.ledger.remove(p)
 	}
-	crashes := c.book.Crashes(p.fingerprint)
+	crashes := slices.Clone(c.book.Crashes(p.fingerprint))
 	response := &wire.ReleaseResponse{Strikes: uint32(len(crashes)), Crashes: crashes}
 	return response, c.pump(now)
 }
--- a/gate/shed_test.go
+++ b/gate/shed_test.go
@@ -227,7 +227,7 @@
 		is.True(s.smallest() >= keepOwn)                           // a small account lost its share
 		is.True(s.late <= shopTarget-2*shopFirst+time.Millisecond) // a refusal was held back
 	}
-	t.Log("\n" + table.String())
+	golden(t, "shed", table.String())
 }
 
 // TestLimitKinds prints what the adaptive limit gains over fixed ones, and the
@@ -262,5 +262,5 @@
 			fmt.Fprintf(&table, "%8.2f (%.3f)", s.goodput(), s.smallest())
 		}
 	}
-	t.Log("\n" + table.String())
+	golden(t, "limits", table.String()+"\n")
 }
