entry: a daemon that isn't ready refuses, and names the others; crashes are told before a request runs again

With a real gate, a request that crashes endpoints ran three times (TestNeighboursAreServed, 'not true: w.runs(poison) <= 2'): while the endpoint started again its connections broke off, which was told as broken, and the strike came too late for the retry. An endpoint that breaks off the request's connection and all resumptions is now told as crashed at once.

--- a/entry/code.go
+++ b/entry/code.go
@@ -17,6 +17,7 @@
 	NoModel                 // model
 	NoService               // service
 	NotAllowed              // account
+	Unready                 // unready
 	Busy                    // busy
 	Throttled               // throttled
 	Unavailable             // unavailable
@@ -64,6 +65,7 @@
 	NoModel:     {http.StatusNotFound, typeRequest, "there is no such model"},
 	NoService:   {http.StatusNotFound, typeRequest, "there is no such service"},
 	NotAllowed:  {http.StatusForbidden, typePermission, "the client account may not use this"},
+	Unready:     {http.StatusServiceUnavailable, typeServer, "this daemon is not ready"},
 	Busy:        {http.StatusServiceUnavailable, typeServer, "no capacity in time"},
 	Throttled:   {http.StatusTooManyRequests, typeRate, "the client account's limit is reached"},
 	Unavailable: {http.StatusServiceUnavailable, typeServer, "nothing serves this now"},
--- a/entry/code_string.go
+++ b/entry/code_string.go
@@ -18,26 +18,27 @@
 	_ = x[NoModel-7]
 	_ = x[NoService-8]
 	_ = x[NotAllowed-9]
-	_ = x[Busy-10]
-	_ = x[Throttled-11]
-	_ = x[Unavailable-12]
-	_ = x[Suspect-13]
-	_ = x[Timeout-14]
-	_ = x[Broken-15]
-	_ = x[Crashed-16]
-	_ = x[Cancelled-17]
-	_ = x[Records-18]
-	_ = x[Pending-19]
-	_ = x[Unsettled-20]
-	_ = x[Unkept-21]
-	_ = x[Reused-22]
-	_ = x[Expired-23]
-	_ = x[Replayed-24]
+	_ = x[Unready-10]
+	_ = x[Busy-11]
+	_ = x[Throttled-12]
+	_ = x[Unavailable-13]
+	_ = x[Suspect-14]
+	_ = x[Timeout-15]
+	_ = x[Broken-16]
+	_ = x[Crashed-17]
+	_ = x[Cancelled-18]
+	_ = x[Records-19]
+	_ = x[Pending-20]
+	_ = x[Unsettled-21]
+	_ = x[Unkept-22]
+	_ = x[Reused-23]
+	_ = x[Expired-24]
+	_ = x[Replayed-25]
 }
 
-const _Code_name = "pathmethodkeyheaderjsonrequestlargemodelserviceaccountbusythrottledunavailablesuspecttimeoutbrokencrashedcancelledrecordspendingunsettledunkeptreusedexpiredreplayed"
+const _Code_name = "pathmethodkeyheaderjsonrequestlargemodelserviceaccountunreadybusythrottledunavailablesuspecttimeoutbrokencrashedcancelledrecordspendingunsettledunkeptreusedexpiredreplayed"
 
-var _Code_index = [...]uint8{0, 4, 10, 13, 19, 23, 30, 35, 40, 47, 54, 58, 67, 78, 85, 92, 98, 105, 114, 121, 128, 137, 143, 149, 156, 164}
+var _Code_index = [...]uint8{0, 4, 10, 13, 19, 23, 30, 35, 40, 47, 54, 61, 65, 74, 85, 92, 99, 105, 112, 121, 128, 135, 144, 150, 156, 163, 171}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- a/entry/entries.go
+++ b/entry/entries.go
@@ -71,7 +71,7 @@
 
 // named reports whether callers may be sent to a daemon.
 func (e *Entry) named(d *wire.Daemon) bool {
-	if d.GetId() == e.options.Self && e.leaving.Load() {
+	if d.GetId() == e.options.Self && (e.leaving.Load() || e.ready() != nil) {
 		return false
 	}
 	return d.GetStanding() == wire.Standing_STANDING_ALIVE && d.GetCallerAddress() != ""
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	Boot    uint64 // of this daemon
 	View    func() *view.View
 	Daemons func() []*wire.Daemon
+	Ready   func() error // why requests can't be taken yet; nil for always ready
 	Order   func(v *view.View, account, model string, prefix []uint64, domain string) []view.Place
 	Observe func(replica string, response *wire.AcquireResponse) // nil for nothing
 	Gate    func(address string) wire.GateClient                 // by peer address
@@ -121,9 +122,16 @@
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	switch path := r.URL.EscapedPath(); {
-	case path == pathEntries:
+	path := r.URL.EscapedPath()
+	if path == pathEntries {
 		only(http.MethodGet, e.entries)(w, r)
+		return
+	}
+	if err := e.ready(); err != nil {
+		e.unready(w, r, err)
+		return
+	}
+	switch {
 	case path == pathModels:
 		only(http.MethodGet, e.models)(w, r)
 	case path == pathCompletions, path == pathChat:
@@ -135,6 +143,25 @@
 	}
 }
 
+func (e *Entry) ready() error {
+	if e.options.Ready == nil {
+		return nil
+	}
+	return e.options.Ready()
+}
+
+// unready refuses a request before anything is known of it. One that the caller
+// marks as sent again may have run at its first attempt.
+func (e *Entry) unready(w http.ResponseWriter, r *http.Request, cause error) {
+	err := reject("admit", Unready, cause)
+	err.Retry = defaultBack
+	if attempt := r.Header.Get(headerAttempt); attempt != "" && attempt != "1" {
+		err.Ran = engine.Unknown
+	}
+	refuse(w, err, "")
+	linger(w, r)
+}
+
 // only lets one method pass.
 func only(method string, handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -38,6 +38,7 @@
 			_ = claim.Finish(ctx, record) // without it, later attempts hear that it may have run
 		})
 	case failed.Ran == engine.No:
+		e.seen.remove(j.record())
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxForgo)
 		defer cancel()
 		_ = claim.Forgo(ctx) // the book tells the store later
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -30,7 +30,7 @@
 func refusal(err *Error, id string) Refusal {
 	m := meanings[err.Kind]
 	message := m.text
-	if err.Err != nil && m.status < http.StatusInternalServerError {
+	if err.Err != nil && (m.status < http.StatusInternalServerError || err.Kind == Unready) {
 		message += ": " + err.Err.Error()
 	}
 	return Refusal{Error: Reason{
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -61,6 +61,8 @@
 		{name: "not serving", fault: verdict(wire.Verdict_VERDICT_NOT_SERVING), status: 503, code: "unavailable", ran: "no", back: "1"},
 		{name: "not the gate", fault: verdict(wire.Verdict_VERDICT_NOT_GATE), status: 503, code: "unavailable", ran: "no", back: "1"},
 		{name: "engines gone", fault: killEngines, status: 503, code: "unavailable", ran: "no", back: "1"},
+		{name: "not ready", fault: unready, status: 503, code: "unready", ran: "no", back: "1"},
+		{name: "not ready, sent again", ask: ask{headers: header("X-Attempt", "2")}, fault: unready, status: 503, code: "unready", ran: "unknown", back: "1"},
 		{name: "store down", ask: ask{headers: once}, fault: storeDown, status: 503, code: "records", ran: "no", back: "1"},
 		{
 			name:  "store down, sent again",
@@ -99,4 +101,6 @@
 	w.network.Kill("e1")
 }
 
+func unready(w *world) { w.unready.Store(true) }
+
 func storeDown(w *world) { w.store.Down(true) }
--- a/entry/run.go
+++ b/entry/run.go
@@ -226,9 +226,12 @@
 }
 
 // crashed reports whether an endpoint died or restarted while it had the
-// request. One that is only out of reach may be well.
+// request. One that is only out of reach may be well; one that breaks off all
+// connections, that of the request and those of the resumptions, counts as
+// dead: a request that crashes endpoints must not run again before it is known
+// that it did.
 func (d *dispatch) crashed(err error) bool {
-	if errors.Is(err, errRestarted) {
+	if errors.Is(err, errRestarted) || d.opened && brokeOff(err) {
 		return true
 	}
 	var fault *engine.Error
--- a/entry/seen.go
+++ b/entry/seen.go
@@ -1,6 +1,9 @@
 package entry
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // maxSeen is the number of not-repeatable requests that a daemon remembers.
 const maxSeen = 4096
@@ -30,6 +33,14 @@
 	s.order = append(s.order, key)
 }
 
+// remove forgets a request that turned out not to have run.
+func (s *seen) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.keys, key)
+	s.order = slices.DeleteFunc(s.order, func(k string) bool { return k == key })
+}
+
 func (s *seen) has(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
