--- a/daemon/build.go
+++ b/daemon/build.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
 	"clementinehead.example/chead/admin"
@@ -160,7 +161,7 @@
 
 // substitutes returns the daemons that may stand in for a replica's gate.
 func (d *Daemon) substitutes(place view.Place) []string {
-	return gate.Substitutes(place.Replica.ID, place.Domain, d.roster.Daemons(), d.relay.View().Document)
+	return gate.Substitutes(d.relay.View(), d.roster.Daemons(), place.Replica.ID)
 }
 
 // gateAt returns the gate at a peer address; the own one needs no network.
@@ -206,12 +207,17 @@
 	})
 }
 
+// compressFrom is the size from which answers to other daemons are compressed,
+// in bytes. Heartbeats and permits are smaller.
+const compressFrom = 4 << 10
+
 // peerHandler serves the other daemons.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewRosterHandler(d.roster))
-	mux.Handle(wire.NewRelayHandler(d.relay))
-	mux.Handle(wire.NewGateHandler(d.gate))
-	mux.Handle(wire.NewTallyHandler(d.holder))
+	compress := connect.WithCompressMinBytes(compressFrom)
+	mux.Handle(wire.NewRosterHandler(d.roster, compress))
+	mux.Handle(wire.NewRelayHandler(d.relay, compress))
+	mux.Handle(wire.NewGateHandler(d.gate, compress))
+	mux.Handle(wire.NewTallyHandler(d.holder, compress))
 	return mux
 }
