--- a/entry/guard.go
+++ b/entry/guard.go
@@ -105,7 +105,7 @@
 // truth returns what may be said of a job that was refused before its record
 // was looked at: an earlier attempt may have run.
 func (e *Entry) truth(j *job, err *Error) engine.Ran {
-	if j.once && err.Ran == engine.No && (j.attempt > 1 || e.seen.has(j.record())) {
+	if j.once && err.Ran == engine.No && (j.repeated() || e.seen.has(j.record())) {
 		return engine.Unknown
 	}
 	return err.Ran
--- a/entry/job.go
+++ b/entry/job.go
@@ -41,6 +41,15 @@
 	return age > time.Duration(j.view.Document.Limits.Window)
 }
 
+// maxTransit is the time that a request may take from its caller to a daemon.
+const maxTransit = 5 * time.Second
+
+// repeated reports whether the caller says, by the number of the attempt or the
+// request's own time, that this is not its first attempt.
+func (j *job) repeated() bool {
+	return j.attempt > 1 || j.accepted.Sub(j.at) > maxTransit
+}
+
 // record names the job's at-most-once record among those of all accounts.
 func (j *job) record() string { return j.account + "\x00" + j.key }
 
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -64,6 +64,11 @@
 		{name: "not ready", fault: unready, status: 503, code: "unready", ran: "no", back: "1"},
 		{name: "not ready, sent again", ask: ask{headers: header("X-Attempt", "2")}, fault: unready, status: 503, code: "unready", ran: "unknown", back: "1"},
 		{name: "store down", ask: ask{headers: once}, fault: storeDown, status: 503, code: "records", ran: "no", back: "1"},
+		{
+			name:  "store down, made before",
+			ask:   ask{headers: map[string]string{"X-Repeatable": "no", "X-Request-Time": "1999-12-31T23:59:00Z"}},
+			fault: storeDown, status: 503, code: "records", ran: "unknown", back: "1",
+		},
 		{
 			name:  "store down, sent again",
 			ask:   ask{headers: map[string]string{"X-Repeatable": "no", "X-Attempt": "2"}},
