--- a/entry/guard.go
+++ b/entry/guard.go
@@ -38,6 +38,7 @@
 			_ = claim.Finish(ctx, record) // without it, later attempts hear that it may have run
 		})
 	case failed.Ran == engine.No:
+		e.seen.remove(j.record())
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxForgo)
 		defer cancel()
 		_ = claim.Forgo(ctx) // the book tells the store later
@@ -104,7 +105,7 @@
 // truth returns what may be said of a job that was refused before its record
 // was looked at: an earlier attempt may have run.
 func (e *Entry) truth(j *job, err *Error) engine.Ran {
-	if j.once && err.Ran == engine.No && (j.attempt > 1 || e.seen.has(j.record())) {
+	if j.once && err.Ran == engine.No && (j.repeated() || e.seen.has(j.record())) {
 		return engine.Unknown
 	}
 	return err.Ran
