--- a/roster/handler.go
+++ b/roster/handler.go
@@ -18,7 +18,7 @@
 	if from.GetId() == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, &Error{Op: "beat", Kind: Join})
 	}
-	r.take(append(request.Changed, from)...)
+	r.take(from, request.Changed)
 	// How long the request was under way is unknown, so it vouches for nothing.
 	r.compareDigests(from, request.Digest, time.Time{})
 	digest := r.digest()
@@ -27,7 +27,7 @@
 	r.joined = true
 	response := &wire.BeatResponse{
 		From:       r.table.members[r.table.self].daemon,
-		Changed:    r.table.news(piggyback),
+		Changed:    r.table.updates(piggyback),
 		RosterHash: r.table.sum,
 		Digest:     digest,
 	}
