An unchanged list of instances isn't sent again

Cause: each keeper asks for the platform's whole list every few seconds; at 60 instances the list was most of what a daemon got from the store, and it grows with the fleet.

A daemon also refuses requests while it isn't ready, rather than with a wrong key.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -148,6 +148,7 @@
 		Order:    d.router.Order,
 		Observe:  d.router.Observe,
 		Gate:     d.gateAt,
+		Ready:    d.ready,
 		Engine:   d.engine,
 		Plain:    d.clients.endpoint.Do,
 		Fresh:    d.clients.fresh.Do,
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -73,24 +74,24 @@
 
 // readyz answers 200 once this daemon may take requests.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	health := d.ready()
-	status := http.StatusOK
-	if !health.OK {
-		status = http.StatusServiceUnavailable
+	if err := d.ready(); err != nil {
+		answer(w, http.StatusServiceUnavailable, Health{Reason: err.Error()})
+		return
 	}
-	answer(w, status, health)
+	answer(w, http.StatusOK, Health{OK: true})
 }
 
-func (d *Daemon) ready() Health {
+// ready returns why this daemon may not take requests, nil where it may.
+func (d *Daemon) ready() error {
 	switch {
 	case !d.relay.Ready():
-		return Health{Reason: "no configuration known yet: neither the store nor a peer has answered"}
+		return errors.New("no configuration known yet: neither the store nor a peer has answered")
 	case !d.holder.Opened():
-		return Health{Reason: "neither the store nor a peer knows of this boot yet"}
+		return errors.New("neither the store nor a peer knows of this boot yet")
 	case !d.holder.Vouched():
-		return Health{Reason: "nobody has taken this daemon's usage counts for a while"}
+		return errors.New("nobody has taken this daemon's usage counts for a while")
 	default:
-		return Health{OK: true}
+		return nil
 	}
 }
 
--- a/fakes/list.go
+++ b/fakes/list.go
@@ -5,10 +5,13 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"clementinehead.example/chead/store"
 )
 
@@ -97,12 +100,23 @@
 	s.list.lag, s.list.expire = lag, expire
 }
 
-func (s *Store) instances(*http.Request) answer {
+func (s *Store) instances(r *http.Request) answer {
 	shown := s.list.show()
 	if shown == nil {
 		shown = []store.Instance{}
 	}
-	return found(shown)
+	tag := tagOf(shown)
+	if r.Header.Get("If-None-Match") == tag {
+		return answer{status: http.StatusNotModified, tag: tag}
+	}
+	return answer{status: http.StatusOK, value: shown, tag: tag}
+}
+
+// tagOf returns an entity tag, which is another one for another list.
+func tagOf(instances []store.Instance) string {
+	// A list of plain structs can always be encoded.
+	data, _ := json.Marshal(instances)
+	return strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16))
 }
 
 func (s *Store) register(w http.ResponseWriter, r *http.Request) {
--- a/fakes/store.go
+++ b/fakes/store.go
@@ -91,6 +91,7 @@
 	status int
 	value  any
 	reason string
+	tag    string // of a value that is sent only where the caller lacks it
 }
 
 func found(value any) answer { return answer{status: http.StatusOK, value: value} }
@@ -176,11 +177,17 @@
 }
 
 func (a answer) write(w http.ResponseWriter) {
-	if a.status != http.StatusOK {
+	if a.tag != "" {
+		w.Header().Set("ETag", a.tag)
+	}
+	switch a.status {
+	case http.StatusOK:
+		writeJSON(w, a.value)
+	case http.StatusNotModified:
+		w.WriteHeader(a.status)
+	default:
 		http.Error(w, a.reason, a.status)
-		return
 	}
-	writeJSON(w, a.value)
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/store/client.go
+++ b/store/client.go
@@ -26,6 +26,8 @@
 	Base  string
 	Do    func(*http.Request) (*http.Response, error)
 	Calls *Calls
+
+	last lastList
 }
 
 // Calls counts what a client asked of the service, by kind.
@@ -106,31 +108,17 @@
 	return c.call(ctx, "revoke", http.MethodDelete, "/v1/leases/"+strconv.FormatUint(id, 10), nil, nil)
 }
 
-// Instances returns the platform's list of instances, which lags.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	c.Calls.Lists.Add(1)
-	var instances []Instance
-	err := c.call(ctx, "instances", http.MethodGet, "/v1/instances", nil, &instances)
-	return instances, err
-}
-
 func (c *Client) call(ctx context.Context, op, method, path string, in, out any) error {
 	request, err := c.request(ctx, method, path, in)
 	if err != nil {
 		return &Error{Op: op, Kind: Invalid, Err: oops.In("store").Wrap(err)}
 	}
-	response, err := c.Do(request)
-	if err != nil {
-		return &Error{Op: op, Kind: unanswered(err), Err: err}
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswer))
+	response, body, err := c.send(op, request)
 	if err != nil {
-		return &Error{Op: op, Kind: Lost, Err: err}
+		return err
 	}
 	if response.StatusCode/100 != 2 {
-		reason := oops.In("store").With("status", response.StatusCode).Errorf("%s", bytes.TrimSpace(body))
-		return &Error{Op: op, Kind: kindOf(response.StatusCode), Err: reason}
+		return refusal(op, response.StatusCode, body)
 	}
 	if out == nil {
 		return nil
@@ -141,6 +129,25 @@
 	return nil
 }
 
+// send makes one attempt and reads the whole answer, whatever its status.
+func (c *Client) send(op string, request *http.Request) (*http.Response, []byte, error) {
+	response, err := c.Do(request)
+	if err != nil {
+		return nil, nil, &Error{Op: op, Kind: unanswered(err), Err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswer))
+	if err != nil {
+		return nil, nil, &Error{Op: op, Kind: Lost, Err: err}
+	}
+	return response, body, nil
+}
+
+func refusal(op string, status int, body []byte) *Error {
+	reason := oops.In("store").With("status", status).Errorf("%s", bytes.TrimSpace(body))
+	return &Error{Op: op, Kind: kindOf(status), Err: reason}
+}
+
 // request leaves GetBody unset, so that no transport sends a write twice.
 func (c *Client) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
 	var body io.Reader
