--- a/daemon/world_test.go
+++ b/daemon/world_test.go
@@ -40,6 +40,10 @@
 	ledger  *fakes.Ledger // runs of all engines, by prompt
 	engines map[string]*fakes.Engine
 	daemons map[string]func() // by id: ends it and waits
+
+	mu    sync.Mutex
+	begun map[string]time.Time // when an engine last began to run a request
+	lost  map[string]bool      // daemons that callers can't reach any more
 }
 
 const (
@@ -60,6 +64,8 @@
 			ledger:  fakes.NewLedger(),
 			engines: map[string]*fakes.Engine{},
 			daemons: map[string]func(){},
+			begun:   map[string]time.Time{},
+			lost:    map[string]bool{},
 		}
 		w.network.Latency = func(string, string) time.Duration { return 1500 * time.Microsecond }
 		w.network.Serve("kv:80", w.store)
@@ -83,7 +89,7 @@
 				ID:     id,
 				Token:  tokenTime,
 				Member: engine.New(w.network.Client(id).Do).Probe,
-				Began:  func(_, prompt string) { w.ledger.Add(prompt) },
+				Began:  func(_, prompt string) { w.began(id, prompt) },
 			})
 			w.network.Serve(id+":80", w.engines[id])
 			instances = append(instances, store.Instance{
@@ -95,6 +101,13 @@
 	w.store.SetInstances(instances...)
 }
 
+func (w *world) began(id, prompt string) {
+	w.ledger.Add(prompt)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begun[id] = time.Now()
+}
+
 func (w *world) startDaemon(id, domain string) {
 	d, err := daemon.New(daemon.Options{
 		Settings: conf.Settings{
@@ -214,16 +227,51 @@
 
 // answer is what a caller got.
 type answer struct {
+	to     string // daemon
 	status int
 	text   string
 	reason entry.Reason
 	err    error
 }
 
-// complete sends a completion to a daemon. Once marks it as not repeatable.
-func (w *world) complete(caller *http.Client, to, prompt string, once bool) answer {
-	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d}`, prompt, tokens)
-	return w.send(caller, "http://"+to+":80/v1/completions", body, prompt, once)
+// entries asks a daemon that callers can reach for the addresses to use.
+func (w *world) entries(caller *http.Client) []string {
+	for _, id := range []string{"d1", "d2", "d3"} {
+		if w.isLost(id) {
+			continue
+		}
+		response, err := caller.Get("http://" + id + ":80/v1/entries")
+		if err != nil {
+			continue
+		}
+		var named entry.Entries
+		err = json.NewDecoder(response.Body).Decode(&named)
+		_ = response.Body.Close()
+		if err == nil && len(named.Entries) > 0 {
+			return addresses(named)
+		}
+	}
+	return nil
+}
+
+func addresses(named entry.Entries) []string {
+	var all []string
+	for _, e := range named.Entries {
+		all = append(all, e.Address)
+	}
+	return all
+}
+
+func (w *world) isLost(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost[id]
+}
+
+// complete sends a completion to an address. Once marks it as not repeatable.
+func (w *world) complete(caller *http.Client, to, prompt, user string, once bool) answer {
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"user":%q}`, prompt, tokens, user)
+	return w.send(caller, "http://"+to+"/v1/completions", body, prompt, once)
 }
 
 func (w *world) send(caller *http.Client, link, body, id string, once bool) answer {
@@ -239,11 +287,11 @@
 	}
 	response, err := caller.Do(r)
 	if err != nil {
-		return answer{err: err}
+		return answer{to: r.URL.Hostname(), err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	a := answer{status: response.StatusCode, err: err}
+	a := answer{to: r.URL.Hostname(), status: response.StatusCode, err: err}
 	var whole struct {
 		Choices []struct{ Text string }
 		Error   entry.Reason
