--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,14 +28,17 @@
 	Boot    uint64 // of this daemon
 	View    func() *view.View
 	Daemons func() []*wire.Daemon
+	Ready   func() error // why requests can't be taken yet; nil for always ready
 	Order   func(v *view.View, account, model string, prefix []uint64, domain string) []view.Place
 	Observe func(replica string, response *wire.AcquireResponse) // nil for nothing
 	Gate    func(address string) wire.GateClient                 // by peer address
-	Interim func(replica string) []string                        // daemons to ask where the gate is out of reach; nil for none
+	Find    func(id string) (*wire.Daemon, bool)                 // nil for a search of Daemons
+	Interim func(place view.Place) []string                      // ids of the daemons to ask where the gate is out of reach; nil for none
 	Engine  *engine.Client
-	Plain   func(*http.Request) (*http.Response, error) // to plain services
+	Plain   func(*http.Request) (*http.Response, error) // to plain services; follows no redirects
 	// Fresh sends what is not repeatable. It uses each connection once, so
-	// that no transport sends a request twice. Nil stands for a transport
+	// that no transport sends a request twice, and follows no redirects. Nil
+	// stands for a transport
 	// made by NewTransport.
 	Fresh    func(*http.Request) (*http.Response, error)
 	Once     *once.Book
@@ -55,11 +58,14 @@
 	loads   *loads
 	metrics *metrics
 	seen    *seen
+	room    room
 	names   atomic.Uint64
 	leaving atomic.Bool
+	blind   atomic.Bool    // the store can't be asked for records
 	work    sync.WaitGroup // what goes on behind an answer
 	mu      sync.Mutex     // for server, random numbers and until
 	server  *http.Server
+	stopped bool      // Shutdown has passed
 	until   time.Time // up to which answers that name this daemon hold
 }
 
@@ -68,6 +74,9 @@
 	if options.Fresh == nil {
 		options.Fresh = NewTransport(true).RoundTrip
 	}
+	if options.Find == nil {
+		options.Find = search(options.Daemons)
+	}
 	e := &Entry{
 		options: options,
 		budget:  newBudget(),
@@ -80,6 +89,18 @@
 	return e
 }
 
+// search returns a function that finds a daemon by its id.
+func search(daemons func() []*wire.Daemon) func(id string) (*wire.Daemon, bool) {
+	return func(id string) (*wire.Daemon, bool) {
+		for _, d := range daemons() {
+			if d.GetId() == id {
+				return d, true
+			}
+		}
+		return nil, false
+	}
+}
+
 // silence returns the limits on the silence of endpoints in force.
 func (e *Entry) silence() engine.Limits {
 	limits := e.options.View().Document.Limits
@@ -101,9 +122,16 @@
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	switch path := r.URL.EscapedPath(); {
-	case path == pathEntries:
+	path := r.URL.EscapedPath()
+	if path == pathEntries {
 		only(http.MethodGet, e.entries)(w, r)
+		return
+	}
+	if err := e.ready(); err != nil {
+		e.unready(w, r, err)
+		return
+	}
+	switch {
 	case path == pathModels:
 		only(http.MethodGet, e.models)(w, r)
 	case path == pathCompletions, path == pathChat:
@@ -115,6 +143,25 @@
 	}
 }
 
+func (e *Entry) ready() error {
+	if e.options.Ready == nil {
+		return nil
+	}
+	return e.options.Ready()
+}
+
+// unready refuses a request before anything is known of it. One that the caller
+// marks as sent again may have run at its first attempt.
+func (e *Entry) unready(w http.ResponseWriter, r *http.Request, cause error) {
+	err := reject("admit", Unready, cause)
+	err.Retry = defaultBack
+	if attempt := r.Header.Get(headerAttempt); attempt != "" && attempt != "1" {
+		err.Ran = engine.Unknown
+	}
+	refuse(w, err, "")
+	linger(w, r)
+}
+
 // only lets one method pass.
 func only(method string, handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -38,6 +38,7 @@
 			_ = claim.Finish(ctx, record) // without it, later attempts hear that it may have run
 		})
 	case failed.Ran == engine.No:
+		e.seen.remove(j.record())
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxForgo)
 		defer cancel()
 		_ = claim.Forgo(ctx) // the book tells the store later
@@ -54,12 +55,28 @@
 		Print:   j.print,
 		At:      j.at,
 	})
+	e.watch(err)
 	if err != nil {
 		return nil, nil, e.unclaimed(j, err)
 	}
 	return claim, kept, nil
 }
 
+// watch logs when the store can't be asked for records any more, and when it
+// can again.
+func (e *Entry) watch(err error) {
+	var fault *once.Error
+	down := errors.As(err, &fault) && fault.Kind == once.Down
+	if e.blind.Swap(down) == down {
+		return
+	}
+	if down {
+		e.options.Log.Info("not-repeatable requests are refused", "cause", err.Error())
+	} else {
+		e.options.Log.Info("not-repeatable requests are taken again")
+	}
+}
+
 // unclaimed says what a claim that was not given means for the caller.
 func (e *Entry) unclaimed(j *job, err error) *Error {
 	var fault *once.Error
@@ -88,7 +105,7 @@
 // truth returns what may be said of a job that was refused before its record
 // was looked at: an earlier attempt may have run.
 func (e *Entry) truth(j *job, err *Error) engine.Ran {
-	if j.once && err.Ran == engine.No && (j.attempt > 1 || e.seen.has(j.record())) {
+	if j.once && err.Ran == engine.No && (j.repeated() || e.seen.has(j.record())) {
 		return engine.Unknown
 	}
 	return err.Ran
--- a/roster/handler.go
+++ b/roster/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,7 +18,7 @@
 	if from.GetId() == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, &Error{Op: "beat", Kind: Join})
 	}
-	r.take(append(request.Changed, from)...)
+	r.take(from, request.Changed)
 	// How long the request was under way is unknown, so it vouches for nothing.
 	r.compareDigests(from, request.Digest, time.Time{})
 	digest := r.digest()
@@ -26,8 +27,8 @@
 	r.joined = true
 	response := &wire.BeatResponse{
 		From:       r.table.members[r.table.self].daemon,
-		Changed:    r.table.news(piggyback),
-		RosterHash: r.table.hash(),
+		Changed:    r.table.updates(piggyback),
+		RosterHash: r.table.sum,
 		Digest:     digest,
 	}
 	if known, ok := r.table.members[from.Id]; ok && compare(known.daemon, from) > 0 {
@@ -43,7 +44,8 @@
 	return &wire.RelayResponse{Answered: answered}, nil
 }
 
-// List returns all known daemons.
+// List returns the daemons that are not known to be dead. Dead ones are left
+// out, lest they go round for ever.
 func (r *Roster) List(context.Context, *wire.ListRequest) (*wire.ListResponse, error) {
-	return &wire.ListResponse{Daemons: r.Daemons()}, nil
+	return &wire.ListResponse{Daemons: slices.DeleteFunc(r.Daemons(), dead)}, nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -22,7 +22,7 @@
 	often      = 4                      // heartbeats for one more to a random peer
 	seldom     = 16                     // heartbeats for one more to a dead daemon
 	limit      = 500 * time.Millisecond // of a heartbeat
-	through    = 3                      // peers that repeat an unanswered heartbeat
+	helpers    = 3                      // peers that repeat an unanswered heartbeat
 	burst      = 3                      // peers that hear of a change at once
 	spacing    = 250 * time.Millisecond // between such bursts
 	piggyback  = 8                      // entries passed on with a heartbeat
@@ -81,23 +81,16 @@
 }
 
 // Daemons returns all known daemons, the own and the dead ones included, by
-// id. Nobody may change the entries.
+// id. Nobody may change the entries. Applied and Load are fresh for the daemons
+// that exchange heartbeats with this one, and may be old for others.
 func (r *Roster) Daemons() []*wire.Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.daemons()
-}
-
-func (r *Roster) daemons() []*wire.Daemon {
-	all := r.table.peers(func(*wire.Daemon) bool { return true })
-	self := r.table.members[r.table.self].daemon
-	at, _ := slices.BinarySearchFunc(all, self, func(a, b *wire.Daemon) int {
-		if a.Id < b.Id {
-			return -1
-		}
-		return 1
-	})
-	return slices.Insert(all, at, self)
+	daemons := make([]*wire.Daemon, 0, len(r.table.order))
+	for _, id := range r.table.order {
+		daemons = append(daemons, r.table.members[id].daemon)
+	}
+	return daemons
 }
 
 // Find returns the entry of a daemon.
@@ -125,7 +118,7 @@
 	changed := r.table.stand(r.table.self, wire.Standing_STANDING_LEAVING, time.Now())
 	r.mu.Unlock()
 	if changed {
-		r.hurry()
+		r.wake()
 	}
 }
 
@@ -150,22 +143,38 @@
 	known.daemon = fresh
 }
 
-// take merges entries of a peer and tells others at once of news.
-func (r *Roster) take(entries ...*wire.Daemon) {
-	now := time.Now()
-	news := false
+// take merges what came with a heartbeat, the sender's own entry and those that
+// it passes on, and tells others at once of changes of standing.
+func (r *Roster) take(from *wire.Daemon, changed []*wire.Daemon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, entry := range append(slices.Clip(changed), from) {
+		if r.merge(entry) && entry.Standing != wire.Standing_STANDING_ALIVE {
+			r.wake()
+		}
+	}
+	r.table.refresh(from)
+}
+
+// takeList merges a peer's whole roster, which need not be passed on.
+func (r *Roster) takeList(entries []*wire.Daemon) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, entry := range entries {
-		if entry == nil || !r.table.merge(entry, now) {
-			continue
+		if r.merge(entry) && entry.Id != r.table.self {
+			r.table.stopSpreading(entry.Id)
 		}
-		r.note(entry.Id)
-		news = news || entry.Standing != wire.Standing_STANDING_ALIVE
 	}
-	r.mu.Unlock()
-	if news {
-		r.hurry()
+}
+
+// merge takes an entry in and reports whether it was news. The caller holds the
+// lock.
+func (r *Roster) merge(entry *wire.Daemon) bool {
+	if !r.table.merge(entry, time.Now()) {
+		return false
 	}
+	r.note(entry.Id)
+	return true
 }
 
 // note logs and counts a change of standing. The caller holds the lock.
@@ -176,8 +185,8 @@
 		"boot", daemon.Boot, "incarnation", daemon.Incarnation)
 }
 
-// hurry asks for changes to be told before the next heartbeat.
-func (r *Roster) hurry() {
+// wake asks for changes to be told before the next heartbeat.
+func (r *Roster) wake() {
 	select {
 	case r.urgent <- struct{}{}:
 	default:
