--- a/fleet/gates.go
+++ b/fleet/gates.go
@@ -58,20 +58,44 @@
 // domain first, then those of the region, then all others; by hash among
 // equals, so that few keys move when a daemon comes or goes.
 func Rendezvous(key, domain, region string, daemons []Daemon) []string {
-	distance := func(d Daemon) int {
-		return truth(d.Domain != domain) + truth(d.Domain != domain && d.Region != region)
-	}
 	alive := slices.DeleteFunc(slices.Clone(daemons), func(d Daemon) bool { return !d.Alive })
-	slices.SortFunc(alive, func(x, y Daemon) int {
-		return cmp.Or(
-			cmp.Compare(distance(x), distance(y)),
-			cmp.Compare(hash(key, x.ID), hash(key, y.ID)),
-			cmp.Compare(x.ID, y.ID),
-		)
-	})
+	slices.SortFunc(alive, ranking(key, domain, region))
 	ids := make([]string, 0, len(alive))
 	for _, d := range alive {
 		ids = append(ids, d.ID)
 	}
 	return ids
 }
+
+// Rank returns the place of a daemon in the order of Rendezvous, from 0, or
+// limit where it has that or a later one, or is not alive.
+func Rank(self, key, domain, region string, daemons []Daemon, limit int) int {
+	index := slices.IndexFunc(daemons, func(d Daemon) bool { return d.ID == self && d.Alive })
+	if index < 0 {
+		return limit
+	}
+	compare := ranking(key, domain, region)
+	rank := 0
+	for _, d := range daemons {
+		if d.Alive && d.ID != self && compare(d, daemons[index]) < 0 {
+			rank++
+		}
+		if rank >= limit {
+			return limit
+		}
+	}
+	return rank
+}
+
+// ranking compares two daemons for a key.
+func ranking(key, domain, region string) func(x, y Daemon) int {
+	distance := func(d Daemon) int {
+		return truth(d.Domain != domain) + truth(d.Domain != domain && d.Region != region)
+	}
+	return func(x, y Daemon) int {
+		if far := cmp.Compare(distance(x), distance(y)); far != 0 {
+			return far
+		}
+		return cmp.Or(cmp.Compare(hash(key, x.ID), hash(key, y.ID)), cmp.Compare(x.ID, y.ID))
+	}
+}
--- a/keeper/elect.go
+++ b/keeper/elect.go
@@ -36,34 +36,46 @@
 
 // election holds when this daemon looks at which keeper's key next.
 type election struct {
-	mu      sync.Mutex
 	rand    *rand.Rand
 	start   time.Time
-	next    map[string]time.Time
 	scouted time.Time
+	mu      sync.Mutex // guards the rest
+	next    map[string]time.Time
+	tried   map[string]time.Time
 }
 
 func newElection(rand *rand.Rand) *election {
-	return &election{rand: rand, next: map[string]time.Time{}}
+	return &election{rand: rand, next: map[string]time.Time{}, tried: map[string]time.Time{}}
+}
+
+// looks reports whether it is time to think of a fabric domain, and sets the
+// next time. The interval is spread by a quarter, so that daemons don't go in
+// step.
+func (e *election) looks(fabric string, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Before(e.next[fabric]) {
+		return false
+	}
+	e.next[fabric] = now.Add(e.spread(intervals[0]))
+	return true
 }
 
-// due reports whether it is time to look at a key, and sets the next time. The
-// interval is spread by a quarter, so that daemons don't go in step.
+// due reports whether a daemon of a rank should look at a fabric domain's key.
+// The first one does whenever it thinks of it, the others after their interval.
 func (e *election) due(fabric string, rank int, now time.Time) bool {
-	if rank < 0 || rank >= len(intervals) {
+	if rank >= len(intervals) {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	next, known := e.next[fabric]
-	if !known && rank > 0 {
-		e.next[fabric] = now.Add(e.spread(intervals[rank]))
-		return false
+	if e.tried[fabric].IsZero() {
+		e.tried[fabric] = now
 	}
-	if now.Before(next) {
+	if rank > 0 && now.Sub(e.tried[fabric]) < intervals[rank] {
 		return false
 	}
-	e.next[fabric] = now.Add(e.spread(intervals[rank]))
+	e.tried[fabric] = now
 	return true
 }
 
@@ -88,14 +100,15 @@
 		return
 	}
 	current := k.o.View()
+	daemons := k.daemons()
 	for _, name := range slices.Sorted(maps.Keys(current.Fabrics)) {
-		if k.keeps(name) {
+		if k.keeps(name) || !k.elect.looks(name, now) {
 			continue
 		}
 		fabric := current.Fabrics[name]
 		region := current.Document.Domains[fabric.Domain].Region
-		ranked := fleet.Rendezvous(prefix+name, fabric.Domain, region, k.daemons())
-		if k.elect.due(name, slices.Index(ranked, k.o.Self), now) {
+		rank := fleet.Rank(k.o.Self, prefix+name, fabric.Domain, region, daemons, len(intervals))
+		if k.elect.due(name, rank, now) {
 			k.try(ctx, name)
 		}
 	}
@@ -199,11 +212,13 @@
 // scout looks for fabric domains that nobody has noted yet. One daemon of each
 // failure domain does.
 func (k *Keeper) scout(ctx context.Context) {
-	ranked := fleet.Rendezvous("scout/"+k.o.Domain, k.o.Domain, k.o.Region, k.daemons())
-	if len(ranked) == 0 || ranked[0] != k.o.Self || time.Since(k.elect.scouted) < scoutInterval {
+	if time.Since(k.elect.scouted) < scoutInterval {
 		return
 	}
 	k.elect.scouted = time.Now()
+	if fleet.Rank(k.o.Self, "scout/"+k.o.Domain, k.o.Domain, k.o.Region, k.daemons(), 1) > 0 {
+		return
+	}
 	rows, _ := k.list.read(ctx, scoutInterval/2)
 	known := k.o.View().Fabrics
 	for _, row := range rows {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -55,7 +55,7 @@
 		}},
 		{"a keeper leaves, and another follows at once", func(w *world, is *is.I) {
 			h := w.keeping()
-			w.set(func() { w.standings[h.id] = wire.Standing_STANDING_LEAVING })
+			w.set(func() { w.roster, w.standings[h.id] = nil, wire.Standing_STANDING_LEAVING })
 			w.watch(4 * time.Second)
 			is.True(w.keeping() != nil)
 			is.True(w.keeping() != h)
--- a/keeper/rapid_test.go
+++ b/keeper/rapid_test.go
@@ -81,6 +81,7 @@
 
 // lose makes all daemons believe that one is dead, or that it is back.
 func (w *world) lose(h *host, dead bool) {
+	w.roster = nil
 	w.standings[h.id] = wire.Standing_STANDING_ALIVE
 	if dead {
 		w.standings[h.id] = wire.Standing_STANDING_DEAD
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -35,12 +35,13 @@
 	load      time.Duration // of weights
 	document  conf.Document
 	points    map[string]*point
+	roster    []*wire.Daemon
 	standings map[string]wire.Standing // of the daemons, by id
 	hosts     []*host
 	entries   map[string]store.Entry
 	picture   *view.View        // of the entries, nil after a change
-	fence     uint64            // of the newest value
-	orders    map[uint64]string // what was ordered with a fencing number
+	fences    map[string]uint64 // of the newest values, by fabric domain
+	orders    map[string]string // what was ordered, by fabric domain and fencing number
 	offers    map[string]offer  // every replica that was ever written as serving
 	drop      int               // writes yet to be lost on their way
 	faults    []string          // broken rules
@@ -86,7 +87,8 @@
 		points:    map[string]*point{},
 		standings: map[string]wire.Standing{},
 		entries:   map[string]store.Entry{},
-		orders:    map[uint64]string{},
+		orders:    map[string]string{},
+		fences:    map[string]uint64{},
 		offers:    map[string]offer{},
 	}
 }
@@ -146,11 +148,14 @@
 func (w *world) daemons() []*wire.Daemon {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var all []*wire.Daemon
+	if len(w.roster) == len(w.hosts) {
+		return w.roster
+	}
+	w.roster = nil
 	for _, h := range w.hosts {
-		all = append(all, &wire.Daemon{Id: h.id, Domain: h.domain, Standing: w.standings[h.id]})
+		w.roster = append(w.roster, &wire.Daemon{Id: h.id, Domain: h.domain, Standing: w.standings[h.id]})
 	}
-	return all
+	return w.roster
 }
 
 // stop ends all daemons.
@@ -229,10 +234,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if fabric.Fence < w.fence {
-		w.broken(fmt.Sprintf("fencing number %d after %d", fabric.Fence, w.fence))
+	if newest := w.fences[fabric.Name]; fabric.Fence < newest {
+		w.broken(fmt.Sprintf("fencing number %d after %d", fabric.Fence, newest))
 	}
-	w.fence = fabric.Fence
+	w.fences[fabric.Name] = fabric.Fence
 	owners := map[string]string{}
 	for _, r := range fabric.Replicas {
 		for _, m := range r.Members {
@@ -260,13 +265,13 @@
 	return p.report, nil
 }
 
-func (h *host) order(ctx context.Context, address string, order engine.Order) (engine.Report, error) {
+func (h *host) order(_ context.Context, address string, order engine.Order) (engine.Report, error) {
 	h.wait()
 	defer h.wait()
 	h.w.mu.Lock()
 	defer h.w.mu.Unlock()
 	p := h.w.points[address]
-	h.w.ordered(order)
+	h.w.ordered(p.Fabric, order)
 	if h.delay > 0 {
 		h.w.deliver(p, order, h.delay)
 		return engine.Report{}, &engine.Error{Op: "order", Kind: engine.Broken, Err: errors.New("no answer")}
@@ -289,18 +294,19 @@
 
 // ordered notes an order, and checks that its fencing number was written
 // before, and was given to no other one.
-func (w *world) ordered(order engine.Order) {
-	if order.Fence > w.fence {
+func (w *world) ordered(fabric string, order engine.Order) {
+	if order.Fence > w.fences[fabric] {
 		w.broken(fmt.Sprintf("fencing number %d ordered before it was written", order.Fence))
 	}
 	if order.Replica == "" {
 		return
 	}
 	text := fmt.Sprint(order.Replica, order.Version, order.Members)
-	if before := w.orders[order.Fence]; before != "" && before != text {
+	key := fmt.Sprint(fabric, " ", order.Fence)
+	if before := w.orders[key]; before != "" && before != text {
 		w.broken(fmt.Sprintf("fencing number %d for %s and %s", order.Fence, before, text))
 	}
-	w.orders[order.Fence] = text
+	w.orders[key] = text
 }
 
 // deliver lets an order arrive after its sender has given it up.
