--- a/gate/standing.go
+++ b/gate/standing.go
@@ -58,6 +58,9 @@
 	for _, daemon := range daemons {
 		s.daemons[daemon.Id] = daemon
 		s.known[daemon.Id] = true
+		if daemon.Left {
+			delete(s.known, daemon.Id) // it said that it ends, so it is on no side
+		}
 	}
 }
 
