--- a/gate/standing.go
+++ b/gate/standing.go
@@ -11,7 +11,7 @@
 const (
 	confirmLife = 10 * time.Second // how long the store's word for the view counts
 	interimLife = 15 * time.Second // the same, for standing in: gates turn weak before it
-	pauseDoubt  = 10 * time.Second // after a pause, in which the roster isn't trusted
+	pauseDoubt  = 10 * time.Second // after a start or a pause, in which the roster isn't trusted
 )
 
 // standing is what this daemon knows of its own place among the daemons.
@@ -31,11 +31,11 @@
 	most      bool                    // most of the known daemons are seen alive
 	weak      bool
 	looked    time.Time
-	woken     time.Time // when this process last woke from a pause
+	woken     time.Time // when this process started, or last woke from a pause
 }
 
 func (s *standing) update(now time.Time, self string, daemons []*wire.Daemon, confirmed time.Time) {
-	if !s.looked.IsZero() && now.Sub(s.looked) > pauseLimit {
+	if now.Sub(s.looked) > pauseLimit {
 		s.woken = now
 	}
 	s.looked = now
@@ -64,9 +64,9 @@
 	}
 }
 
-// doubtful reports whether a pause makes the roster untrustworthy.
+// doubtful reports whether a start or a pause makes the roster untrustworthy.
 func (s *standing) doubtful(now time.Time) bool {
-	return !s.woken.IsZero() && now.Sub(s.woken) < pauseDoubt
+	return now.Sub(s.woken) < pauseDoubt
 }
 
 func (s *standing) find(id string) (*wire.Daemon, bool) {
--- a/gate/standing_test.go
+++ b/gate/standing_test.go
@@ -37,7 +37,7 @@
 		{name: "half, and one that left", others: []wire.Standing{alive, alive, dead}, more: left, unheard: time.Minute, standsIn: true},
 		{name: "suspects don't count", others: []wire.Standing{suspect, suspect, dead}, unheard: time.Minute, weak: true},
 		{name: "alone, store up", others: []wire.Standing{dead, dead, dead}},
-		{name: "paused", others: []wire.Standing{alive, alive, dead}, unheard: time.Minute, paused: true, weak: true},
+		{name: "just started, or woken", others: []wire.Standing{alive, alive, dead}, unheard: time.Minute, paused: true, weak: true},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -50,8 +50,8 @@
 				daemons = append(daemons, test.more)
 			}
 			var s standing
-			if test.paused {
-				s.update(start.Add(-time.Minute), "a", daemons, start)
+			for past := 2 * pauseDoubt; past >= 0 && !test.paused; past -= pauseLimit {
+				s.update(start.Add(-past), "a", daemons, start.Add(-test.unheard))
 			}
 			s.update(start, "a", daemons, start.Add(-test.unheard))
 			is.Equal(s.weak, test.weak)
