--- a/gate/handler.go
+++ b/gate/handler.go
@@ -154,6 +154,6 @@
 func (g *Gate) Strike(_ context.Context, request *wire.StrikeRequest) (*wire.StrikeResponse, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.Add(request.Fingerprint, request.Crash)
+	g.book.Hear(request)
 	return &wire.StrikeResponse{}, nil
 }
--- a/gate/release.go
+++ b/gate/release.go
@@ -62,6 +62,7 @@
 
 // complete books a request that the endpoint completed.
 func (c *Core) complete(now time.Time, p *permit, release *wire.ReleaseRequest) {
+	c.book.Clear(p.fingerprint)
 	if !p.nameless && !p.lost {
 		c.own++
 		c.done = max(c.done, c.own)
--- a/gate/strike.go
+++ b/gate/strike.go
@@ -48,6 +48,35 @@
 	})
 }
 
+// Clear forgets a suspect that was answered whole after all, so that crashes
+// which have nothing to do with one another don't add up. Peers have to hear
+// of it. One that is refused for good stays so.
+func (b *Book) Clear(fingerprint uint64) {
+	if b.Forgive(fingerprint) {
+		b.news = append(b.news, &wire.StrikeRequest{Fingerprint: fingerprint})
+	}
+}
+
+// Forgive is Clear for what a peer told. It reports whether there was anything
+// to forget.
+func (b *Book) Forgive(fingerprint uint64) bool {
+	if !b.Suspect(fingerprint) || b.Convicted(fingerprint) {
+		return false
+	}
+	delete(b.crashes, fingerprint)
+	b.order = slices.DeleteFunc(b.order, func(known uint64) bool { return known == fingerprint })
+	return true
+}
+
+// Hear takes what a peer told: a strike, or with no strikes left a pardon.
+func (b *Book) Hear(told *wire.StrikeRequest) {
+	if told.Strikes == 0 {
+		b.Forgive(told.Fingerprint)
+		return
+	}
+	b.Add(told.Fingerprint, told.Crash)
+}
+
 // News returns what peers have not heard yet, and forgets it.
 func (b *Book) News() []*wire.StrikeRequest {
 	news := b.news
--- a/gate/strike_test.go
+++ b/gate/strike_test.go
@@ -101,7 +101,7 @@
 	news := w.cores[replica].book.News()
 	for _, core := range w.cores {
 		for _, strike := range news {
-			core.book.Add(strike.Fingerprint, strike.Crash)
+			core.book.Hear(strike)
 		}
 	}
 	for range 10 {
@@ -203,6 +203,17 @@
 	is.True(b.Convicted(1))
 	is.Equal(len(b.News()), 0) // what a peer told is not told on
 	is.True(!b.Add(0, "r/1"))  // no fingerprint
+	b.Clear(1)
+	is.True(b.Convicted(1)) // for good
+	b.Strike(2, "r/2")
+	b.Clear(2) // it was answered
+	b.Strike(2, "r/9")
+	is.True(!b.Convicted(2))
+	peer := NewBook()
+	for _, news := range b.News() {
+		peer.Hear(news)
+	}
+	is.Equal(peer.Crashes(2), []string{"r/9"})
 	for i := range maxSuspects {
 		b.Add(uint64(i+10), "r/1")
 	}
