entry: waits at the gate that has a permit first; a test that raced at one instant put right

TestFaults/all_gone_early_stream failed once in 2 runs under -race (crashed != unavailable): the engines were killed one after the other at the same instant of the false clock, and the retry could come between.

--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/fakes"
@@ -219,6 +220,25 @@
 	})
 }
 
+// TestWaitsWhereItIsShortest has all replicas busy, and the second one for a
+// shorter time.
+func TestWaitsWhereItIsShortest(t *testing.T) {
+	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
+		is := is.New(w.t)
+		backs := map[string]time.Duration{"r0": 1500 * time.Millisecond, "r1": time.Second}
+		w.gates.verdict = func(r *wire.AcquireRequest) *wire.AcquireResponse {
+			if r.GetWait().AsDuration() > 0 {
+				return nil
+			}
+			return &wire.AcquireResponse{Verdict: wire.Verdict_VERDICT_BUSY, RetryAfter: durationpb.New(backs[r.GetReplica()])}
+		}
+		is.True(w.send(ask{prompt: "p"}).whole)
+		is.Equal(w.engines[1].PromptRuns("p"), 1)
+		backs["r0"], backs["r1"] = 5*time.Second, 4*time.Second
+		is.Equal(w.send(ask{prompt: "q"}).header.Get("Retry-After"), "4") // too late to wait for
+	})
+}
+
 // TestInterimGate has the daemon of the gate fail, before a request and while
 // one runs.
 func TestInterimGate(t *testing.T) {
--- a/entry/permit.go
+++ b/entry/permit.go
@@ -46,8 +46,9 @@
 	job     *job
 	crashes []string // that the request stood in, as gates name them
 	alone   bool
-	back    time.Duration
-	busy    bool
+	busy    bool          // a gate said that it is
+	back    time.Duration // the shortest time after which one may not be
+	best    view.Place    // the replica of that one
 }
 
 // acquire asks the gates of the replicas in turn for a permit. Replicas that
@@ -67,7 +68,7 @@
 			return p, err
 		}
 	}
-	return h.wait(ctx, places[0], time.Duration(v.Document.Limits.Wait))
+	return h.wait(ctx, time.Duration(v.Document.Limits.Wait))
 }
 
 // last puts the places to be avoided behind the others.
@@ -86,15 +87,15 @@
 	return append(first, rest...)
 }
 
-// wait asks the best replica again and queues at its gate, where all are busy
-// and the queue is known to move in time.
-func (h *hunt) wait(ctx context.Context, place view.Place, most time.Duration) (*permit, *Error) {
+// wait queues at the gate that has a permit first, where all are busy and that
+// one has it in time.
+func (h *hunt) wait(ctx context.Context, most time.Duration) (*permit, *Error) {
 	if !h.busy {
 		return nil, unavailable(errNobody)
 	}
 	most = min(most, time.Until(h.job.deadline))
 	if most > 0 && h.back <= most {
-		p, err := h.ask(ctx, place, most)
+		p, err := h.ask(ctx, h.best, most)
 		if p != nil || err != nil {
 			return p, err
 		}
@@ -193,15 +194,16 @@
 		// Attempts before this one ran, if only in part.
 		return nil, &Error{Op: "acquire", Kind: Suspect, Ran: engine.Unknown, Err: text(response)}
 	case wire.Verdict_VERDICT_BUSY:
-		h.note(response.GetRetryAfter().AsDuration())
+		h.note(place, response.GetRetryAfter().AsDuration())
 	}
 	return nil, nil
 }
 
-// note remembers the shortest time after which coming back helps.
-func (h *hunt) note(back time.Duration) {
+// note remembers the replica that has a permit first.
+func (h *hunt) note(place view.Place, back time.Duration) {
 	if !h.busy || back < h.back {
 		h.back = back
+		h.best = place
 	}
 	h.busy = true
 }
@@ -227,7 +229,7 @@
 	}
 	if p.stale() {
 		h.entry.releaseLater(h.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
-		h.note(0)
+		h.note(place, 0)
 		return nil
 	}
 	return p
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -102,8 +102,8 @@
 }
 
 func killEngines(w *world) {
-	w.network.Kill("e0")
 	w.network.Kill("e1")
+	w.network.Kill("e0") // the last one, to which requests go first
 }
 
 func unready(w *world) { w.unready.Store(true) }
