once, entry: later attempts hear at once that a request may have run; property with a real gate

The holder now writes that the answer is lost. Half of the scenes use a real gate, which has all permits back at the end of each.

--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -75,7 +75,7 @@
 func newRig(b *testing.B, tokens int) *rig {
 	k := &talker{tokens: tokens}
 	r := &rig{talker: k, direct: httptest.NewServer(k), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}}
-	v := pictured(b, document(), fence, [2]uint64{})
+	v := pictured(b, document(), [2]order{})
 	transport := entry.NewTransport(false)
 	r.daemon = httptest.NewServer(entry.New(entry.Options{
 		Self:    "d0",
@@ -196,7 +196,7 @@
 		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", i, event)
 	}
 	fmt.Fprintf(&text, "id: %d\ndata: [DONE]\n\n", tokens)
-	v := pictured(b, document(), fence, [2]uint64{})
+	v := pictured(b, document(), [2]order{})
 	e := entry.New(entry.Options{
 		Self:    "d0",
 		View:    func() *view.View { return v },
--- a/entry/gate_test.go
+++ b/entry/gate_test.go
@@ -17,32 +17,30 @@
 	"clementinehead.example/chead/wire"
 )
 
-// withGate puts a real gate in the place of the stand-in.
-func withGate(t *testing.T, n int, o fakes.EngineOptions, test func(w *world)) {
-	within(t, n, document(), o, func(w *world) {
-		ctx, cancel := context.WithCancel(context.Background())
-		client := engine.New(w.network.Client("d0").Do)
-		client.Limits = func() engine.Limits { return engine.Limits{First: time.Second, Gap: time.Second} }
-		w.real = gate.New(gate.Options{
-			Self: "d0", Boot: 1,
-			View:      w.view.Load,
-			Changed:   func() <-chan struct{} { return nil },
-			Daemons:   w.daemons,
-			Confirmed: time.Now,
-			Probe:     client.Probe,
-			Feed:      client.Feed,
-			Client:    func(string) wire.GateClient { return absent{} },
-			Log:       logr.Discard(),
-			Rand:      rand.New(rand.NewPCG(1, 1)),
-		})
-		var group sync.WaitGroup
-		group.Go(func() { _ = w.real.Run(ctx) })
-		w.reform(fence + 1)
-		time.Sleep(time.Minute)
-		test(w)
+// useGate puts a real gate in the place of the stand-in until stop.
+func (w *world) useGate() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := engine.New(w.network.Client("d0").Do)
+	client.Limits = func() engine.Limits { return engine.Limits{First: time.Second, Gap: time.Second} }
+	w.real = gate.New(gate.Options{
+		Self: "d0", Boot: 1,
+		View:      w.view.Load,
+		Changed:   func() <-chan struct{} { return nil },
+		Daemons:   w.daemons,
+		Confirmed: time.Now,
+		Probe:     client.Probe,
+		Feed:      client.Feed,
+		Client:    func(string) wire.GateClient { return absent{} },
+		Log:       logr.Discard(),
+		Rand:      rand.New(rand.NewPCG(1, 1)),
+	})
+	var group sync.WaitGroup
+	group.Go(func() { _ = w.real.Run(ctx) })
+	time.Sleep(time.Minute)
+	return func() {
 		cancel()
 		group.Wait()
-	})
+	}
 }
 
 // TestNeighboursAreServed has one request crash each endpoint that runs it,
@@ -50,8 +48,9 @@
 // their answers once they come back when told to.
 func TestNeighboursAreServed(t *testing.T) {
 	options := fakes.EngineOptions{First: 500 * time.Millisecond, Token: 20 * time.Millisecond, Reboot: 3 * time.Second}
-	withGate(t, 2, options, func(w *world) {
+	within(t, 2, document(), options, func(w *world) {
 		is := is.New(w.t)
+		defer w.useGate()()
 		for i := range 40 { // warm up
 			got := w.send(ask{prompt: fmt.Sprint("warm ", i)})
 			if !got.whole {
@@ -73,31 +72,13 @@
 			is.Equal(got.reason.Code, "suspect")
 		})
 		for i := range 8 {
-			time.AfterFunc(time.Duration(i+1)*5*time.Second, func() { w.reform(fence + 2 + uint64(i)) })
+			time.AfterFunc(time.Duration(i+1)*5*time.Second, func() { w.order(i % 2) })
 		}
 		group.Wait()
 		is.True(w.runs("poison") <= 2)
 	})
 }
 
-// reform orders all engines anew, as a keeper does after a crash.
-func (w *world) reform(fence uint64) {
-	var boots [2]uint64
-	client := engine.New(w.network.Client("ops").Do)
-	for i := range w.engines {
-		address := fmt.Sprintf("e%d:80", i)
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		report, err := client.Order(ctx, address, engine.Order{
-			Fence: fence, Replica: fmt.Sprintf("r%d", i), Model: "m", Version: "1", Members: []string{address},
-		})
-		cancel()
-		if err == nil {
-			boots[i] = report.Boot
-		}
-	}
-	w.view.Store(pictured(w.t, document(), fence, boots))
-}
-
 // persist sends a request again as long as that helps.
 func (w *world) persist(a ask) reply {
 	for range 30 {
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -42,6 +42,10 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxForgo)
 		defer cancel()
 		_ = claim.Forgo(ctx) // the book tells the store later
+	default:
+		e.later(maxFinish, func(ctx context.Context) {
+			_ = claim.Lose(ctx) // without it, later attempts hear it when the claim is old
+		})
 	}
 	return failed
 }
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -23,7 +23,17 @@
 		runs          int
 	}{
 		{name: "no fault", first: "whole", second: "whole", runs: 1},
-		{name: "answer lost", before: func(w *world) { w.plain.LoseAnswers(1) }, first: "broken", second: "pending", runs: 1},
+		{name: "answer lost", before: func(w *world) { w.plain.LoseAnswers(1) }, first: "broken", second: "unsettled", runs: 1},
+		{
+			name: "answer lost, and the store's",
+			before: func(w *world) {
+				w.plain.LoseAnswers(1)
+				time.AfterFunc(500*time.Millisecond, func() { w.store.Down(true) })
+				w.plain.Delay(time.Second)
+			},
+			between: func(w *world) { time.Sleep(time.Minute); w.store.Down(false) },
+			first:   "broken", second: "pending", runs: 1,
+		},
 		{
 			name:    "answer lost, much later",
 			before:  func(w *world) { w.plain.LoseAnswers(1) },
@@ -45,7 +55,7 @@
 				w.plain.Delay(time.Second)
 				time.AfterFunc(500*time.Millisecond, func() { w.network.Silence("d0", "p0") })
 			},
-			first: "timeout", second: "pending", runs: 1,
+			first: "timeout", second: "unsettled", runs: 1,
 		},
 	}
 	for _, test := range tests {
--- a/entry/property_test.go
+++ b/entry/property_test.go
@@ -103,6 +103,7 @@
 type scene struct {
 	callers []caller
 	faults  []mishap
+	gate    bool // a real one
 }
 
 type caller struct {
@@ -142,6 +143,7 @@
 	return scene{
 		callers: rapid.SliceOfN(callers, 5, 20).Draw(rt, "callers"),
 		faults:  rapid.SliceOfN(mishaps, 1, 8).Draw(rt, "faults"),
+		gate:    rapid.Bool().Draw(rt, "gate"),
 	}
 }
 
@@ -181,6 +183,9 @@
 
 // play carries a scene out and returns what went wrong.
 func (s scene) play(w *world) string {
+	if s.gate {
+		defer w.useGate()()
+	}
 	var group sync.WaitGroup
 	for _, m := range s.faults {
 		group.Go(func() {
@@ -197,12 +202,23 @@
 	}
 	group.Wait()
 	time.Sleep(time.Minute)
-	if n := w.gates.holding(); n > 0 {
+	if n := w.inUse(); n > 0 {
 		wrong = append(wrong, fmt.Sprint(n, " permits were not given back"))
 	}
 	return strings.Join(wrong, "")
 }
 
+// inUse returns the number of permits that are in use.
+func (w *world) inUse() int {
+	n := w.gates.holding()
+	if w.real != nil {
+		for _, status := range w.real.Status() {
+			n += status.Load
+		}
+	}
+	return n
+}
+
 // call sends a request, and sends a not-repeatable one again through other
 // daemons, as a caller does that got no answer.
 func (c caller) call(w *world, number int) string {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -48,26 +48,27 @@
 // world is some daemons' entries before a store, two replicas of one engine
 // each, and a plain service, on one in-memory network.
 type world struct {
-	t       *testing.T
-	network *fakes.Network
-	store   *fakes.Store
-	engines []*fakes.Engine
-	plain   *fakes.Plain
-	gates   *gates
-	real    *gate.Gate // in place of gates, nil for none
-	unready atomic.Bool
-	gone    atomic.Bool // the gates' daemon, d0
-	entries []*entry.Entry
-	books   []*once.Book
-	view    atomic.Pointer[view.View]
-	mu      sync.Mutex
-	samples []tally.Sample
+	t        *testing.T
+	document conf.Document
+	network  *fakes.Network
+	store    *fakes.Store
+	engines  []*fakes.Engine
+	plain    *fakes.Plain
+	gates    *gates
+	real     *gate.Gate // in place of gates, nil for none
+	unready  atomic.Bool
+	gone     atomic.Bool // the gates' daemon, d0
+	entries  []*entry.Entry
+	books    []*once.Book
+	view     atomic.Pointer[view.View]
+	mu       sync.Mutex
+	orders   [2]order
+	samples  []tally.Sample
 }
 
 const (
-	fence = 5
-	desk  = "desk key"
-	yard  = "yard key"
+	desk = "desk key"
+	yard = "yard key"
 )
 
 func hashed(key string) string {
@@ -98,9 +99,11 @@
 	}
 }
 
-// pictured returns a view whose replicas were ordered with a fence, while their
-// members were in some boots.
-func pictured(t testing.TB, d conf.Document, fence uint64, boots [2]uint64) *view.View {
+// order is what an engine was last told: with which fence, and in which boot.
+type order struct{ fence, boot uint64 }
+
+// pictured returns a view of replicas of one engine each.
+func pictured(t testing.TB, d conf.Document, orders [2]order) *view.View {
 	envelope, err := json.Marshal(edit.Envelope{Serial: 1, Document: d})
 	if err != nil {
 		t.Fatal(err)
@@ -109,7 +112,8 @@
 	for i := range 2 {
 		fabric.Replicas = append(fabric.Replicas, fleet.Replica{
 			ID: fmt.Sprintf("r%d", i), Group: "forge", Model: "m", Version: "1", State: "serving",
-			Fence: fence, Gate: "d0", Members: []fleet.Member{{Instance: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("e%d:80", i), Boot: boots[i]}},
+			Fence: orders[i].fence, Gate: "d0",
+			Members: []fleet.Member{{Instance: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("e%d:80", i), Boot: orders[i].boot}},
 		})
 	}
 	value, err := json.Marshal(fabric)
@@ -136,9 +140,8 @@
 }
 
 func newWorld(t *testing.T, n int, d conf.Document, o fakes.EngineOptions) *world {
-	w := &world{t: t, network: fakes.NewNetwork(), store: fakes.NewStore(), plain: fakes.NewPlain()}
-	w.view.Store(pictured(t, d, fence, [2]uint64{}))
-	w.gates = &gates{limit: 64, held: map[uint64]*wire.AcquireRequest{}, crashes: map[uint64][]string{}}
+	w := &world{t: t, document: d, network: fakes.NewNetwork(), store: fakes.NewStore(), plain: fakes.NewPlain()}
+	w.gates = &gates{view: w.view.Load, limit: 64, held: map[uint64]*wire.AcquireRequest{}, crashes: map[uint64][]string{}}
 	w.network.Serve("kv:80", w.store)
 	w.network.Serve("p0:80", w.plain)
 	w.network.Serve("p1:80", w.plain)
@@ -156,23 +159,41 @@
 	return w
 }
 
-// order makes an engine the only member of its replica. An engine that is dead
-// or paused just then takes the order later.
+// order makes an engine the only member of its replica, with a new fence, as a
+// keeper does. An engine that is dead or paused just then takes it later.
 func (w *world) order(i int) {
-	address := fmt.Sprintf("e%d:80", i)
+	w.mu.Lock()
+	w.orders[i].fence++
+	fence := w.orders[i].fence
+	w.mu.Unlock()
 	for range 20 {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		_, err := engine.New(w.network.Client("ops").Do).Order(ctx, address, engine.Order{
-			Fence: fence, Replica: fmt.Sprintf("r%d", i), Model: "m", Version: "1", Members: []string{address},
-		})
-		cancel()
-		if err == nil {
+		if w.tell(i, fence) {
 			return
 		}
 		time.Sleep(time.Second)
 	}
 }
 
+func (w *world) tell(i int, fence uint64) bool {
+	address := fmt.Sprintf("e%d:80", i)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	report, err := engine.New(w.network.Client("ops").Do).Order(ctx, address, engine.Order{
+		Fence: fence, Replica: fmt.Sprintf("r%d", i), Model: "m", Version: "1", Members: []string{address},
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.orders[i].fence > fence {
+		return true // a newer order is on its way
+	}
+	if err != nil {
+		return false
+	}
+	w.orders[i].boot = report.Boot
+	w.view.Store(pictured(w.t, w.document, w.orders))
+	return true
+}
+
 func (w *world) newEntry(i int) *entry.Entry {
 	host := fmt.Sprintf("d%d", i)
 	fresh := w.network.Client(host)
@@ -394,6 +415,7 @@
 // gates stands in for the gates of all replicas. It gives permits up to a
 // limit and remembers crashes as a gate does.
 type gates struct {
+	view    func() *view.View
 	mu      sync.Mutex
 	limit   int
 	delay   time.Duration
@@ -424,9 +446,10 @@
 		return &wire.AcquireResponse{Verdict: wire.Verdict_VERDICT_BUSY, RetryAfter: durationpb.New(3 * time.Second)}, nil
 	}
 	g.number++
+	place, _ := g.view().Place(r.GetReplica())
 	g.held[g.number] = r
 	return &wire.AcquireResponse{
-		Verdict: wire.Verdict_VERDICT_GRANTED, Permit: g.number, Fence: fence,
+		Verdict: wire.Verdict_VERDICT_GRANTED, Permit: g.number, Fence: place.Replica.Fence,
 		Address:  strings.Replace(r.GetReplica(), "r", "e", 1) + ":80",
 		Validity: durationpb.New(time.Second),
 		Alone:    len(g.crashes[r.GetFingerprint()]) > 0,
--- a/once/book.go
+++ b/once/book.go
@@ -50,8 +50,8 @@
 	return &Book{options: options, dropped: map[string]drop{}}
 }
 
-// Claim is the right to run a request once. Its holder ends it by Finish or
-// Forgo; where it does neither, the request counts as one that may have run.
+// Claim is the right to run a request once. Its holder ends it by Finish, Forgo
+// or Lose; where it does neither, the request counts as one that may have run.
 type Claim struct {
 	book     *Book
 	key      string
@@ -144,7 +144,7 @@
 		return record.Answer, nil
 	case record.State == Done:
 		return nil, fault("claim", Kept, nil)
-	case time.Since(record.At) < maxRun:
+	case record.State == Claimed && time.Since(record.At) < maxRun:
 		return nil, fault("claim", Pending, nil)
 	default:
 		return nil, fault("claim", Unknown, nil)
--- a/once/book_test.go
+++ b/once/book_test.go
@@ -100,6 +100,7 @@
 			s.store.LoseAnswers(1)
 			_ = c.Finish(ctx, answer)
 		}, kind: none, kept: true},
+		{name: "lost", before: func(s *shelf) { _ = claimed(s).Lose(ctx) }, kind: once.Unknown},
 		{name: "given up", before: func(s *shelf) { _ = claimed(s).Forgo(ctx) }, kind: none},
 		{name: "another body", before: func(s *shelf) { claimed(s) }, change: func(r *once.Request) { r.Print = "x" }, kind: once.Reused},
 		{name: "another account", before: func(s *shelf) { claimed(s) }, change: func(r *once.Request) { r.Account = "yard" }, kind: none},
--- a/once/claim.go
+++ b/once/claim.go
@@ -1,20 +1,26 @@
 package once
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
-// attempts bounds how often the end of a claim is written.
-const attempts = 3
+// The waits between attempts to write the end of a claim; they double.
+const (
+	firstWait = 200 * time.Millisecond
+	maxWait   = 2 * time.Second
+)
 
 // Finish records that the request ran, with its answer unless that is too
-// large to keep. The error is Down where the store did not take it; then the
-// request counts as one that may have run.
+// large to keep. The error is Down where the store did not take it until the
+// context ended; then the request counts as one that may have run.
 func (c *Claim) Finish(ctx context.Context, answer Answer) error {
 	record := c.record
 	record.State = Done
 	if len(answer.Body) <= MaxKept {
 		record.Answer = &answer
 	}
-	return c.end(ctx, "finish", record)
+	return c.insist(ctx, "finish", record)
 }
 
 // Forgo records that the request was not run, so that a later attempt may run
@@ -23,32 +29,61 @@
 func (c *Claim) Forgo(ctx context.Context) error {
 	record := c.record
 	record.State = NotRun
-	err := c.end(ctx, "forgo", record)
-	if err != nil {
+	if err := c.end(ctx, record); err != nil {
 		c.book.drop(c)
+		return fault("forgo", Down, err)
 	}
-	return err
+	return nil
 }
 
-// end writes a claim's last record. Only the holder changes a claim, so a
-// write that meets another revision was its own, with a lost answer.
-func (c *Claim) end(ctx context.Context, op string, record Record) error {
-	var err error
-	for range attempts {
-		_, err = c.book.write(ctx, c.key, record, c.revision)
-		if err == nil || ctx.Err() != nil {
-			break
-		}
-		var stands bool
-		stands, err = c.stands(ctx, record, err)
-		if stands {
+// Lose records that the request may have run and that its answer is lost, so
+// that later attempts hear it at once. The error is Down where the store did
+// not take it until the context ended; then they hear it once the claim is old.
+func (c *Claim) Lose(ctx context.Context) error {
+	record := c.record
+	record.State = Lost
+	return c.insist(ctx, "lose", record)
+}
+
+// insist writes a claim's last record, again and again until the context ends.
+func (c *Claim) insist(ctx context.Context, op string, record Record) error {
+	wait := firstWait
+	for {
+		err := c.end(ctx, record)
+		if err == nil {
 			return nil
 		}
+		if !pause(ctx, wait) {
+			return fault(op, Down, err)
+		}
+		wait = min(2*wait, maxWait)
 	}
-	if err != nil {
-		return fault(op, Down, err)
+}
+
+// end writes a claim's last record. Only the holder changes a claim, so a
+// write that meets another revision was its own, with a lost answer.
+func (c *Claim) end(ctx context.Context, record Record) error {
+	_, err := c.book.write(ctx, c.key, record, c.revision)
+	if err == nil {
+		return nil
+	}
+	stands, err := c.stands(ctx, record, err)
+	if stands {
+		return nil
+	}
+	return err
+}
+
+// pause waits and reports whether the context still holds.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return nil
 }
 
 // stands reads back whether a record that was written with the error err is in
--- a/once/record.go
+++ b/once/record.go
@@ -21,6 +21,7 @@
 	Claimed State = "claimed" // its holder may run it
 	Done    State = "done"    // it ran
 	NotRun  State = "notrun"  // its holder has given it up without running it
+	Lost    State = "lost"    // it may have run, and its holder has given it up
 )
 
 // Record is the value of a key: what became of one not-repeatable request.
