--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOL = go tool -modfile=$(CURDIR)/tools/go.mod
 SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.connect\.go$$' -e '_string\.go$$')
 
-.PHONY: all build test check format lint generate demo clean
+.PHONY: all build test check format lint generate demo capacity clean
 
 all: check build test
 
@@ -34,5 +34,9 @@
 demo: build
 	./demo.sh
 
+# capacity measures what control costs a daemon, by size; about six minutes.
+capacity: build
+	./capacity.sh
+
 clean:
 	rm -rf bin
--- a/cmd/chsize/daemons.go
+++ b/cmd/chsize/daemons.go
@@ -34,28 +34,25 @@
 	Trace   bool          `help:"Write the daemons' logs to standard error."`
 }
 
-// Run prints one Row.
+// Run prints one Row. The daemons end with the process: they have no callers
+// whose requests a graceful end would protect.
 func (c daemonsCommand) Run() error {
 	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	traffics := make([]*traffic, c.Daemons)
 	for i := range c.Daemons {
 		traffics[i] = &traffic{}
 		d, err := daemon.New(c.options(i, traffics[i]))
 		if err != nil {
-			cancel()
 			return err
 		}
 		group.Go(func() error { return d.Run(ctx) })
 	}
 	row, err := c.measure(ctx, traffics)
 	if err != nil {
-		cancel()
 		return err
 	}
-	// The daemons' graceful end would take as long as callers may keep their
-	// addresses; there are no callers.
-	_ = cancel
 	return json.NewEncoder(os.Stdout).Encode(row)
 }
 
