--- a/tally/html.go
+++ b/tally/html.go
@@ -73,6 +73,9 @@
 	sums := map[string]float64{}
 	highest := 0.0
 	for _, row := range r.Rows {
+		if value(row) == 0 {
+			continue
+		}
 		sums[name(row)] += value(row)
 		highest = max(highest, sums[name(row)])
 	}
@@ -83,7 +86,10 @@
 		Width:    plotWidth,
 		Height:   plotHeight,
 		BarWidth: max(12, min(60, plotWidth/(2*len(sums)))),
-		YAxis:    chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: highest}},
+		YAxis: chart.YAxis{
+			Range:          &chart.ContinuousRange{Min: 0, Max: highest},
+			ValueFormatter: chart.IntValueFormatter,
+		},
 	}
 	for _, key := range slices.Sorted(maps.Keys(sums)) {
 		graph.Bars = append(graph.Bars, chart.Value{Label: html.EscapeString(key), Value: sums[key]})
