--- a/tally/holder_test.go
+++ b/tally/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -12,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"clementinehead.example/chead/fakes"
@@ -22,7 +24,7 @@
 // The cases that the properties draw.
 const (
 	seed   = "20261203"
-	checks = "15"
+	checks = "100"
 )
 
 func TestMain(m *testing.M) {
@@ -81,7 +83,7 @@
 	boot   uint64
 	tally  *Tally
 	holder *Holder
-	server interface{ Close() error }
+	killed bool
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -108,12 +110,10 @@
 		Tally:    m.tally,
 		Store:    store.New("http://store:80", client.Do),
 		Daemons:  f.roster,
-		Client:   func(address string) wire.TallyClient { return wire.NewTallyClient(client, "http://"+address) },
+		Client:   func(address string) wire.TallyClient { return link{f, m, address} },
 		Log:      logr.Discard(),
 		Registry: prometheus.NewRegistry(),
 	})
-	_, handler := wire.NewTallyHandler(m.holder)
-	m.server = f.network.Serve(m.id+":80", handler)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	go func() {
@@ -132,7 +132,7 @@
 			continue
 		}
 		daemons = append(daemons, &wire.Daemon{
-			Id: m.id, Boot: m.boot, Domain: m.id, PeerAddress: m.id + ":80",
+			Id: m.id, Boot: m.boot, Domain: m.id, PeerAddress: m.id,
 			Standing: wire.Standing_STANDING_ALIVE,
 		})
 	}
@@ -144,10 +144,51 @@
 	m := f.daemons[i]
 	if kill {
 		f.network.Kill(m.id)
+		f.kill(m)
 	}
 	m.cancel()
 	<-m.done
-	_ = m.server.Close()
+}
+
+func (f *fleet) kill(m *member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	m.killed = true
+}
+
+// link calls the holder at a peer address. Nothing passes to or from a killed
+// daemon.
+type link struct {
+	fleet *fleet
+	from  *member
+	to    string
+}
+
+func (l link) holder() (*Holder, error) {
+	l.fleet.mutex.Lock()
+	defer l.fleet.mutex.Unlock()
+	for _, m := range l.fleet.daemons {
+		if m != nil && !m.killed && !l.from.killed && m.id == l.to {
+			return m.holder, nil
+		}
+	}
+	return nil, errors.New("no connection")
+}
+
+func (l link) Hold(ctx context.Context, request *wire.HoldRequest) (*wire.HoldResponse, error) {
+	holder, err := l.holder()
+	if err != nil {
+		return nil, err
+	}
+	return holder.Hold(ctx, proto.CloneOf(request))
+}
+
+func (l link) Collect(ctx context.Context, request *wire.CollectRequest) (*wire.CollectResponse, error) {
+	holder, err := l.holder()
+	if err != nil {
+		return nil, err
+	}
+	return holder.Collect(ctx, proto.CloneOf(request))
 }
 
 func (f *fleet) apply(a action) {
