--- a/keeper/list.go
+++ b/keeper/list.go
@@ -18,17 +18,23 @@
 	at    time.Time // when the rows were read, zero before the first time
 }
 
-// read returns the list and when it was read. It asks the platform where the
-// last time is longer ago than maximum and nobody else is asking.
+// read returns the list, no older than maximum if the platform answers, and
+// when it was read. While one caller asks the platform, the others get what was
+// known before: the lock is not held over the call.
 func (l *list) read(ctx context.Context, maximum time.Duration) ([]store.Instance, time.Time) {
-	if l.due(maximum) {
-		l.fetch(ctx)
+	if !l.due(maximum) {
+		return l.known()
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.rows, l.at
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := l.store.Instances(ctx)
+	if err == nil {
+		l.keep(rows)
+	}
+	return l.known()
 }
 
+// due reports whether the caller has to ask the platform.
 func (l *list) due(maximum time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -39,14 +45,14 @@
 	return true
 }
 
-func (l *list) fetch(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	rows, err := l.store.Instances(ctx)
-	if err != nil {
-		return
-	}
+func (l *list) keep(rows []store.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rows, l.at = rows, time.Now()
 }
+
+func (l *list) known() ([]store.Instance, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rows, l.at
+}
