--- a/fleet/gates.go
+++ b/fleet/gates.go
@@ -69,15 +69,14 @@
 
 // Rank returns the place of a daemon in the order of Rendezvous, from 0, or
 // limit where it has that or a later one, or is not alive.
-func Rank(self, key, domain, region string, daemons []Daemon, limit int) int {
-	index := slices.IndexFunc(daemons, func(d Daemon) bool { return d.ID == self && d.Alive })
-	if index < 0 {
+func Rank(self Daemon, key, domain, region string, daemons []Daemon, limit int) int {
+	if !self.Alive {
 		return limit
 	}
 	compare := ranking(key, domain, region)
 	rank := 0
 	for _, d := range daemons {
-		if d.Alive && d.ID != self && compare(d, daemons[index]) < 0 {
+		if d.Alive && d.ID != self.ID && compare(d, self) < 0 {
 			rank++
 		}
 		if rank >= limit {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -44,6 +44,8 @@
 	share    Share
 	room     map[string]int // instances not yet claimed
 	loose    map[string]int // of these, the ones in no replica that goes on
+	total    int            // replicas of the present group shared out so far
+	placed   map[string]int // the same by failure domain
 }
 
 func newApportionment(document conf.Document, fabrics map[string]Fabric) *apportionment {
@@ -90,6 +92,7 @@
 	if group.Size <= 0 {
 		return
 	}
+	a.total, a.placed = 0, map[string]int{}
 	want := group.Replicas
 	if rolling(a.fabrics, name, group) {
 		want++
@@ -106,9 +109,9 @@
 // widen claims room in failure domains that a group lacks, until it stands in
 // as many as it should.
 func (a *apportionment) widen(name string, group conf.Group) {
-	lacking := func(fabric string) bool { return a.inDomain(name, a.fabrics[fabric].Domain) == 0 }
-	missing := a.document.Capacity.Spread - a.spread(name)
-	a.fill(name, group, min(group.Replicas, a.share.Total(name)+missing), lacking)
+	lacking := func(fabric string) bool { return a.placed[a.fabrics[fabric].Domain] == 0 }
+	missing := a.document.Capacity.Spread - len(a.placed)
+	a.fill(name, group, min(group.Replicas, a.total+missing), lacking)
 }
 
 func (*apportionment) any(string) bool { return true }
@@ -116,7 +119,7 @@
 // fill claims room for more replicas of a group until it has want, in fabric
 // domains that may hold them.
 func (a *apportionment) fill(name string, group conf.Group, want int, may func(fabric string) bool) {
-	for a.share.Total(name) < want {
+	for a.total < want {
 		fabric, ok := a.choose(name, group, may)
 		if !ok {
 			return
@@ -131,13 +134,13 @@
 func (a *apportionment) keep(name string, group conf.Group, held []incumbent, want, ceiling int) []incumbent {
 	var capped []incumbent
 	for _, s := range held {
-		if a.share.Total(name) >= want {
+		if a.total >= want {
 			break
 		}
 		if a.room[s.fabric] < group.Size {
 			continue
 		}
-		if a.inDomain(name, s.domain) >= ceiling {
+		if a.placed[s.domain] >= ceiling {
 			capped = append(capped, s)
 			continue
 		}
@@ -148,19 +151,11 @@
 
 func (a *apportionment) claim(fabric, group string, size int) {
 	a.share[fabric][group]++
+	a.total++
+	a.placed[a.fabrics[fabric].Domain]++
 	a.room[fabric] -= size
 }
 
-func (a *apportionment) inDomain(group, domain string) int {
-	count := 0
-	for _, name := range a.names {
-		if a.fabrics[name].Domain == domain {
-			count += a.share[name][group]
-		}
-	}
-	return count
-}
-
 // choose returns the fabric domain for one more replica of a group.
 func (a *apportionment) choose(name string, group conf.Group, may func(fabric string) bool) (string, bool) {
 	var fit []string
@@ -181,9 +176,9 @@
 // failure domain that the group lacks, instances that are free now, the
 // failure domain with fewer of its replicas, the larger room.
 func (a *apportionment) compare(name string, group conf.Group, x, y string) int {
-	inX := a.inDomain(name, a.fabrics[x].Domain)
-	inY := a.inDomain(name, a.fabrics[y].Domain)
-	narrow := a.spread(name) < a.document.Capacity.Spread
+	inX := a.placed[a.fabrics[x].Domain]
+	inY := a.placed[a.fabrics[y].Domain]
+	narrow := len(a.placed) < a.document.Capacity.Spread
 	return cmp.Or(
 		cmp.Compare(truth(narrow && inX > 0), truth(narrow && inY > 0)),
 		cmp.Compare(truth(a.loose[x] < group.Size), truth(a.loose[y] < group.Size)),
@@ -193,17 +188,6 @@
 	)
 }
 
-// spread counts the failure domains that a group is shared out to so far.
-func (a *apportionment) spread(group string) int {
-	domains := map[string]bool{}
-	for _, name := range a.names {
-		if a.share[name][group] > 0 {
-			domains[a.fabrics[name].Domain] = true
-		}
-	}
-	return len(domains)
-}
-
 // incumbent is a replica that stands already, as Apportion weighs it.
 type incumbent struct {
 	replica  Replica
--- a/keeper/elect.go
+++ b/keeper/elect.go
@@ -101,13 +101,14 @@
 	}
 	current := k.o.View()
 	daemons := k.daemons()
+	self := k.self(daemons)
 	for _, name := range slices.Sorted(maps.Keys(current.Fabrics)) {
 		if k.keeps(name) || !k.elect.looks(name, now) {
 			continue
 		}
 		fabric := current.Fabrics[name]
 		region := current.Document.Domains[fabric.Domain].Region
-		rank := fleet.Rank(k.o.Self, prefix+name, fabric.Domain, region, daemons, len(intervals))
+		rank := fleet.Rank(self, prefix+name, fabric.Domain, region, daemons, len(intervals))
 		if k.elect.due(name, rank, now) {
 			k.try(ctx, name)
 		}
@@ -216,7 +217,8 @@
 		return
 	}
 	k.elect.scouted = time.Now()
-	if fleet.Rank(k.o.Self, "scout/"+k.o.Domain, k.o.Domain, k.o.Region, k.daemons(), 1) > 0 {
+	daemons := k.daemons()
+	if fleet.Rank(k.self(daemons), "scout/"+k.o.Domain, k.o.Domain, k.o.Region, daemons, 1) > 0 {
 		return
 	}
 	rows, _ := k.list.read(ctx, scoutInterval/2)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -177,6 +177,17 @@
 	return daemons
 }
 
+// self returns this daemon as the roster has it, and one that is not alive
+// where the roster doesn't.
+func (k *Keeper) self(daemons []fleet.Daemon) fleet.Daemon {
+	for _, d := range daemons {
+		if d.ID == k.o.Self {
+			return d
+		}
+	}
+	return fleet.Daemon{ID: k.o.Self}
+}
+
 // current returns the tenures, by fabric domain.
 func (k *Keeper) current() []*tenure {
 	k.mu.Lock()
