--- a/fleet/lab_test.go
+++ b/fleet/lab_test.go
@@ -5,9 +5,10 @@
 	"fmt"
 	"maps"
 	"slices"
-	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"clementinehead.example/chead/chart"
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/engine"
@@ -26,7 +27,7 @@
 
 // lab is a fleet on a false clock, kept by this package's functions alone.
 type lab struct {
-	t        testing.TB
+	t        rapid.TB
 	now      time.Time
 	load     time.Duration
 	document conf.Document
@@ -44,7 +45,7 @@
 
 // newLab makes fabric domains f1, f2, ... in failure domains d1, d2, ..., in
 // turn, with the given numbers of instances.
-func newLab(t testing.TB, domains int, sizes ...int) *lab {
+func newLab(t rapid.TB, domains int, sizes ...int) *lab {
 	l := &lab{
 		t:        t,
 		now:      time.Unix(1_000_000, 0),
--- a/fleet/step_test.go
+++ b/fleet/step_test.go
@@ -100,6 +100,18 @@
 			start: func(l *lab) { l.want("g", 2, 4, 0) },
 			then:  func(l *lab, is *is.I) { rollWithoutOutage(l, is, 1) },
 		},
+		{
+			name: "a lone replica waits for room to roll", domains: 1, sizes: []int{4},
+			start: func(l *lab) { l.want("g", 1, 4, 0) },
+			then: func(l *lab, is *is.I) {
+				rollWithoutOutage(l, is, 1)
+				l.addFabric("f2", "d1", 4)
+				for range 120 {
+					l.tick()
+					is.Equal(l.serving("g") > 0, true)
+				}
+			},
+		},
 		{
 			name: "a failure domain goes out and returns", domains: 2, sizes: []int{4, 8},
 			start: func(l *lab) { l.want("g", 1, 4, 0) },
