--- a/admin/edit_test.go
+++ b/admin/edit_test.go
@@ -137,6 +137,30 @@
 	})
 }
 
+// TestAcceptorDies has the daemon that took an edit die between the store's
+// answer and everything else: the edit is in force all the same, the operator
+// learns of it by sending it again, and the audit trail has it.
+func TestAcceptorDies(t *testing.T) {
+	inSystem(t, 4, func(t *testing.T, s *system) {
+		is := is.New(t)
+		s.written = func() {
+			s.network.Kill("d0")
+			s.network.Cut("d0", fakes.Every)
+		}
+		is.Equal(s.daemons[0].put("a", 0, "domains", domains).status, 0) // no answer
+		s.written = func() {}
+		time.Sleep(target)
+		is.Equal(s.behind(1), []string(nil))
+		entries := s.daemons[2].trailOfDay()
+		is.Equal(len(entries), 1)
+		is.Equal(entries[0].Who, "team domains")
+		o := s.daemons[1].put("a", 0, "domains", domains)
+		is.Equal(o.accepted.Serial, uint64(1))
+		is.Equal(o.accepted.Unconfirmed, []string{"d0"})
+		is.Equal(s.ids(), []string{"a"})
+	})
+}
+
 // TestMissedRevision cuts a daemon off while an edit is spread, and lets it
 // reach its peers again but not the store.
 func TestMissedRevision(t *testing.T) {
--- a/admin/fleet_test.go
+++ b/admin/fleet_test.go
@@ -208,6 +208,23 @@
 	return o
 }
 
+// trailOfDay asks the daemon for the audit trail of the last day.
+func (d *daemon) trailOfDay() []audit.Entry {
+	client := d.system.network.Client(operator)
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + d.host + ":7002/admin/v1/audit")
+	if err != nil {
+		d.system.t.Error(err)
+		return nil
+	}
+	defer response.Body.Close()
+	var trail admin.Trail
+	if err := json.NewDecoder(response.Body).Decode(&trail); err != nil {
+		d.system.t.Error(err)
+	}
+	return trail.Entries
+}
+
 // put sends an edit of one section.
 func (d *daemon) put(id string, base uint64, section, content string) outcome {
 	return d.send(http.MethodPut, "config", admin.Put{
