--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,85 @@
+package view_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"clementinehead.example/chead/fleet"
+	"clementinehead.example/chead/store"
+	"clementinehead.example/chead/view"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "24")
+	os.Exit(m.Run())
+}
+
+// drawFabric returns a fabric domain's value, or its deletion, with replicas
+// of random groups.
+func drawFabric(t *rapid.T, revision uint64) store.Entry {
+	name := rapid.SampledFrom([]string{"f1", "f2", "f3"}).Draw(t, "fabric")
+	if rapid.IntRange(0, 5).Draw(t, "deleted") == 0 {
+		return store.Entry{Key: fleet.Key(name), Revision: revision, Deleted: true}
+	}
+	fabric := fleet.Fabric{Name: name, Domain: "north"}
+	for i := range rapid.IntRange(0, 3).Draw(t, "replicas") {
+		group := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "group")
+		fabric.Replicas = append(fabric.Replicas, fleet.Replica{ID: fmt.Sprint(name, "-", i), Group: group})
+	}
+	value, err := json.Marshal(fabric)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Entry{Key: fleet.Key(name), Value: value, Revision: revision}
+}
+
+// TestWithProperty takes entries in one by one: the view is that which New
+// makes of the newest, and the views before it are as they were.
+func TestWithProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		newest := map[string]store.Entry{}
+		current, err := view.New(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for revision := range rapid.Uint64Range(1, 12).Draw(t, "entries") {
+			entry := drawFabric(t, revision+1)
+			before := fmt.Sprint(current.Replicas("a"), current.Replicas("b"))
+			next, err := current.With(entry)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if after := fmt.Sprint(current.Replicas("a"), current.Replicas("b")); after != before {
+				t.Fatalf("the view before changed from %s to %s", before, after)
+			}
+			newest[entry.Key] = entry
+			if entry.Deleted {
+				delete(newest, entry.Key)
+			}
+			compare(t, next, newest)
+			current = next
+		}
+	})
+}
+
+func compare(t *rapid.T, got *view.View, newest map[string]store.Entry) {
+	want, err := view.New(newest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got.Fabrics, want.Fabrics) {
+		t.Fatalf("fabrics are %v, want %v", got.Fabrics, want.Fabrics)
+	}
+	for _, group := range []string{"a", "b"} {
+		if !reflect.DeepEqual(got.Replicas(group), want.Replicas(group)) {
+			t.Fatalf("group %s has %v, want %v", group, got.Replicas(group), want.Replicas(group))
+		}
+	}
+}
