Members are probed every 600 ms instead of 400; a lost probe is repeated at once

Ruled out: a longer ProbeFresh, which would lengthen the wait for the gate before. Change: ProbeEvery 600 ms, ProbeTimeout 250 ms, and the next probe at once after one that failed, so that one lost probe is still no silence.

TestGain: the random policy was shared by goroutines without a lock (found by the lead with -race).

--- a/gate/bounds.go
+++ b/gate/bounds.go
@@ -5,9 +5,10 @@
 // The times that the proofs of the package rest on.
 const (
 	// ProbeEvery is the time between probes of a member.
-	ProbeEvery = 400 * time.Millisecond
-	// ProbeTimeout ends a probe that is not answered.
-	ProbeTimeout = 400 * time.Millisecond
+	ProbeEvery = 600 * time.Millisecond
+	// ProbeTimeout ends a probe that is not answered. The next one follows at
+	// once, so that one lost probe does not make a member count as silent.
+	ProbeTimeout = 250 * time.Millisecond
 	// ProbeFresh is how long the answer to a probe counts, from its sending.
 	ProbeFresh = time.Second
 	// PermitLife is the time from the giving of a permit to the last moment at
--- a/gate/gap_test.go
+++ b/gate/gap_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -54,3 +55,49 @@
 	t.Log("\n" + table.String())
 	is.Equal(late, nil) // gaps longer than promised
 }
+
+// TestDetection prints how long a gate goes on after a member fell silent or
+// started again, and holds it against ProbeFresh. One lost probe is no silence.
+func TestDetection(t *testing.T) {
+	is := is.New(t)
+	const rounds = 40
+	for _, kind := range []string{"miss", "member", "lost probe"} {
+		var sum, longest time.Duration
+		for i := range rounds {
+			var took time.Duration
+			synctest.Test(t, func(*testing.T) { took = detect(kind, i, rounds) })
+			sum += took
+			longest = max(longest, took)
+		}
+		t.Logf("%-10s mean %v, longest %v", kind, (sum / rounds).Round(time.Millisecond), longest.Round(time.Millisecond))
+		is.True(longest <= ProbeFresh)
+		is.Equal(longest == 0, kind == "lost probe")
+	}
+}
+
+// detect returns for how long the gate stays open after an event at a part of
+// the time between two probes, 0 when it never closes.
+func detect(kind string, part, parts int) time.Duration {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := newWorld(ctx, script{Service: time.Second})
+	defer w.group.Wait()
+	defer cancel()
+	time.Sleep(5*time.Second + ProbeEvery*time.Duration(part)/time.Duration(parts))
+	w.mu.Lock()
+	switch kind {
+	case "lost probe":
+		w.hosts[1].missing = true
+		w.later(ProbeTimeout-10*time.Millisecond, func() { w.hosts[1].missing = false })
+	default:
+		w.happen(action{Kind: kind, Span: time.Minute})
+	}
+	w.mu.Unlock()
+	began := time.Now()
+	for time.Since(began) < 3*time.Second {
+		if status := w.daemons[0].gate.Status(); status[0].Bar != Open.String() {
+			return time.Since(began)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return 0
+}
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -96,6 +96,11 @@
 func (w *world) act(a action) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.happen(a)
+}
+
+// happen is act under the lock.
+func (w *world) happen(a action) {
 	d := w.daemons[a.Daemon]
 	switch a.Kind {
 	case "rename":
--- a/gate/probe.go
+++ b/gate/probe.go
@@ -61,10 +61,12 @@
 			return nil
 		}
 		g.metrics.probe(err)
+		pause := ProbeTimeout - time.Since(sent)
 		if err == nil {
 			g.learn(p, sent, address, report)
+			pause = ProbeEvery - time.Since(sent)
 		}
-		if !sleep(ctx, ProbeEvery-time.Since(sent)) {
+		if !sleep(ctx, pause) {
 			return nil
 		}
 	}
--- a/route/policy.go
+++ b/route/policy.go
@@ -88,7 +88,7 @@
 }
 
 // Random returns a policy that shuffles the near ones before the far ones. It
-// is there for comparison.
+// is there for comparison, and not safe for concurrent use.
 func Random(random *rand.Rand) func(Request, []Candidate) {
 	return func(_ Request, candidates []Candidate) {
 		random.Shuffle(len(candidates), func(i, j int) {
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -192,7 +192,9 @@
 		s.tellAll(router)
 	}
 	domain := fmt.Sprintf("z%d", entry%runDomains)
+	s.mu.Lock() // the random policy is shared
 	places := router.Order(s.view, "a", "m", prefix, domain)
+	s.mu.Unlock()
 	for _, place := range places[:runTries] {
 		if s.try(router, place.Replica.ID, prefix) {
 			return
