--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -239,6 +239,20 @@
 	})
 }
 
+// TestDeadEndpointIsShunned has one endpoint die while its gate goes on giving
+// permits. Requests behind the first one don't spend their retries on it.
+func TestDeadEndpointIsShunned(t *testing.T) {
+	within(t, 1, document(), fakes.EngineOptions{Token: time.Millisecond}, func(w *world) {
+		is := is.New(w.t)
+		w.network.Kill("e0")
+		for i := range 100 {
+			is.True(w.send(ask{prompt: fmt.Sprint(i)}).whole)
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(w.gates.count(wire.Ending_ENDING_UNUSED) <= 6) // one a second
+	})
+}
+
 // TestInterimGate has the daemon of the gate fail, before a request and while
 // one runs.
 func TestInterimGate(t *testing.T) {
--- a/entry/permit.go
+++ b/entry/permit.go
@@ -57,7 +57,7 @@
 	e, j := t.entry, t.job
 	v := e.options.View()
 	places := e.options.Order(v, j.account, j.prompt.model, j.prompt.prefix, e.options.Domain)
-	places = last(places, t.avoid)
+	places = t.sort(places)
 	if len(places) == 0 {
 		return nil, unavailable(errNobody)
 	}
@@ -71,14 +71,14 @@
 	return h.wait(ctx, time.Duration(v.Document.Limits.Wait))
 }
 
-// last puts the places to be avoided behind the others.
-func last(places []view.Place, avoid map[string]bool) []view.Place {
-	if len(avoid) == 0 {
+// sort puts the replicas that failed the job, or others lately, behind the rest.
+func (t *trial) sort(places []view.Place) []view.Place {
+	if len(t.avoid) == 0 && t.entry.shunned.empty() {
 		return places
 	}
 	var first, rest []view.Place
 	for _, place := range places {
-		if avoid[place.Replica.ID] {
+		if t.avoid[place.Replica.ID] || t.entry.shunned.has(place.Replica.ID) {
 			rest = append(rest, place)
 		} else {
 			first = append(first, place)
