--- a/entry/hunt.go
+++ b/entry/acquire.go
@@ -22,8 +22,8 @@
 // errNobody is the cause where no replica may be asked.
 var errNobody = errors.New("no replica serves")
 
-// hunt is the search for one permit.
-type hunt struct {
+// acquisition is the search for one permit.
+type acquisition struct {
 	entry   *Entry
 	job     *job
 	crashes []string // that the request stood in, as gates name them
@@ -43,24 +43,24 @@
 	if len(places) == 0 {
 		return nil, unavailable(errNobody)
 	}
-	h := &hunt{entry: e, job: j, crashes: t.crashes, alone: t.suspect}
+	a := &acquisition{entry: e, job: j, crashes: t.crashes, alone: t.suspect}
 	for _, place := range places[:min(len(places), maxAsks)] {
-		p, err := h.ask(ctx, place, 0)
+		p, err := a.ask(ctx, place, 0)
 		if p != nil || err != nil {
 			return p, err
 		}
 	}
-	return h.wait(ctx, time.Duration(v.Document.Limits.Wait))
+	return a.wait(ctx, time.Duration(v.Document.Limits.Wait))
 }
 
 // sort puts the replicas that failed the job, or others lately, behind the rest.
 func (t *trial) sort(places []view.Place) []view.Place {
-	if len(t.avoid) == 0 && t.entry.shunned.empty() {
+	if len(t.avoid) == 0 && t.entry.ejected.empty() {
 		return places
 	}
 	var first, rest []view.Place
 	for _, place := range places {
-		if t.avoid[place.Replica.ID] || t.entry.shunned.has(place.Replica.ID) {
+		if t.avoid[place.Replica.ID] || t.entry.ejected.has(place.Replica.ID) {
 			rest = append(rest, place)
 		} else {
 			first = append(first, place)
@@ -71,19 +71,19 @@
 
 // wait queues at the gate that has a permit first, where all are busy and that
 // one has it in time.
-func (h *hunt) wait(ctx context.Context, most time.Duration) (*permit, *Error) {
-	if !h.busy {
+func (a *acquisition) wait(ctx context.Context, most time.Duration) (*permit, *Error) {
+	if !a.busy {
 		return nil, unavailable(errNobody)
 	}
-	most = min(most, time.Until(h.job.deadline))
-	if most > 0 && h.back <= most {
-		p, err := h.ask(ctx, h.best, most)
+	most = min(most, time.Until(a.job.deadline))
+	if most > 0 && a.back <= most {
+		p, err := a.ask(ctx, a.best, most)
 		if p != nil || err != nil {
 			return p, err
 		}
 	}
 	err := reject("acquire", Busy, nil)
-	err.Retry = max(h.back, defaultBack)
+	err.Retry = max(a.back, defaultBack)
 	return nil, err
 }
 
@@ -96,13 +96,13 @@
 // ask asks for a permit of one replica: its gate first, and where that is out
 // of reach or isn't the gate any more, the daemons that stand in for it. It
 // returns neither a permit nor an error where another replica may be asked.
-func (h *hunt) ask(ctx context.Context, place view.Place, wait time.Duration) (*permit, *Error) {
-	p, err, answered := h.askAt(ctx, place, place.Replica.Gate, wait)
+func (a *acquisition) ask(ctx context.Context, place view.Place, wait time.Duration) (*permit, *Error) {
+	p, err, answered := a.askAt(ctx, place, place.Replica.Gate, wait)
 	if answered || err != nil {
 		return p, err
 	}
-	for _, id := range h.entry.interim(place) {
-		p, err, answered = h.askAt(ctx, place, id, wait)
+	for _, id := range a.entry.interim(place) {
+		p, err, answered = a.askAt(ctx, place, id, wait)
 		if answered || err != nil {
 			return p, err
 		}
@@ -112,53 +112,53 @@
 
 // askAt asks one daemon. Answered tells a gate's word from a daemon that can't
 // be asked or isn't the gate.
-func (h *hunt) askAt(ctx context.Context, place view.Place, id string, wait time.Duration) (p *permit, err *Error, answered bool) {
-	if err := h.entry.over(ctx, h.job); err != nil {
+func (a *acquisition) askAt(ctx context.Context, place view.Place, id string, wait time.Duration) (p *permit, err *Error, answered bool) {
+	if err := a.entry.over(ctx, a.job); err != nil {
 		return nil, err, false
 	}
-	address, ok := h.entry.peer(id)
+	address, ok := a.entry.peer(id)
 	if !ok {
 		return nil, nil, false
 	}
-	gate := h.entry.options.Gate(address)
+	gate := a.entry.options.Gate(address)
 	asked := time.Now()
-	response, failed := h.call(ctx, gate, place, wait)
+	response, failed := a.call(ctx, gate, place, wait)
 	if failed != nil {
-		return nil, h.entry.over(ctx, h.job), false
+		return nil, a.entry.over(ctx, a.job), false
 	}
 	if response.GetVerdict() == wire.Verdict_VERDICT_NOT_GATE {
 		return nil, nil, false
 	}
-	h.entry.observe(place, response)
-	p, err = h.judge(place, gate, asked, response)
+	a.entry.observe(place, response)
+	p, err = a.judge(place, gate, asked, response)
 	return p, err, true
 }
 
-func (h *hunt) call(ctx context.Context, gate wire.GateClient, place view.Place, wait time.Duration) (*wire.AcquireResponse, error) {
+func (a *acquisition) call(ctx context.Context, gate wire.GateClient, place view.Place, wait time.Duration) (*wire.AcquireResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+askLimit)
 	defer cancel()
-	j := h.job
+	j := a.job
 	return gate.Acquire(ctx, &wire.AcquireRequest{
 		Replica:     place.Replica.ID,
-		Daemon:      h.entry.options.Self,
-		Boot:        h.entry.options.Boot,
+		Daemon:      a.entry.options.Self,
+		Boot:        a.entry.options.Boot,
 		Request:     j.id,
 		Account:     j.account,
 		Priority:    int32(j.priority),
 		Wait:        durationpb.New(wait),
 		Tokens:      uint32(j.prompt.tokens),
 		Prefix:      j.prompt.prefix,
-		Alone:       h.alone,
+		Alone:       a.alone,
 		Fingerprint: short(j.print),
-		Crashes:     h.crashes,
+		Crashes:     a.crashes,
 	})
 }
 
 // judge turns a gate's answer into a permit, a final error or neither.
-func (h *hunt) judge(place view.Place, gate wire.GateClient, asked time.Time, response *wire.AcquireResponse) (*permit, *Error) {
+func (a *acquisition) judge(place view.Place, gate wire.GateClient, asked time.Time, response *wire.AcquireResponse) (*permit, *Error) {
 	switch response.GetVerdict() {
 	case wire.Verdict_VERDICT_GRANTED:
-		return h.check(place, gate, asked, response), nil
+		return a.check(place, gate, asked, response), nil
 	case wire.Verdict_VERDICT_THROTTLED:
 		err := reject("acquire", Throttled, text(response))
 		err.Retry = max(response.GetRetryAfter().AsDuration(), defaultBack)
@@ -167,18 +167,18 @@
 		// Attempts before this one ran, if only in part.
 		return nil, &Error{Op: "acquire", Kind: Suspect, Ran: engine.Unknown, Err: text(response)}
 	case wire.Verdict_VERDICT_BUSY:
-		h.note(place, response.GetRetryAfter().AsDuration())
+		a.note(place, response.GetRetryAfter().AsDuration())
 	}
 	return nil, nil
 }
 
 // note remembers the replica that has a permit first.
-func (h *hunt) note(place view.Place, back time.Duration) {
-	if !h.busy || back < h.back {
-		h.back = back
-		h.best = place
+func (a *acquisition) note(place view.Place, back time.Duration) {
+	if !a.busy || back < a.back {
+		a.back = back
+		a.best = place
 	}
-	h.busy = true
+	a.busy = true
 }
 
 func text(response *wire.AcquireResponse) error {
@@ -190,7 +190,7 @@
 
 // check returns a permit that is valid for a while yet, counted from before it
 // was asked for; one that isn't is given back.
-func (h *hunt) check(place view.Place, gate wire.GateClient, asked time.Time, response *wire.AcquireResponse) *permit {
+func (a *acquisition) check(place view.Place, gate wire.GateClient, asked time.Time, response *wire.AcquireResponse) *permit {
 	p := &permit{
 		place:  place,
 		gate:   gate,
@@ -198,11 +198,11 @@
 		fence:  response.GetFence(),
 		target: response.GetAddress(),
 		until:  asked.Add(response.GetValidity().AsDuration()),
-		alone:  response.GetAlone() || h.alone,
+		alone:  response.GetAlone() || a.alone,
 	}
 	if p.stale() {
-		h.entry.releaseLater(h.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
-		h.note(place, 0)
+		a.entry.releaseLater(a.job, p, outcome{ending: wire.Ending_ENDING_UNUSED})
+		a.note(place, 0)
 		return nil
 	}
 	return p
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -42,16 +42,16 @@
 	return nil, errGate
 }
 
-// talker sends a number of tokens as fast as it can; with a gate, it stops in
+// endpoint sends a number of tokens as fast as it can; with a gate, it stops in
 // the middle until the gate is closed.
-type talker struct {
+type endpoint struct {
 	tokens int
 	gate   chan struct{}
 }
 
 const event = `{"id":"cmpl-1","object":"text_completion","created":1,"model":"m","choices":[{"index":0,"text":"abcdefgh ","finish_reason":null}]}`
 
-func (k *talker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (k *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
@@ -65,16 +65,16 @@
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", k.tokens)
 }
 
-// rig is one daemon's entry before one talker, on loopback sockets.
-type rig struct {
-	talker         *talker
+// bench is one daemon's entry before one endpoint, on loopback sockets.
+type bench struct {
+	endpoint       *endpoint
 	direct, daemon *httptest.Server
 	client         *http.Client
 }
 
-func newRig(b *testing.B, tokens int) *rig {
-	k := &talker{tokens: tokens}
-	r := &rig{talker: k, direct: httptest.NewServer(k), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}}
+func newBench(b *testing.B, tokens int) *bench {
+	k := &endpoint{tokens: tokens}
+	r := &bench{endpoint: k, direct: httptest.NewServer(k), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}}
 	v := pictured(b, document(), [2]order{})
 	transport := entry.NewTransport(false)
 	r.daemon = httptest.NewServer(entry.New(entry.Options{
@@ -95,7 +95,7 @@
 	return r
 }
 
-func (r *rig) open(url string) io.ReadCloser {
+func (r *bench) open(url string) io.ReadCloser {
 	body := `{"model":"m","prompt":"draft a design brief for a gate","stream":true}`
 	request, err := http.NewRequest(http.MethodPost, url+"/v1/completions", strings.NewReader(body))
 	if err != nil {
@@ -110,7 +110,7 @@
 }
 
 // call makes one request and returns how long it took.
-func (r *rig) call(b *testing.B, url string) time.Duration {
+func (r *bench) call(b *testing.B, url string) time.Duration {
 	began := time.Now()
 	body := r.open(url)
 	data, err := io.ReadAll(body)
@@ -127,7 +127,7 @@
 func BenchmarkOverhead(b *testing.B) {
 	for _, tokens := range []int{1, 64, 512} {
 		b.Run(fmt.Sprint("tokens=", tokens), func(b *testing.B) {
-			r := newRig(b, tokens)
+			r := newBench(b, tokens)
 			var direct, through time.Duration
 			for b.Loop() {
 				direct += r.call(b, r.direct.URL)
@@ -147,7 +147,7 @@
 func BenchmarkHeld(b *testing.B) {
 	for _, streams := range []int{100, 1000} {
 		b.Run(fmt.Sprint("streams=", streams), func(b *testing.B) {
-			r := newRig(b, 16)
+			r := newBench(b, 16)
 			var direct, through float64
 			for b.Loop() {
 				direct = r.held(r.direct.URL, streams)
@@ -160,9 +160,9 @@
 	}
 }
 
-func (r *rig) held(url string, streams int) float64 {
+func (r *bench) held(url string, streams int) float64 {
 	r.client.CloseIdleConnections()
-	r.talker.gate = make(chan struct{})
+	r.endpoint.gate = make(chan struct{})
 	before := memory()
 	var bodies []io.ReadCloser
 	for range streams {
@@ -171,7 +171,7 @@
 		bodies = append(bodies, body)
 	}
 	after := memory()
-	close(r.talker.gate)
+	close(r.endpoint.gate)
 	for _, body := range bodies {
 		_, _ = io.Copy(io.Discard, body)
 		_ = body.Close()
--- a/entry/shunned.go
+++ b/entry/ejected.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// shunTime is how long a replica that failed is asked last. Its gate finds out
+// ejectTime is how long a replica that failed is asked last. Its gate finds out
 // within about as long.
-const shunTime = time.Second
+const ejectTime = time.Second
 
-// shunned remembers the replicas whose endpoint a dispatch did not reach or saw
+// ejected remembers the replicas whose endpoint a dispatch did not reach or saw
 // die, so that the requests behind it don't spend their retries on it.
-type shunned struct {
+type ejected struct {
 	mu    sync.Mutex
 	until map[string]time.Time
 }
 
-func newShunned() *shunned { return &shunned{until: map[string]time.Time{}} }
+func newEjected() *ejected { return &ejected{until: map[string]time.Time{}} }
 
 // add notes a failure, and forgets those that are over.
-func (s *shunned) add(replica string) {
+func (s *ejected) add(replica string) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -28,11 +28,11 @@
 			delete(s.until, id)
 		}
 	}
-	s.until[replica] = now.Add(shunTime)
+	s.until[replica] = now.Add(ejectTime)
 }
 
 // has reports whether a replica failed lately.
-func (s *shunned) has(replica string) bool {
+func (s *ejected) has(replica string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	until, ok := s.until[replica]
@@ -41,7 +41,7 @@
 
 // empty reports whether nothing was noted since the last failures were
 // forgotten, which is the usual case.
-func (s *shunned) empty() bool {
+func (s *ejected) empty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.until) == 0
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,7 +58,7 @@
 	loads   *loads
 	metrics *metrics
 	seen    *seen
-	shunned *shunned
+	ejected *ejected
 	room    room
 	names   atomic.Uint64
 	leaving atomic.Bool
@@ -84,7 +84,7 @@
 		loads:   newLoads(),
 		metrics: newMetrics(options.Registry),
 		seen:    newSeen(),
-		shunned: newShunned(),
+		ejected: newEjected(),
 	}
 	e.warm = &engine.Client{Do: options.Engine.Do, Limits: e.silence}
 	e.fresh = &engine.Client{Do: options.Fresh, Limits: e.silence}
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -239,9 +239,9 @@
 	})
 }
 
-// TestDeadEndpointIsShunned has one endpoint die while its gate goes on giving
+// TestDeadEndpointIsEjected has one endpoint die while its gate goes on giving
 // permits. Requests behind the first one don't spend their retries on it.
-func TestDeadEndpointIsShunned(t *testing.T) {
+func TestDeadEndpointIsEjected(t *testing.T) {
 	within(t, 1, document(), fakes.EngineOptions{Token: time.Millisecond}, func(w *world) {
 		is := is.New(w.t)
 		w.network.Kill("e0")
--- a/entry/property_test.go
+++ b/entry/property_test.go
@@ -99,10 +99,10 @@
 	}
 }
 
-// scene is a schedule of requests and faults.
-type scene struct {
+// schedule is what callers do and which faults come, and when.
+type schedule struct {
 	callers []caller
-	faults  []mishap
+	faults  []fault
 	gate    bool // a real one
 }
 
@@ -114,13 +114,13 @@
 	once   bool
 }
 
-type mishap struct {
+type fault struct {
 	at     time.Duration
 	engine int
 	kind   int
 }
 
-func drawScene(rt *rapid.T) scene {
+func drawSchedule(rt *rapid.T) schedule {
 	tenths := rapid.Custom(func(t *rapid.T) time.Duration {
 		return time.Duration(rapid.IntRange(0, 100).Draw(t, "tenths")) * 100 * time.Millisecond
 	})
@@ -133,21 +133,21 @@
 			once:   rapid.Bool().Draw(t, "once"),
 		}
 	})
-	mishaps := rapid.Custom(func(t *rapid.T) mishap {
-		return mishap{
+	faults := rapid.Custom(func(t *rapid.T) fault {
+		return fault{
 			at:     tenths.Draw(t, "at"),
 			engine: rapid.IntRange(0, 1).Draw(t, "engine"),
 			kind:   rapid.IntRange(0, 8).Draw(t, "kind"),
 		}
 	})
-	return scene{
+	return schedule{
 		callers: rapid.SliceOfN(callers, 5, 20).Draw(rt, "callers"),
-		faults:  rapid.SliceOfN(mishaps, 1, 8).Draw(rt, "faults"),
+		faults:  rapid.SliceOfN(faults, 1, 8).Draw(rt, "faults"),
 		gate:    rapid.Bool().Draw(rt, "gate"),
 	}
 }
 
-func (m mishap) strike(w *world) {
+func (m fault) strike(w *world) {
 	e, host := w.engines[m.engine], fmt.Sprintf("e%d", m.engine)
 	switch m.kind {
 	case 0:
@@ -181,8 +181,8 @@
 	}
 }
 
-// play carries a scene out and returns what went wrong.
-func (s scene) play(w *world) string {
+// play carries a schedule out and returns what went wrong.
+func (s schedule) play(w *world) string {
 	if s.gate {
 		defer w.useGate()()
 	}
@@ -247,7 +247,7 @@
 // request or a true word, and what is not repeatable runs at most once.
 func TestEveryCallerGetsItsAnswer(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		s := drawScene(rt)
+		s := drawSchedule(rt)
 		var wrong string
 		synctest.Test(t, func(t *testing.T) {
 			options := fakes.EngineOptions{First: 300 * time.Millisecond, Token: 50 * time.Millisecond, Keep: 10 * time.Second}
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -55,7 +55,7 @@
 	}
 	t.avoid[p.place.Replica.ID] = true
 	t.implicate(o)
-	t.shun(p, o)
+	t.eject(p, o)
 	if o.ending == wire.Ending_ENDING_CRASHED {
 		t.strike(ctx, p, o)
 	} else {
@@ -76,11 +76,11 @@
 	}
 }
 
-// shun keeps other jobs away from an endpoint that is dead or out of reach.
-func (t *trial) shun(p *permit, o outcome) {
+// eject keeps other jobs away from an endpoint that is dead or out of reach.
+func (t *trial) eject(p *permit, o outcome) {
 	switch o.ending {
 	case wire.Ending_ENDING_UNUSED, wire.Ending_ENDING_CRASHED, wire.Ending_ENDING_BROKEN:
-		t.entry.shunned.add(p.place.Replica.ID)
+		t.entry.ejected.add(p.place.Replica.ID)
 	}
 }
 
--- a/once/book_test.go
+++ b/once/book_test.go
@@ -28,15 +28,15 @@
 
 const window = time.Hour
 
-// shelf is some daemons' books in one store.
-type shelf struct {
+// deployment is some daemons' books in one store.
+type deployment struct {
 	network *fakes.Network
 	store   *fakes.Store
 	books   []*once.Book
 }
 
-func newShelf(n int) *shelf {
-	s := &shelf{network: fakes.NewNetwork(), store: fakes.NewStore()}
+func newDeployment(n int) *deployment {
+	s := &deployment{network: fakes.NewNetwork(), store: fakes.NewStore()}
 	s.network.Serve("kv:80", s.store)
 	for i := range n {
 		host := fmt.Sprintf("d%d", i)
@@ -50,9 +50,9 @@
 	return s
 }
 
-func within(t *testing.T, n int, test func(t *testing.T, s *shelf)) {
+func within(t *testing.T, n int, test func(t *testing.T, s *deployment)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newShelf(n)
+		s := newDeployment(n)
 		defer s.network.Close()
 		test(t, s)
 	})
@@ -75,43 +75,43 @@
 	const none = once.Kind(-1)
 	answer := once.Answer{Status: 200, Type: "text/plain", Body: []byte("done")}
 	large := once.Answer{Body: make([]byte, once.MaxKept+1)}
-	claimed := func(s *shelf) *once.Claim {
+	claimed := func(s *deployment) *once.Claim {
 		claim, _, _ := s.books[0].Claim(context.Background(), request("k"))
 		return claim
 	}
 	ctx := context.Background()
 	tests := []struct {
 		name   string
-		before func(s *shelf)
+		before func(s *deployment)
 		change func(r *once.Request)
 		kind   once.Kind
 		kept   bool
 	}{
 		{name: "first", kind: none},
-		{name: "first, answer lost", before: func(s *shelf) { s.store.LoseAnswers(1) }, kind: none},
-		{name: "store down", before: func(s *shelf) { s.store.Down(true) }, kind: once.Down},
-		{name: "store hangs", before: func(s *shelf) { s.store.Hang(true) }, kind: once.Down},
-		{name: "held by another", before: func(s *shelf) { claimed(s) }, kind: once.Pending},
-		{name: "holder gone for long", before: func(s *shelf) { claimed(s); time.Sleep(30 * time.Minute) }, kind: once.Unknown},
-		{name: "done", before: func(s *shelf) { _ = claimed(s).Finish(ctx, answer) }, kind: none, kept: true},
-		{name: "done, answer large", before: func(s *shelf) { _ = claimed(s).Finish(ctx, large) }, kind: once.Kept},
-		{name: "done, write's answer lost", before: func(s *shelf) {
+		{name: "first, answer lost", before: func(s *deployment) { s.store.LoseAnswers(1) }, kind: none},
+		{name: "store down", before: func(s *deployment) { s.store.Down(true) }, kind: once.Down},
+		{name: "store hangs", before: func(s *deployment) { s.store.Hang(true) }, kind: once.Down},
+		{name: "held by another", before: func(s *deployment) { claimed(s) }, kind: once.Pending},
+		{name: "holder gone for long", before: func(s *deployment) { claimed(s); time.Sleep(30 * time.Minute) }, kind: once.Unknown},
+		{name: "done", before: func(s *deployment) { _ = claimed(s).Finish(ctx, answer) }, kind: none, kept: true},
+		{name: "done, answer large", before: func(s *deployment) { _ = claimed(s).Finish(ctx, large) }, kind: once.Kept},
+		{name: "done, write's answer lost", before: func(s *deployment) {
 			c := claimed(s)
 			s.store.LoseAnswers(1)
 			_ = c.Finish(ctx, answer)
 		}, kind: none, kept: true},
-		{name: "lost", before: func(s *shelf) { _ = claimed(s).Lose(ctx) }, kind: once.Unknown},
-		{name: "given up", before: func(s *shelf) { _ = claimed(s).Forgo(ctx) }, kind: none},
-		{name: "another body", before: func(s *shelf) { claimed(s) }, change: func(r *once.Request) { r.Print = "x" }, kind: once.Reused},
-		{name: "another account", before: func(s *shelf) { claimed(s) }, change: func(r *once.Request) { r.Account = "yard" }, kind: none},
+		{name: "lost", before: func(s *deployment) { _ = claimed(s).Lose(ctx) }, kind: once.Unknown},
+		{name: "given up", before: func(s *deployment) { _ = claimed(s).Forgo(ctx) }, kind: none},
+		{name: "another body", before: func(s *deployment) { claimed(s) }, change: func(r *once.Request) { r.Print = "x" }, kind: once.Reused},
+		{name: "another account", before: func(s *deployment) { claimed(s) }, change: func(r *once.Request) { r.Account = "yard" }, kind: none},
 		{name: "old", change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: once.Expired},
-		{name: "old and done", before: func(s *shelf) { _ = claimed(s).Finish(ctx, answer) }, change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: none, kept: true},
-		{name: "old and given up", before: func(s *shelf) { _ = claimed(s).Forgo(ctx) }, change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: once.Expired},
+		{name: "old and done", before: func(s *deployment) { _ = claimed(s).Finish(ctx, answer) }, change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: none, kept: true},
+		{name: "old and given up", before: func(s *deployment) { _ = claimed(s).Forgo(ctx) }, change: func(r *once.Request) { r.At = r.At.Add(-2 * window) }, kind: once.Expired},
 		{name: "from the future", change: func(r *once.Request) { r.At = r.At.Add(window) }, kind: once.Future},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			within(t, 2, func(t *testing.T, s *shelf) {
+			within(t, 2, func(t *testing.T, s *deployment) {
 				is := is.New(t)
 				if test.before != nil {
 					test.before(s)
@@ -134,7 +134,7 @@
 // TestDroppedClaim checks that a claim whose write was lost while the store
 // could not be read back doesn't hold up the caller's next attempt.
 func TestDroppedClaim(t *testing.T) {
-	within(t, 1, func(t *testing.T, s *shelf) {
+	within(t, 1, func(t *testing.T, s *deployment) {
 		is := is.New(t)
 		s.store.Delay(time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
@@ -149,7 +149,7 @@
 }
 
 func TestSweep(t *testing.T) {
-	within(t, 1, func(t *testing.T, s *shelf) {
+	within(t, 1, func(t *testing.T, s *deployment) {
 		is := is.New(t)
 		for i := range 20 {
 			_, _, err := s.books[0].Claim(t.Context(), request(fmt.Sprint(i)))
@@ -179,7 +179,7 @@
 		seed := drawPlan(rt)
 		var failed string
 		synctest.Test(t, func(t *testing.T) {
-			s := newShelf(3)
+			s := newDeployment(3)
 			defer s.network.Close()
 			failed = seed.run(t.Context(), s)
 		})
@@ -230,7 +230,7 @@
 	}
 }
 
-func (p plan) run(ctx context.Context, s *shelf) string {
+func (p plan) run(ctx context.Context, s *deployment) string {
 	var mu sync.Mutex
 	runs := map[int]int{}
 	var group sync.WaitGroup
@@ -259,7 +259,7 @@
 	return ""
 }
 
-func (f fault) strike(s *shelf) {
+func (f fault) strike(s *deployment) {
 	switch f.kind {
 	case 0:
 		s.store.LoseAnswers(2)
@@ -279,7 +279,7 @@
 }
 
 // make makes an attempt as an entry does and reports whether it ran.
-func (a attempt) make(ctx context.Context, s *shelf) bool {
+func (a attempt) make(ctx context.Context, s *deployment) bool {
 	limited, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	claim, _, err := s.books[a.book].Claim(limited, request(fmt.Sprint(a.key)))
