--- a/daemon/build.go
+++ b/daemon/build.go
@@ -196,6 +196,7 @@
 	o := d.options
 	d.admin = admin.New(admin.Options{
 		Store:    d.store,
+		Ready:    d.relay.Ready,
 		Get:      d.relay.Get,
 		Learn:    d.relay.Learn,
 		Confirm:  d.relay.Confirm,
@@ -216,8 +217,8 @@
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	compress := connect.WithCompressMinBytes(compressFrom)
-	mux.Handle(wire.NewRosterHandler(d.roster, compress))
-	mux.Handle(wire.NewRelayHandler(d.relay, compress))
+	mux.Handle(d.roster.Handler())
+	mux.Handle(d.relay.Handler())
 	mux.Handle(wire.NewGateHandler(d.gate, compress))
 	mux.Handle(wire.NewTallyHandler(d.holder, compress))
 	return mux
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/relay"
+	"clementinehead.example/chead/roster"
 	"clementinehead.example/chead/wire"
 )
 
@@ -12,7 +14,8 @@
 const (
 	idleLimit    = 30 * time.Second // an unused connection
 	headerLimit  = 30 * time.Second // until an answer's headers
-	pingAfter    = time.Second      // of silence on a connection between daemons
+	peerIdle     = 5 * time.Second  // an unused connection between daemons
+	pingAfter    = 2 * time.Second  // of silence on a connection between daemons
 	pingLimit    = time.Second      // for the answer to a ping
 	endpointIdle = 256              // unused connections to one endpoint
 )
@@ -67,7 +70,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		DialContext:     o.Dial,
-		IdleConnTimeout: idleLimit,
+		IdleConnTimeout: peerIdle,
 		Protocols:       &protocols,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingAfter,
@@ -115,12 +118,8 @@
 
 func newPeers(client *http.Client) peers {
 	return peers{
-		roster: newCache(func(address string) wire.RosterClient {
-			return wire.NewRosterClient(client, "http://"+address)
-		}),
-		relay: newCache(func(address string) wire.RelayClient {
-			return wire.NewRelayClient(client, "http://"+address)
-		}),
+		roster: newCache(func(address string) wire.RosterClient { return roster.Dial(client, address) }),
+		relay:  newCache(func(address string) wire.RelayClient { return relay.Dial(client, address) }),
 		gate: newCache(func(address string) wire.GateClient {
 			return wire.NewGateClient(client, "http://"+address)
 		}),
--- a/engine/client.go
+++ b/engine/client.go
@@ -73,6 +73,7 @@
 	for name, values := range k.header {
 		request.Header[name] = values
 	}
+	request.Header.Set("User-Agent", "") // sends none: probes are many and small
 	if k.body != nil {
 		request.ContentLength = int64(len(k.body))
 		request.Header.Set("Content-Type", "application/json")
