--- a/gate/member.go
+++ b/gate/member.go
@@ -12,12 +12,13 @@
 	record fleet.Member
 	sent   time.Time // of the last probe that was answered
 	report engine.Report
+	doubt  time.Time // when a crash was last told of; only a later probe counts
 }
 
 // bar returns what this member has against giving permits.
 func (m *member) bar(now time.Time, fence uint64) Bar {
 	switch {
-	case m.sent.IsZero() || now.Sub(m.sent) > ProbeFresh:
+	case m.sent.IsZero() || !m.sent.After(m.doubt) || now.Sub(m.sent) > ProbeFresh:
 		return Silent
 	case m.report.Fence != fence:
 		return OtherFence
@@ -40,6 +41,7 @@
 			if m.record.Instance == record.Instance && m.record.Address == record.Address {
 				members[i].sent = m.sent
 				members[i].report = m.report
+				members[i].doubt = m.doubt
 			}
 		}
 	}
--- a/gate/release.go
+++ b/gate/release.go
@@ -26,6 +26,7 @@
 	case wire.Ending_ENDING_CRASHED:
 		c.book.Strike(p.fingerprint, p.crash)
 		c.ledger.lose(p)
+		c.suspect(now, p)
 	default:
 		c.ledger.remove(p)
 	}
@@ -34,6 +35,15 @@
 	return response, c.pump(now)
 }
 
+// suspect keeps permits back after a crash, until a probe that was sent later
+// shows whether the endpoint is still the same: one that started again is cold,
+// and the probes before did not see it yet.
+func (c *Core) suspect(now time.Time, p *permit) {
+	if len(c.members) > 0 && p.crash == crashName(c.setup.Replica.ID, c.boot) {
+		c.members[0].doubt = now
+	}
+}
+
 // releaseForeign ends a request that a gate before let pass. Only one that
 // ended after its load was counted here is taken off that load.
 func (c *Core) releaseForeign(now time.Time, release *wire.ReleaseRequest) {
