--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 	d := &Daemon{options: o, clients: newClients(o)}
 	d.peers = newPeers(d.clients.peer)
 	d.store = store.New(o.Settings.Store, d.clients.store.Do)
+	d.store.Platform = o.Settings.Platform
 	d.engine = engine.New(d.clients.endpoint.Do)
 	d.buildMembership()
 	d.buildPlacement()
--- a/store/client.go
+++ b/store/client.go
@@ -19,13 +19,14 @@
 // MaxAnswer bounds the size of an answer, in bytes.
 const MaxAnswer = 64 << 20
 
-// Client calls the key-value service at Base, an URL without a path. Do sends
-// a request; it is http.Client.Do but in tests. A Client is safe for
-// concurrent use.
+// Client calls the key-value service at Base and the platform's list of
+// instances at Platform, both URLs without a path. Do sends a request; it is
+// http.Client.Do but in tests. A Client is safe for concurrent use.
 type Client struct {
-	Base  string
-	Do    func(*http.Request) (*http.Response, error)
-	Calls *Calls
+	Base     string
+	Platform string
+	Do       func(*http.Request) (*http.Response, error)
+	Calls    *Calls
 
 	last lastList
 }
@@ -35,9 +36,10 @@
 	Reads, Writes, Watches, Leases, Lists atomic.Uint64
 }
 
-// New returns a client of the service at base that sends with do.
+// New returns a client of the service at base, which also has the list of
+// instances, that sends with do.
 func New(base string, do func(*http.Request) (*http.Response, error)) *Client {
-	return &Client{Base: base, Do: do, Calls: &Calls{}}
+	return &Client{Base: base, Platform: base, Do: do, Calls: &Calls{}}
 }
 
 // Get returns the entry of a key. The error is NotFound where there is none.
@@ -109,7 +111,7 @@
 }
 
 func (c *Client) call(ctx context.Context, op, method, path string, in, out any) error {
-	request, err := c.request(ctx, method, path, in)
+	request, err := newRequest(ctx, method, c.Base+path, in)
 	if err != nil {
 		return &Error{Op: op, Kind: Invalid, Err: oops.In("store").Wrap(err)}
 	}
@@ -148,8 +150,8 @@
 	return &Error{Op: op, Kind: kindOf(status), Err: reason}
 }
 
-// request leaves GetBody unset, so that no transport sends a write twice.
-func (c *Client) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
+// newRequest leaves GetBody unset, so that no transport sends a write twice.
+func newRequest(ctx context.Context, method, at string, in any) (*http.Request, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -158,7 +160,7 @@
 		}
 		body = io.NopCloser(bytes.NewReader(data))
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	request, err := http.NewRequestWithContext(ctx, method, at, body)
 	if err != nil {
 		return nil, err
 	}
--- a/store/list.go
+++ b/store/list.go
@@ -23,7 +23,7 @@
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	const op = "instances"
 	c.Calls.Lists.Add(1)
-	request, err := c.request(ctx, http.MethodGet, "/v1/instances", nil)
+	request, err := newRequest(ctx, http.MethodGet, c.Platform+"/v1/instances", nil)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: Invalid, Err: oops.In("store").Wrap(err)}
 	}
