Endpoints are asked over new connections, probes over their own

The logs of a bad and a good run differ in nothing but the requests: a probe that timed out was repeated on the next unused connection, just as silent, and so was each request, while the stuck ones held the few permits of a cold endpoint. Change: probes have a transport with one unused connection an endpoint, and completions a new connection each.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -13,6 +13,7 @@
 
 	"clementinehead.example/chead/admin"
 	"clementinehead.example/chead/audit"
+	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/entry"
 	"clementinehead.example/chead/gate"
 	"clementinehead.example/chead/keeper"
@@ -80,6 +81,7 @@
 		Log:      o.Log.WithName("audit"),
 		Registry: o.Registry,
 	})
+	scout := engine.New(d.clients.scout.Do)
 	d.keeper = keeper.New(keeper.Options{
 		Self:     o.Settings.ID,
 		Domain:   o.Settings.Domain,
@@ -88,8 +90,8 @@
 		View:     d.relay.View,
 		Learn:    d.relay.Learn,
 		Daemons:  d.roster.Daemons,
-		Probe:    d.engine.Probe,
-		Order:    d.engine.Order,
+		Probe:    scout.Probe,
+		Order:    scout.Order,
 		Audit:    d.trail.Add,
 		Log:      o.Log.WithName("keeper"),
 		Registry: o.Registry,
@@ -102,7 +104,7 @@
 		Changed:   d.relay.Changed,
 		Daemons:   d.roster.Daemons,
 		Confirmed: d.relay.Confirmed,
-		Probe:     d.engine.Probe,
+		Probe:     engine.New(d.clients.probe.Do).Probe,
 		Feed:      d.engine.Feed,
 		Client:    d.peers.gate.get,
 		Log:       o.Log.WithName("gate"),
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -24,6 +24,8 @@
 type clients struct {
 	store    *http.Client
 	endpoint *http.Client
+	probe    *http.Client // of gates
+	scout    *http.Client // of keepers: probes and orders
 	fresh    *http.Client // uses each connection once
 	peer     *http.Client
 }
@@ -32,6 +34,8 @@
 	return clients{
 		store:    &http.Client{Transport: storeTransport(o)},
 		endpoint: &http.Client{Transport: endpointTransport(o), CheckRedirect: passRedirect},
+		probe:    &http.Client{Transport: probeTransport(o)},
+		scout:    &http.Client{Transport: probeTransport(o)},
 		fresh:    &http.Client{Transport: freshTransport(o), CheckRedirect: passRedirect},
 		peer:     &http.Client{Transport: peerTransport(o)},
 	}
@@ -55,6 +59,15 @@
 	}
 }
 
+// probeTransport keeps one unused connection to an endpoint. A probe that fails
+// closes its connection, so the next one dials anew: an endpoint whose other
+// connections have all gone silent is not taken for a silent endpoint.
+func probeTransport(o Options) *http.Transport {
+	transport := endpointTransport(o)
+	transport.MaxIdleConnsPerHost = 1
+	return transport
+}
+
 // freshTransport uses each connection once, so that net/http never sends a
 // request a second time.
 func freshTransport(o Options) *http.Transport {
@@ -82,6 +95,8 @@
 func (c clients) close() {
 	c.store.CloseIdleConnections()
 	c.endpoint.CloseIdleConnections()
+	c.probe.CloseIdleConnections()
+	c.scout.CloseIdleConnections()
 	c.peer.CloseIdleConnections()
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,7 +53,8 @@
 	d.peers = newPeers(d.clients.peer)
 	d.store = store.New(o.Settings.Store, d.clients.store.Do)
 	d.store.Platform = o.Settings.Platform
-	d.engine = engine.New(d.clients.endpoint.Do)
+	// Unused connections may have gone silent; a new one costs a round trip.
+	d.engine = engine.New(d.clients.fresh.Do)
 	d.buildMembership()
 	d.buildPlacement()
 	d.buildUsage()
--- a/daemon/world_faults_test.go
+++ b/daemon/world_faults_test.go
@@ -101,7 +101,7 @@
 		{name: "first member turns cold", fault: func(w *world) { w.engines[w.members()[0]].Cool() }, whole: 5 * time.Second, served: 120},
 		{name: "first member turns cold under requests that run at most once", fault: func(w *world) { w.engines[w.members()[0]].Cool() }, whole: 5 * time.Second, served: 115, oneIn: 1},
 		{name: "second member pauses", fault: func(w *world) { w.engines[w.members()[1]].Pause() }, whole: 5 * time.Second, served: 120},
-		{name: "connections to endpoints go silent", fault: func(w *world) { w.silence() }, whole: tick, served: 105},
+		{name: "connections to endpoints go silent", fault: func(w *world) { w.silence() }, whole: tick, served: 120},
 		{name: "store down", fault: func(w *world) { w.store.Down(true) }, whole: tick, served: 100},
 		{name: "store hangs", fault: func(w *world) { w.store.Hang(true) }, whole: tick, served: 100},
 		{name: "store loses answers", fault: func(w *world) { w.store.LoseAnswers(20) }, whole: tick, served: 120},
@@ -109,7 +109,7 @@
 		{name: "a daemon leaves", fault: func(w *world) { w.daemons["d2"]() }, whole: 5 * time.Second, served: 120},
 		{name: "a daemon is cut off", fault: func(w *world) { w.lose("d2") }, whole: 10 * time.Second, served: 110},
 		{name: "keeper and gate are cut off while the store is down", fault: func(w *world) { w.store.Down(true); w.lose("d3") }, served: 95},
-		{name: "a request crashes endpoints", fault: func(w *world) { w.poison() }, whole: 10 * time.Second, served: 75},
+		{name: "a request crashes endpoints", fault: func(w *world) { w.poison() }, whole: 10 * time.Second, served: 90},
 		{name: "a failure domain is taken out", fault: func(w *world) { w.drain("north") }, served: 120},
 	}
 	for _, test := range tests {
