--- a/admin/commit.go
+++ b/admin/commit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/edit"
 	"clementinehead.example/chead/fleet"
 	"clementinehead.example/chead/store"
@@ -60,7 +61,7 @@
 		if err != nil {
 			last = err
 		}
-		if !sleep(ctx, again) {
+		if !clock.Sleep(ctx, again) {
 			return result{}, c.gaveUp(last)
 		}
 	}
@@ -148,15 +149,3 @@
 	envelope, err := edit.Read(entry.Value)
 	return entry, envelope, err
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/audit/trail.go
+++ b/audit/trail.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/store"
 )
 
@@ -95,7 +96,7 @@
 func (t *Trail) Run(ctx context.Context) error {
 	wait := interval
 	var pending *batch
-	for sleep(ctx, wait) {
+	for clock.Sleep(ctx, wait) {
 		pending, wait = t.flush(ctx, pending, wait)
 	}
 	t.finish(context.WithoutCancel(ctx), pending)
@@ -198,15 +199,3 @@
 	}
 	return nil
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/cmd/chfake/send.go
+++ b/cmd/chfake/send.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"clementinehead.example/chead/clock"
 )
 
 // backoff is the wait before a request is sent again where the answer names
@@ -23,7 +25,7 @@
 	e := end{request: r}
 	for n := 1; ; n++ {
 		e.last = s.try(ctx, r, n)
-		if n == s.command.Tries || !e.last.again(r) || !pause(ctx, e.last.retry) {
+		if n == s.command.Tries || !e.last.again(r) || !clock.Sleep(ctx, e.last.retry) {
 			return e
 		}
 		e.attempts = append(e.attempts, e.last)
@@ -45,14 +47,3 @@
 		return true
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(d, backoff))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/release.go
+++ b/entry/release.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/wire"
 )
 
@@ -37,7 +38,7 @@
 			return response, nil
 		}
 		failed = err
-		if !pause(ctx, releaseWait) {
+		if !clock.Sleep(ctx, releaseWait) {
 			break
 		}
 		gate = e.present(p)
@@ -68,15 +69,3 @@
 		_, _ = e.release(ctx, j, p, o) // the gate lets a silent permit lapse
 	})
 }
-
-// pause waits and reports whether the context still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/wire"
 )
@@ -101,7 +102,7 @@
 	if failures == 0 {
 		return ctx.Err() == nil
 	}
-	return pause(ctx, resumeWait<<(failures-1))
+	return clock.Sleep(ctx, resumeWait<<(failures-1))
 }
 
 // errRestarted is the cause where another boot of an endpoint answered.
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/wire"
 )
@@ -35,7 +36,7 @@
 		if ok {
 			return settled
 		}
-		if !pause(ctx, settleWait) {
+		if !clock.Sleep(ctx, settleWait) {
 			return wire.Ending_ENDING_BROKEN
 		}
 	}
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"clementinehead.example/chead/clock"
 )
 
 const (
@@ -61,7 +63,7 @@
 	e.options.Log.Info("callers' interface leaves")
 	hold := time.Duration(e.options.View().Document.Limits.Entries)
 	e.hold(maxSpread + hold)
-	if !pause(ctx, time.Until(e.held())) {
+	if !clock.Sleep(ctx, time.Until(e.held())) {
 		return ctx.Err()
 	}
 	e.options.Log.Info("callers' interface takes no new connections")
--- a/fakes/handle.go
+++ b/fakes/handle.go
@@ -29,18 +29,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// sleep waits for d and reports whether the context lasted as long.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/fakes/life.go
+++ b/fakes/life.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 )
 
@@ -75,7 +76,7 @@
 
 func (l *life) report(w http.ResponseWriter, r *http.Request) {
 	late := time.Duration((l.engine.Slowness() - 1) * float64(reportTime))
-	if !sleep(r.Context(), late) {
+	if !clock.Sleep(r.Context(), late) {
 		panic(http.ErrAbortHandler)
 	}
 	l.mu.Lock()
@@ -131,5 +132,5 @@
 	for _, member := range members {
 		slowest = max(slowest, l.engine.options.Pace(member))
 	}
-	return sleep(ctx, time.Duration(float64(d)*slowest)) && l.engine.awake(ctx, l)
+	return clock.Sleep(ctx, time.Duration(float64(d)*slowest)) && l.engine.awake(ctx, l)
 }
--- a/fakes/loader.go
+++ b/fakes/loader.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 )
 
@@ -25,7 +26,7 @@
 // Load returns once a number of gigabytes is loaded, or with the context's
 // error.
 func (l *Loader) Load(ctx context.Context, gigabytes float64) error {
-	if !sleep(ctx, l.reserve(gigabytes)) {
+	if !clock.Sleep(ctx, l.reserve(gigabytes)) {
 		return ctx.Err()
 	}
 	return nil
--- a/fakes/members.go
+++ b/fakes/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 )
 
@@ -31,7 +32,7 @@
 	boots := map[string]uint64{}
 	for {
 		l.mark(ctx, l.look(ctx, order, boots))
-		if !sleep(ctx, l.engine.options.Check) {
+		if !clock.Sleep(ctx, l.engine.options.Check) {
 			return
 		}
 	}
@@ -107,7 +108,7 @@
 	l.mu.Lock()
 	missing := l.missing
 	l.mu.Unlock()
-	if missing == "" || !sleep(j.ctx, 2*l.engine.options.Check) {
+	if missing == "" || !clock.Sleep(j.ctx, 2*l.engine.options.Check) {
 		return
 	}
 	l.mu.Lock()
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 )
 
@@ -63,7 +64,7 @@
 	body, _ := io.ReadAll(r.Body)
 	key := p.begin(r)
 	delay, lost := p.faults()
-	if !sleep(r.Context(), delay) || lost {
+	if !clock.Sleep(r.Context(), delay) || lost {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, Echo{Method: r.Method, Path: r.URL.Path, Body: string(body), Run: p.ledger.Count(key)})
--- a/fakes/store.go
+++ b/fakes/store.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"clementinehead.example/chead/clock"
 )
 
 // MaxValue is the largest value that the store takes, in bytes.
@@ -128,7 +130,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(r.Context(), delay) {
+	if !clock.Sleep(r.Context(), delay) {
 		panic(http.ErrAbortHandler)
 	}
 	if down {
--- a/once/claim.go
+++ b/once/claim.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"clementinehead.example/chead/clock"
 )
 
 // The waits between attempts to write the end of a claim; they double.
@@ -53,7 +55,7 @@
 		if err == nil {
 			return nil
 		}
-		if !pause(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return fault(op, Down, err)
 		}
 		wait = min(2*wait, maxWait)
@@ -74,18 +76,6 @@
 	return err
 }
 
-// pause waits and reports whether the context still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // stands reads back whether a record that was written with the error err is in
 // force after all.
 func (c *Claim) stands(ctx context.Context, record Record, err error) (bool, error) {
--- a/relay/confirm.go
+++ b/relay/confirm.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/wire"
 )
 
@@ -26,7 +27,7 @@
 	waiting := map[string]*wire.Daemon{}
 	awaited := map[string]bool{} // live when they were first seen
 	confirmed := map[string]bool{}
-	sleep(ctx, headStart)
+	clock.Sleep(ctx, headStart)
 	for {
 		r.join(waiting, awaited, confirmed)
 		for _, id := range r.ask(ctx, slices.Collect(maps.Values(waiting)), key, revision) {
@@ -34,7 +35,7 @@
 			delete(waiting, id)
 			delete(awaited, id)
 		}
-		if len(awaited) == 0 || !sleep(ctx, asking) {
+		if len(awaited) == 0 || !clock.Sleep(ctx, asking) {
 			return slices.Sorted(maps.Keys(waiting))
 		}
 	}
--- a/relay/fetch.go
+++ b/relay/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/wire"
 )
 
@@ -68,7 +69,7 @@
 		case address := <-r.behind:
 			r.fetch(ctx, address)
 		}
-		if !sleep(ctx, fetchPause) {
+		if !clock.Sleep(ctx, fetchPause) {
 			return nil
 		}
 	}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/store"
 )
 
@@ -31,7 +32,7 @@
 			r.options.Log.Info("documents known", "fromstore", err == nil)
 			return true
 		}
-		if !sleep(ctx, r.jitter(wait)) {
+		if !clock.Sleep(ctx, r.jitter(wait)) {
 			return false
 		}
 		wait = min(2*wait, lastRetry)
@@ -102,7 +103,7 @@
 	var place position
 	wait := firstRetry
 	pause := idle // until the roster is known
-	for sleep(ctx, pause) {
+	for clock.Sleep(ctx, pause) {
 		pause = idle
 		switch {
 		case r.chosen():
@@ -183,15 +184,3 @@
 	defer r.mu.Unlock()
 	return d/2 + time.Duration(r.random.Int64N(int64(d)))
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/roster/beat.go
+++ b/roster/beat.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/wire"
 )
 
@@ -242,20 +243,8 @@
 			})
 		}
 		group.Wait()
-		if !sleep(ctx, spacing) {
+		if !clock.Sleep(ctx, spacing) {
 			return nil
 		}
 	}
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/roster/record.go
+++ b/roster/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/store"
 	"clementinehead.example/chead/wire"
 )
@@ -57,7 +58,7 @@
 		} else {
 			wait = firstRetry
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			break
 		}
 	}
