--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,7 @@
 	leaving atomic.Bool
 	blind   atomic.Bool    // the store can't be asked for records
 	work    sync.WaitGroup // what goes on behind an answer
+	moved   atomic.Int64   // when a failure domain was last seen out of service, Unix nanoseconds
 	mu      sync.Mutex     // for server, random numbers and until
 	server  *http.Server
 	stopped bool      // Shutdown has passed
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -12,6 +12,7 @@
 // are not among the labels; the report is made from package tally.
 type metrics struct {
 	requests *prometheus.CounterVec
+	moves    *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	resumes  prometheus.Counter
 	progress prometheus.Gauge
@@ -24,6 +25,10 @@
 			Name: "chead_entry_requests_total",
 			Help: "Requests that had their final answer, by outcome.",
 		}, []string{"outcome"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chead_entry_moves_total",
+			Help: "Requests that had their final answer while a failure domain was out of service or coming back, by outcome.",
+		}, []string{"outcome"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chead_entry_retries_total",
 			Help: "Dispatches that were made again, by the code of the failure before.",
@@ -43,7 +48,7 @@
 		}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.requests, m.retries, m.resumes, m.progress, m.first)
+		registry.MustRegister(m.requests, m.moves, m.retries, m.resumes, m.progress, m.first)
 	}
 	return m
 }
