A gate stops at the first word of a crash, before a probe shows it

Change: a release that tells of a crash makes the last probe worthless. What is left: with nothing in progress, nobody hears of the crash before the next probe, up to 600 ms.

--- a/gate/claim_test.go
+++ b/gate/claim_test.go
@@ -127,3 +127,15 @@
 	pass(PermitLife+ReportLag, 3)
 	is.Equal(c.ledger.inUse(), 3)
 }
+
+// TestCrashStops shows that a gate stops at the first word of a crash, before
+// a probe shows another boot.
+func TestCrashStops(t *testing.T) {
+	is := is.New(t)
+	c := openCore(start, testSetup(conf.Ramp{Start: 2, Step: 1, Full: 2}, nil), 0)
+	_, answers := c.Ask(start, request("a"))
+	c.Release(start, &wire.ReleaseRequest{Permit: answers[0].Response.Permit, Ending: wire.Ending_ENDING_CRASHED})
+	is.Equal(c.Bar(start), Silent)
+	c.Probe(start, start, "i:1", ready(0))
+	is.Equal(c.Bar(start), Open)
+}
--- a/gate/release.go
+++ b/gate/release.go
@@ -26,6 +26,7 @@
 	case wire.Ending_ENDING_CRASHED:
 		c.book.Strike(p.fingerprint, p.crash)
 		c.ledger.lose(p)
+		c.distrust(p)
 	default:
 		c.ledger.remove(p)
 	}
@@ -34,6 +35,14 @@
 	return response, c.pump(now)
 }
 
+// distrust gives no permit until the next probe, when the endpoint is said to
+// have started again in its present boot: it may be cold already.
+func (c *Core) distrust(p *permit) {
+	if len(c.members) > 0 && p.crash == crashName(c.setup.Replica.ID, c.boot) {
+		c.members[0].sent = time.Time{}
+	}
+}
+
 // releaseForeign ends a request that a gate before let pass. Only one that
 // ended after its load was counted here is taken off that load.
 func (c *Core) releaseForeign(now time.Time, release *wire.ReleaseRequest) {
