A replica that is mended under the gate that it had serves at once

Cause: the log of TestSystemUnderFaults/a_request_crashes_endpoints shows each gate in PriorGate for 2 s after its replica was mended, though no other gate had been named; the wait is spared only to one that stood less than 1.5 s before. Ruled out: the keeper (serving 1 s after the order) and the probes. Change: the fabric domain's value holds the fence under which a gate was named; a gate that stood under the same naming needs no wait, unless it paused or stood beside another since. Broken versions caught by TestSameNaming: any naming will do, a pause or another gate beside forgotten.

--- a/fleet/fabric.go
+++ b/fleet/fabric.go
@@ -29,6 +29,7 @@
 	Fence   uint64    `json:"fence"`   // of the members' current order
 	Members []Member  `json:"members"` // the first takes the requests
 	Gate    string    `json:"gate"`    // daemon that gives its permits
+	Named   uint64    `json:"named"`   // fence under which that daemon was named
 	Since   time.Time `json:"since"`   // when it came into its state
 }
 
--- a/fleet/gates.go
+++ b/fleet/gates.go
@@ -24,6 +24,7 @@
 		p.note("rename", r.ID, r.Group, because(Gateless, "gate %s lost, now %s", cmp.Or(r.Gate, "none"), gate))
 		r.Gate = gate
 		r.Fence = p.fence()
+		r.Named = r.Fence
 		renamed++
 	}
 }
--- a/gate/claim.go
+++ b/gate/claim.go
@@ -9,6 +9,7 @@
 	held  bool      // the wait is over, or was not needed
 	last  time.Time // when a held claim last stood, of this fence or one before
 	prior uint64    // the fence under which it last stood
+	named uint64    // the fence under which this gate was named when it last stood, 0 for unknown
 }
 
 // renew begins a claim for another fencing number. The claim before is
@@ -32,16 +33,18 @@
 func (c *claim) doubt() {
 	c.drop()
 	c.last = time.Time{}
+	c.named = 0
 }
 
 // see notes that all members report the fence. The claim is held at once when
-// this gate stood so lately that no other can have stood in between.
-func (c *claim) see(now time.Time) {
+// this gate stood so lately that no other can have stood in between, or when
+// it stood under the same naming and so no other was named since.
+func (c *claim) see(now time.Time, named uint64) {
 	if !c.whole.IsZero() {
 		return
 	}
 	c.whole = now
-	c.held = c.held || c.recent(now)
+	c.held = c.held || c.recent(now) || (named != 0 && named == c.named)
 }
 
 // recent reports whether the claim stood so lately that no other gate can have
@@ -63,7 +66,8 @@
 
 // stand notes that all members reported the fence, at a moment at which the
 // claim was held.
-func (c *claim) stand(moment time.Time) {
+func (c *claim) stand(moment time.Time, named uint64) {
 	c.last = moment
 	c.prior = c.fence
+	c.named = named
 }
--- a/gate/claim_test.go
+++ b/gate/claim_test.go
@@ -49,6 +49,43 @@
 	}
 }
 
+// TestSameNaming holds when a gate that stood long ago is spared the wait: only
+// when no other daemon can have been the gate since.
+func TestSameNaming(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(c *Core, next *Setup)
+		bar    Bar
+	}{
+		{"named once", func(*Core, *Setup) {}, Open},
+		{"named anew", func(_ *Core, next *Setup) { next.Replica.Named = next.Replica.Fence }, PriorGate},
+		{"naming unknown", func(_ *Core, next *Setup) { next.Replica.Named = 0 }, PriorGate},
+		{"stood beside another", func(c *Core, _ *Setup) { c.setup.Weak = true }, PriorGate},
+		{"process paused", func(c *Core, _ *Setup) { c.set = start.Add(-time.Hour) }, PriorGate},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			setup := testSetup(conf.Ramp{Start: 2, Step: 1, Full: 2}, nil)
+			setup.Replica.Named = setup.Replica.Fence
+			c := openCore(start, setup, 0)
+			now := start.Add(time.Minute)
+			c.set = now // the process was not paused
+			next := setup
+			next.Replica.Fence++
+			test.change(c, &next)
+			c.Set(now, next)
+			now = now.Add(wakeWait)
+			c.set = now
+			report := ready(0)
+			report.Fence = next.Replica.Fence
+			c.Probe(now, now, "i:1", report)
+			c.Set(now, next)
+			is.Equal(c.Bar(now), test.bar)
+		})
+	}
+}
+
 // TestTake holds which handovers a gate takes, and what it knows then.
 func TestTake(t *testing.T) {
 	setup := testSetup(conf.Ramp{Start: 1, Step: 1, Full: 4}, nil)
--- a/gate/core.go
+++ b/gate/core.go
@@ -60,6 +60,7 @@
 func (c *Core) Set(now time.Time, setup Setup) []Answer {
 	if !c.set.IsZero() && now.Sub(c.set) > pauseLimit {
 		c.woken = now
+		c.claim.named = 0 // another gate may have been named and dropped meanwhile
 	}
 	c.set = now
 	regained := c.setup.Weak && !setup.Weak
--- a/gate/model_test.go
+++ b/gate/model_test.go
@@ -160,6 +160,7 @@
 		return
 	}
 	w.replica.Gate = d.id
+	w.replica.Named = w.replica.Fence + 1
 	w.order()
 }
 
--- a/gate/stand.go
+++ b/gate/stand.go
@@ -51,15 +51,24 @@
 	if !whole {
 		return
 	}
-	c.claim.see(now)
+	c.claim.see(now, c.named())
 	if !c.claim.held && c.claim.due(now) {
 		c.adopt(now)
 	}
 	if c.claim.held && now.Sub(oldest) <= ProbeFresh {
-		c.claim.stand(oldest)
+		c.claim.stand(oldest, c.named())
 	}
 }
 
+// named returns the fence under which this daemon was named the gate, 0 for one
+// that stands in or may stand beside another.
+func (c *Core) named() uint64 {
+	if !c.setup.Named || c.setup.Weak {
+		return 0
+	}
+	return c.setup.Replica.Named
+}
+
 // whole reports whether all members showed the fence at their last answered
 // probe, and when the oldest of these probes was sent.
 func (c *Core) whole() (bool, time.Time) {
--- a/gate/world_test.go
+++ b/gate/world_test.go
@@ -105,7 +105,7 @@
 		changed: make(chan struct{}),
 		ctx:     ctx,
 	}
-	w.replica = fleet.Replica{ID: "r1", Group: "g", State: chart.Serving, Fence: 1, Gate: "d0"}
+	w.replica = fleet.Replica{ID: "r1", Group: "g", State: chart.Serving, Fence: 1, Gate: "d0", Named: 1}
 	for i := range w.hosts {
 		w.hosts[i] = host{
 			address: fmt.Sprintf("host%d", i),
