An account over its part of the rate at one replica is taken at others

Cause: a gate allows the account's rate divided by the number of serving replicas, and the entry took one gate's word as final, so an account that keeps to few homes got less than its rate. Change: the entry asks on, and refuses with the shortest wait when all that it may ask have turned the account away. Shown failing before by TestRateOfAllReplicas.

--- a/entry/acquire.go
+++ b/entry/acquire.go
@@ -31,6 +31,7 @@
 	busy    bool          // a gate said that it is
 	back    time.Duration // the shortest time after which one may not be
 	best    view.Place    // the replica of that one
+	limited *Error        // a gate's word that the account is over its part of the rate there
 }
 
 // acquire asks the gates of the replicas in turn for a permit. Replicas that
@@ -72,7 +73,10 @@
 // wait queues at the gate that has a permit first, where all are busy and that
 // one has it in time.
 func (a *acquisition) wait(ctx context.Context, most time.Duration) (*permit, *Error) {
-	if !a.busy {
+	switch {
+	case !a.busy && a.limited != nil:
+		return nil, a.limited
+	case !a.busy:
 		return nil, unavailable(errNobody)
 	}
 	most = min(most, time.Until(a.job.deadline))
@@ -160,9 +164,7 @@
 	case wire.Verdict_VERDICT_GRANTED:
 		return a.check(place, gate, asked, response), nil
 	case wire.Verdict_VERDICT_THROTTLED:
-		err := reject("acquire", Throttled, text(response))
-		err.Retry = max(response.GetRetryAfter().AsDuration(), defaultBack)
-		return nil, err
+		a.limit(response)
 	case wire.Verdict_VERDICT_SUSPECT:
 		// Attempts before this one ran, if only in part.
 		return nil, &Error{Op: "acquire", Kind: Suspect, Ran: engine.Unknown, Err: text(response)}
@@ -172,6 +174,18 @@
 	return nil, nil
 }
 
+// limit remembers the shortest time after which a replica that turned the
+// account away for its rate takes it again. Each replica has a part of the
+// rate, so others are asked all the same.
+func (a *acquisition) limit(response *wire.AcquireResponse) {
+	back := max(response.GetRetryAfter().AsDuration(), defaultBack)
+	if a.limited != nil && a.limited.Retry <= back {
+		return
+	}
+	a.limited = reject("acquire", Throttled, text(response))
+	a.limited.Retry = back
+}
+
 // note remembers the replica that has a permit first.
 func (a *acquisition) note(place view.Place, back time.Duration) {
 	if !a.busy || back < a.back {
