--- a/daemon/build.go
+++ b/daemon/build.go
@@ -1,20 +1,18 @@
 package daemon
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	"clementinehead.example/chead/admin"
 	"clementinehead.example/chead/audit"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/entry"
+	"clementinehead.example/chead/fleet"
 	"clementinehead.example/chead/gate"
 	"clementinehead.example/chead/keeper"
 	"clementinehead.example/chead/once"
@@ -178,20 +176,9 @@
 // sweeps reports whether this daemon is the first of the live ones for a shard
 // of the at-most-once records, in rendezvous order.
 func (d *Daemon) sweeps(shard int) bool {
-	var live []*wire.Daemon
-	for _, daemon := range d.roster.Daemons() {
-		if daemon.Standing == wire.Standing_STANDING_ALIVE {
-			live = append(live, daemon)
-		}
-	}
-	if len(live) == 0 {
-		return false
-	}
-	score := func(daemon *wire.Daemon) uint64 {
-		return xxhash.Sum64String("once/" + strconv.Itoa(shard) + "/" + daemon.Id)
-	}
-	first := slices.MinFunc(live, func(a, b *wire.Daemon) int { return cmp.Compare(score(a), score(b)) })
-	return first.Id == d.options.Settings.ID
+	key := "once/" + strconv.Itoa(shard)
+	ranked := fleet.Rendezvous(key, "", "", fleet.Daemons(d.roster.Daemons()))
+	return len(ranked) > 0 && ranked[0] == d.options.Settings.ID
 }
 
 func (d *Daemon) buildAdmin() {
--- a/gate/standing.go
+++ b/gate/standing.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	first := substitutes(replica.ID, domain, document, s.roster)
-	return len(first) > 0 && first[0].id == s.self
+	return len(first) > 0 && first[0] == s.self
 }
 
 // living counts the daemons that are alive.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -162,20 +162,7 @@
 }
 
 // daemons returns the roster as package fleet takes it.
-func (k *Keeper) daemons() []fleet.Daemon {
-	var daemons []fleet.Daemon
-	for _, d := range k.o.Daemons() {
-		standing := d.GetStanding()
-		daemons = append(daemons, fleet.Daemon{
-			ID:     d.GetId(),
-			Domain: d.GetDomain(),
-			Region: d.GetRegion(),
-			Alive:  standing == wire.Standing_STANDING_ALIVE,
-			Lost:   standing == wire.Standing_STANDING_DEAD || standing == wire.Standing_STANDING_LEAVING,
-		})
-	}
-	return daemons
-}
+func (k *Keeper) daemons() []fleet.Daemon { return fleet.Daemons(k.o.Daemons()) }
 
 // self returns this daemon as the roster has it, and one that is not alive
 // where the roster doesn't.
