--- a/daemon/build.go
+++ b/daemon/build.go
@@ -79,7 +79,7 @@
 		Log:      o.Log.WithName("audit"),
 		Registry: o.Registry,
 	})
-	scout := engine.New(d.clients.scout.Do)
+	orders := engine.New(d.clients.order.Do)
 	d.keeper = keeper.New(keeper.Options{
 		Self:     o.Settings.ID,
 		Domain:   o.Settings.Domain,
@@ -88,8 +88,8 @@
 		View:     d.relay.View,
 		Learn:    d.relay.Learn,
 		Daemons:  d.roster.Daemons,
-		Probe:    scout.Probe,
-		Order:    scout.Order,
+		Probe:    orders.Probe,
+		Order:    orders.Order,
 		Audit:    d.trail.Add,
 		Log:      o.Log.WithName("keeper"),
 		Registry: o.Registry,
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -25,7 +25,7 @@
 	store    *http.Client
 	endpoint *http.Client
 	probe    *http.Client // of gates
-	scout    *http.Client // of keepers: probes and orders
+	order    *http.Client // of keepers: probes and orders
 	fresh    *http.Client // uses each connection once
 	peer     *http.Client
 }
@@ -35,7 +35,7 @@
 		store:    &http.Client{Transport: storeTransport(o)},
 		endpoint: &http.Client{Transport: endpointTransport(o), CheckRedirect: passRedirect},
 		probe:    &http.Client{Transport: probeTransport(o)},
-		scout:    &http.Client{Transport: probeTransport(o)},
+		order:    &http.Client{Transport: probeTransport(o)},
 		fresh:    &http.Client{Transport: freshTransport(o), CheckRedirect: passRedirect},
 		peer:     &http.Client{Transport: peerTransport(o)},
 	}
@@ -96,7 +96,7 @@
 	c.store.CloseIdleConnections()
 	c.endpoint.CloseIdleConnections()
 	c.probe.CloseIdleConnections()
-	c.scout.CloseIdleConnections()
+	c.order.CloseIdleConnections()
 	c.peer.CloseIdleConnections()
 }
 
--- a/fakes/members.go
+++ b/fakes/members.go
@@ -102,9 +102,9 @@
 	}
 }
 
-// reproach records a violation when a member is missing at a request's start,
+// noteIncomplete records a violation when a member is missing at a request's start,
 // and was not merely found whole too late.
-func (l *life) reproach(j *job) {
+func (l *life) noteIncomplete(j *job) {
 	l.mu.Lock()
 	missing := l.missing
 	l.mu.Unlock()
--- a/fakes/run.go
+++ b/fakes/run.go
@@ -10,7 +10,7 @@
 	case <-j.ctx.Done():
 		return
 	}
-	l.reproach(j)
+	l.noteIncomplete(j)
 	if !l.together(j.ctx) || !l.engine.awake(j.ctx, l) {
 		return
 	}
--- a/keeper/elect.go
+++ b/keeper/elect.go
@@ -36,12 +36,12 @@
 
 // election holds when this daemon looks at which keeper's key next.
 type election struct {
-	rand    *rand.Rand
-	start   time.Time
-	scouted time.Time
-	mu      sync.Mutex // guards the rest
-	next    map[string]time.Time
-	tried   map[string]time.Time
+	rand       *rand.Rand
+	start      time.Time
+	discovered time.Time
+	mu         sync.Mutex // guards the rest
+	next       map[string]time.Time
+	tried      map[string]time.Time
 }
 
 func newElection(rand *rand.Rand) *election {
@@ -210,18 +210,18 @@
 	_ = k.o.Store.Delete(ctx, key, entry.Revision)
 }
 
-// scout looks for fabric domains that nobody has noted yet. One daemon of each
+// discover looks for fabric domains that nobody has noted yet. One daemon of each
 // failure domain does.
-func (k *Keeper) scout(ctx context.Context) {
-	if time.Since(k.elect.scouted) < scoutInterval {
+func (k *Keeper) discover(ctx context.Context) {
+	if time.Since(k.elect.discovered) < discoverInterval {
 		return
 	}
-	k.elect.scouted = time.Now()
+	k.elect.discovered = time.Now()
 	daemons := k.daemons()
-	if fleet.Rank(k.self(daemons), "scout/"+k.o.Domain, k.o.Domain, k.o.Region, daemons, 1) > 0 {
+	if fleet.Rank(k.self(daemons), "discover/"+k.o.Domain, k.o.Domain, k.o.Region, daemons, 1) > 0 {
 		return
 	}
-	rows, _ := k.list.read(ctx, scoutInterval/2)
+	rows, _ := k.list.read(ctx, discoverInterval/2)
 	known := k.o.View().Fabrics
 	for _, row := range rows {
 		if _, ok := known[row.Fabric]; !ok && row.Fabric != "" {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -20,15 +20,15 @@
 )
 
 const (
-	period        = time.Second            // between rounds
-	probeTimeout  = 900 * time.Millisecond // of one probe
-	orderTimeout  = 2 * time.Second        // of one order
-	longestOrder  = 3 * time.Second        // after it was sent, an order has been taken or is lost
-	storeTimeout  = 2 * time.Second        // of one call of the key-value service
-	releaseLimit  = time.Second            // for giving the lease back at the end
-	probesAtOnce  = 64                     // of one fabric domain
-	listInterval  = 2 * time.Second        // between reads of the platform's list
-	scoutInterval = 10 * time.Second       // between looks for new fabric domains
+	period           = time.Second            // between rounds
+	probeTimeout     = 900 * time.Millisecond // of one probe
+	orderTimeout     = 2 * time.Second        // of one order
+	longestOrder     = 3 * time.Second        // after it was sent, an order has been taken or is lost
+	storeTimeout     = 2 * time.Second        // of one call of the key-value service
+	releaseLimit     = time.Second            // for giving the lease back at the end
+	probesAtOnce     = 64                     // of one fabric domain
+	listInterval     = 2 * time.Second        // between reads of the platform's list
+	discoverInterval = 10 * time.Second       // between looks for new fabric domains
 )
 
 // Options are what a Keeper depends on.
@@ -104,7 +104,7 @@
 	if k.lease.renew(ctx, k.held() > 0) == lapsed {
 		k.stopAll()
 	}
-	k.scout(ctx)
+	k.discover(ctx)
 	k.contend(ctx)
 }
 
--- a/tally/holder.go
+++ b/tally/holder.go
@@ -120,7 +120,7 @@
 	defer cancel()
 	h.hold(ctx)
 	h.flush(ctx)
-	h.bequeath(ctx)
+	h.leaveAll(ctx)
 }
 
 // hold sends the peer in charge what changed since its last sheet. A peer that
--- a/tally/holding.go
+++ b/tally/holding.go
@@ -24,8 +24,8 @@
 	return h.sheet
 }
 
-// orphaned reports whether the daemon that counted the sheet is gone.
-func (h *holding) orphaned() bool { return h.sheet.Ended > 0 || h.sheet.Closed }
+// abandoned reports whether the daemon that counted the sheet is gone.
+func (h *holding) abandoned() bool { return h.sheet.Ended > 0 || h.sheet.Closed }
 
 // adopt marks the held sheets of daemons that are gone, so that they are
 // flushed in their stead.
@@ -50,14 +50,14 @@
 	return d.Boot > boot.Boot || d.Standing == wire.Standing_STANDING_DEAD
 }
 
-// passOn gives a peer a copy of each orphaned sheet, so that it survives the
+// passOn gives a peer a copy of the sheet of each daemon that is gone, so that it survives the
 // death of this daemon while the store is down.
 func (h *Holder) passOn(ctx context.Context) {
 	peer := h.choose()
 	if peer == nil {
 		return
 	}
-	for _, held := range h.orphans() {
+	for _, held := range h.abandoned() {
 		if held.copy || held.passed == peer.Id {
 			continue
 		}
@@ -67,8 +67,8 @@
 	}
 }
 
-// bequeath leaves all held sheets to a peer, when this daemon shuts down.
-func (h *Holder) bequeath(ctx context.Context) {
+// leaveAll leaves all held sheets to a peer, when this daemon shuts down.
+func (h *Holder) leaveAll(ctx context.Context) {
 	peer := h.choose()
 	if peer == nil {
 		return
@@ -108,15 +108,15 @@
 	return holdings
 }
 
-// orphans returns copies of the holdings whose daemon is gone.
-func (h *Holder) orphans() []holding {
-	var orphans []holding
+// abandoned returns copies of the holdings whose daemon is gone.
+func (h *Holder) abandoned() []holding {
+	var abandoned []holding
 	for _, held := range h.holdings() {
-		if held.orphaned() {
-			orphans = append(orphans, held)
+		if held.abandoned() {
+			abandoned = append(abandoned, held)
 		}
 	}
-	return orphans
+	return abandoned
 }
 
 func (h *Holder) notePassed(sheet *wire.Sheet, peer string) {
--- a/tally/page.go
+++ b/tally/page.go
@@ -45,7 +45,7 @@
 		h.acked = 0
 		h.mutex.Unlock()
 	}
-	for _, held := range h.orphans() {
+	for _, held := range h.abandoned() {
 		if h.write(ctx, held.sheet) {
 			h.release(held.sheet)
 		}
