chsize fit: each figure by what it grows with

Cause: processor time and traffic with endpoints grow with the endpoints that a daemon looks after, not with the number of daemons, so a line by daemons fell below zero at 410. Change: a line by endpoints a daemon for these, by fabric domains for the store's calls, by daemons for the rest.

--- a/capacity.sh
+++ b/capacity.sh
@@ -6,12 +6,12 @@
 cd "$(dirname "$0")"
 
 sizes=${CAPACITY_SIZES:-"9:60:3 20:120:5 40:180:11 80:240:11"}
-rows=$(mktemp "${TMPDIR:-/tmp}/chead-capacity.XXXXXX")
+rows=${CAPACITY_ROWS:-$(mktemp "${TMPDIR:-/tmp}/chead-capacity.XXXXXX")} # kept where named
 world=
 
 finish() {
 	[ -z "$world" ] || kill "$world" 2>/dev/null || true
-	rm -f "$rows"
+	[ -n "${CAPACITY_ROWS:-}" ] || rm -f "$rows"
 }
 trap finish EXIT
 
--- a/cmd/chsize/fit.go
+++ b/cmd/chsize/fit.go
@@ -11,73 +11,88 @@
 
 type fitCommand struct {
 	Rows    string `arg:"" type:"existingfile" help:"File of rows, as chsize daemons prints them."`
-	Daemons int    `default:"410" help:"Size to work the figures out for."`
+	Daemons int    `default:"410" help:"Size to work the figures out for: daemons."`
+	Runners int    `default:"600" help:"The same: endpoints."`
+	Domains int    `default:"11" help:"The same: failure domains."`
 }
 
-// column is one figure of a row.
-type column struct {
+// figure is one figure of a row, and what it grows with.
+type figure struct {
 	name  string
 	value func(Row) float64
+	with  factor
 }
 
-var columns = []column{
-	{"% of a core", func(r Row) float64 { return r.Core }},
-	{"MB", func(r Row) float64 { return r.Memory }},
-	{"peer B/s", func(r Row) float64 { return r.Peer }},
-	{"peak peer B/s", func(r Row) float64 { return r.Peak }},
-	{"store B/s", func(r Row) float64 { return r.Store }},
-	{"endpoint B/s", func(r Row) float64 { return r.Endpoint }},
-	{"store reads/s", func(r Row) float64 { return r.Reads }},
-	{"store writes/s", func(r Row) float64 { return r.Writes }},
-	{"in force s", func(r Row) float64 { return r.Force }},
+// factor is what figures grow with.
+type factor struct {
+	name string
+	of   func(Row) float64
 }
 
-// Run prints the rows, the slope of each figure by daemon, and its value on
-// the line at the size asked for.
+var (
+	daemonCount  = factor{"daemon", func(r Row) float64 { return float64(r.Daemons) }}
+	fabricCount  = factor{"fabric domain", func(r Row) float64 { return float64(fabricDomains(r.Runners, r.Domains)) }}
+	runnersShare = factor{"endpoint a daemon", func(r Row) float64 { return float64(r.Runners) / float64(r.Daemons) }}
+)
+
+var figures = []figure{
+	{"processor time, % of a core a daemon", func(r Row) float64 { return r.Core }, runnersShare},
+	{"memory, MB a daemon", func(r Row) float64 { return r.Memory }, daemonCount},
+	{"sent to daemons, B/s a daemon", func(r Row) float64 { return r.Peer }, daemonCount},
+	{"the same of the busiest", func(r Row) float64 { return r.Peak }, daemonCount},
+	{"with the store, B/s a daemon", func(r Row) float64 { return r.Store }, daemonCount},
+	{"with endpoints, B/s a daemon", func(r Row) float64 { return r.Endpoint }, runnersShare},
+	{"reads, watches and lists, calls/s in all", func(r Row) float64 { return r.Reads }, fabricCount},
+	{"writes and leases, calls/s in all", func(r Row) float64 { return r.Writes }, fabricCount},
+	{"an edit in force everywhere, s", func(r Row) float64 { return r.Force }, daemonCount},
+}
+
+// Run prints each figure at each size, its slope, and its value on the line at
+// the size asked for.
 func (c fitCommand) Run() error {
 	rows, err := readRows(c.Rows)
 	if err != nil {
 		return err
 	}
+	target := Row{Daemons: c.Daemons, Runners: c.Runners, Domains: c.Domains}
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprint(out, "daemons\trunners\tserving\t")
-	for _, column := range columns {
-		fmt.Fprintf(out, "%s\t", column.name)
+	fmt.Fprint(out, "daemons/endpoints/failure domains\t")
+	for _, row := range rows {
+		fmt.Fprintf(out, "%s\t", row.size())
 	}
-	fmt.Fprintln(out)
+	fmt.Fprintf(out, "slope\t%s by the line\t\n", target.size())
+	for _, f := range figures {
+		f.print(out, rows, target)
+	}
+	fmt.Fprint(out, "replicas serving, of those wanted\t")
 	for _, row := range rows {
-		fmt.Fprintf(out, "%d\t%d\t%d of %d\t", row.Daemons, row.Runners, row.Serving, row.Wanted)
-		for _, column := range columns {
-			fmt.Fprintf(out, "%.3g\t", column.value(row))
-		}
-		fmt.Fprintln(out)
+		fmt.Fprintf(out, "%d of %d\t", row.Serving, row.Wanted)
 	}
-	c.printLine(out, rows)
+	fmt.Fprintln(out)
 	return out.Flush()
 }
 
-func (c fitCommand) printLine(out io.Writer, rows []Row) {
-	slopes, values := "slope\t\t\t", fmt.Sprintf("%d by the line\t\t\t", c.Daemons)
-	for _, column := range columns {
-		slope, base := line(rows, column.value)
-		slopes += fmt.Sprintf("%.3g\t", slope)
-		values += fmt.Sprintf("%.3g\t", base+slope*float64(c.Daemons))
+func (r Row) size() string { return fmt.Sprintf("%d/%d/%d", r.Daemons, r.Runners, r.Domains) }
+
+func (f figure) print(out io.Writer, rows []Row, target Row) {
+	fmt.Fprintf(out, "%s\t", f.name)
+	for _, row := range rows {
+		fmt.Fprintf(out, "%.3g\t", f.value(row))
 	}
-	fmt.Fprintln(out, slopes)
-	fmt.Fprintln(out, values)
+	slope, base := line(rows, f.with.of, f.value)
+	fmt.Fprintf(out, "%.3g a %s\t%.3g\t\n", slope, f.with.name, base+slope*f.with.of(target))
 }
 
-// line returns the least-squares line through a figure by daemons. With fewer
-// than two sizes the slope is 0.
-func line(rows []Row, value func(Row) float64) (slope, base float64) {
+// line returns the least-squares line of a figure by another. With fewer than
+// two different values of that one the slope is 0.
+func line(rows []Row, by, value func(Row) float64) (slope, base float64) {
 	n := float64(len(rows))
 	var x, y, xx, xy float64
 	for _, row := range rows {
-		d := float64(row.Daemons)
-		x += d
+		x += by(row)
 		y += value(row)
-		xx += d * d
-		xy += d * value(row)
+		xx += by(row) * by(row)
+		xy += by(row) * value(row)
 	}
 	spread := n*xx - x*x
 	if spread == 0 {
--- a/cmd/chsize/plan.go
+++ b/cmd/chsize/plan.go
@@ -25,6 +25,12 @@
 
 func address(port int) string { return fmt.Sprintf("%s:%d", host, port) }
 
+// fabricDomains returns how many fabric domains the endpoints stand in.
+func fabricDomains(runners, domains int) int {
+	each := (runners + domains - 1) / domains
+	return domains * ((each + fabricSize - 1) / fabricSize)
+}
+
 // document asks for as many replicas as the runners make, less a spare in
 // each fabric domain.
 func document(runners, domains int) conf.Document {
