--- a/daemon/build.go
+++ b/daemon/build.go
@@ -69,8 +69,8 @@
 	})
 }
 
-// buildPlacement makes the keeper, the gate and what they write to.
-func (d *Daemon) buildPlacement() {
+// buildKeeper makes the keeper and the audit trail that it writes to.
+func (d *Daemon) buildKeeper() {
 	o := d.options
 	d.trail = audit.New(audit.Options{
 		Daemon:   o.Settings.ID,
@@ -95,6 +95,11 @@
 		Registry: o.Registry,
 		Rand:     d.random(),
 	})
+}
+
+// buildGate makes the gate and the order in which gates are asked.
+func (d *Daemon) buildGate() {
+	o := d.options
 	d.gate = gate.New(gate.Options{
 		Self:      o.Settings.ID,
 		Boot:      o.boot(),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,7 +56,8 @@
 	// Unused connections may have gone silent; a new one costs a round trip.
 	d.engine = engine.New(d.clients.fresh.Do)
 	d.buildMembership()
-	d.buildPlacement()
+	d.buildKeeper()
+	d.buildGate()
 	d.buildUsage()
 	d.buildEntry()
 	d.buildAdmin()
