--- a/daemon/build.go
+++ b/daemon/build.go
@@ -108,7 +108,7 @@
 		Daemons:   d.roster.Daemons,
 		Confirmed: d.relay.Confirmed,
 		Probe:     engine.New(d.clients.probe.Do).Probe,
-		Feed:      d.engine.Feed,
+		Feed:      engine.New(d.clients.endpoint.Do).Feed,
 		Client:    d.peers.gate.get,
 		Log:       o.Log.WithName("gate"),
 		Registry:  o.Registry,
