The stand-in for gates moves to package fakes, and one Main for property tests

Checks, seeds and counts of cases are as they were; the command line now goes before them everywhere.

--- a/admin/property_test.go
+++ b/admin/property_test.go
@@ -1,10 +1,8 @@
 package admin_test
 
 import (
-	"flag"
 	"fmt"
 	"net/http"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -12,14 +10,10 @@
 	"pgregory.net/rapid"
 
 	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/prop"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "22")
-	_ = flag.Set("rapid.checks", "12")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "22", Checks: "12"}) }
 
 const systemSize = 5
 
--- a/edit/apply_test.go
+++ b/edit/apply_test.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -16,13 +14,10 @@
 
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/edit"
+	"clementinehead.example/chead/prop"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "20"}) }
 
 // change is an edit of one section.
 func change(id string, base uint64, section, content string) edit.Edit {
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -18,6 +18,7 @@
 
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/entry"
+	"clementinehead.example/chead/fakes"
 	"clementinehead.example/chead/tally"
 	"clementinehead.example/chead/view"
 	"clementinehead.example/chead/wire"
@@ -35,11 +36,11 @@
 }
 
 func (open) Handover(context.Context, *wire.HandoverRequest) (*wire.HandoverResponse, error) {
-	return nil, errGate
+	return nil, fakes.ErrGate
 }
 
 func (open) Strike(context.Context, *wire.StrikeRequest) (*wire.StrikeResponse, error) {
-	return nil, errGate
+	return nil, fakes.ErrGate
 }
 
 // endpoint sends a number of tokens as fast as it can; with a gate, it stops in
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -87,7 +87,7 @@
 						is.True(w.runs("p") <= 1)
 					}
 					time.Sleep(time.Minute)
-					is.Equal(w.gates.holding(), 0) // every permit was given back
+					is.Equal(w.gates.Holding(), 0) // every permit was given back
 				})
 			})
 		}
@@ -128,7 +128,7 @@
 		report, err := engine.New(w.network.Client("ops").Do).Probe(context.Background(), "e0:80")
 		is.NoErr(err)
 		is.Equal(report.Running, 0)
-		is.Equal(w.gates.count(wire.Ending_ENDING_CANCELLED), 1)
+		is.Equal(w.gates.Count(wire.Ending_ENDING_CANCELLED), 1)
 	})
 }
 
@@ -149,7 +149,7 @@
 		is.Equal(got.reason.Code, "suspect")
 		is.True(w.runs("p") <= 2)
 		alone := 0
-		for _, asked := range w.gates.asked {
+		for _, asked := range w.gates.Asked {
 			if asked.GetAlone() {
 				alone++
 			}
@@ -168,8 +168,8 @@
 		defer response.Body.Close()
 		time.Sleep(time.Minute) // reads nothing
 		synctest.Wait()
-		is.Equal(w.gates.holding(), 0)
-		is.Equal(w.gates.count(wire.Ending_ENDING_CANCELLED), 1)
+		is.Equal(w.gates.Holding(), 0)
+		is.Equal(w.gates.Count(wire.Ending_ENDING_CANCELLED), 1)
 	})
 }
 
@@ -177,11 +177,11 @@
 func TestStalePermit(t *testing.T) {
 	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
 		is := is.New(w.t)
-		w.gates.delay = 1500 * time.Millisecond
+		w.gates.Delay = 1500 * time.Millisecond
 		is.Equal(w.send(ask{prompt: "p"}).reason.Ran, "no")
 		time.Sleep(time.Minute)
 		is.Equal(w.runs("p"), 0)
-		is.Equal(w.gates.holding(), 0)
+		is.Equal(w.gates.Holding(), 0)
 	})
 }
 
@@ -215,8 +215,8 @@
 		for _, key := range []string{desk, yard} {
 			w.send(ask{prompt: "p", key: key, headers: map[string]string{"X-Priority": "9"}})
 		}
-		is.Equal(w.gates.asked[0].GetPriority(), int32(3))
-		is.Equal(w.gates.asked[1].GetPriority(), int32(0))
+		is.Equal(w.gates.Asked[0].GetPriority(), int32(3))
+		is.Equal(w.gates.Asked[1].GetPriority(), int32(0))
 	})
 }
 
@@ -226,7 +226,7 @@
 	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
 		is := is.New(w.t)
 		backs := map[string]time.Duration{"r0": 1500 * time.Millisecond, "r1": time.Second}
-		w.gates.verdict = func(r *wire.AcquireRequest) *wire.AcquireResponse {
+		w.gates.Verdict = func(r *wire.AcquireRequest) *wire.AcquireResponse {
 			if r.GetWait().AsDuration() > 0 {
 				return nil
 			}
@@ -249,7 +249,7 @@
 			is.True(w.send(ask{prompt: fmt.Sprint(i)}).whole)
 			time.Sleep(50 * time.Millisecond)
 		}
-		is.True(w.gates.count(wire.Ending_ENDING_UNUSED) <= 6) // one a second
+		is.True(w.gates.Count(wire.Ending_ENDING_UNUSED) <= 6) // one a second
 	})
 }
 
@@ -262,7 +262,7 @@
 		is.True(w.send(ask{prompt: "a", tokens: 30}).whole)
 		is.True(w.send(ask{prompt: "b", tokens: 30}).whole)
 		time.Sleep(time.Minute)
-		is.Equal(w.gates.holding(), 0)
+		is.Equal(w.gates.Holding(), 0)
 	})
 }
 
@@ -274,7 +274,7 @@
 			got := w.send(ask{prompt: fmt.Sprint(i)})
 			is.Equal(got.reason.Ran, "no")
 		}
-		is.True(len(w.gates.asked) >= 50)
-		is.True(len(w.gates.asked) <= 50+10+50/10) // saved up, and a tenth
+		is.True(len(w.gates.Asked) >= 50)
+		is.True(len(w.gates.Asked) <= 50+10+50/10) // saved up, and a tenth
 	})
 }
--- a/entry/property_test.go
+++ b/entry/property_test.go
@@ -210,7 +210,7 @@
 
 // inUse returns the number of permits that are in use.
 func (w *world) inUse() int {
-	n := w.gates.holding()
+	n := w.gates.Holding()
 	if w.real != nil {
 		for _, status := range w.real.Status() {
 			n += status.Load
--- a/entry/rate_test.go
+++ b/entry/rate_test.go
@@ -17,7 +17,7 @@
 	within(t, 1, document(), fakes.EngineOptions{}, func(w *world) {
 		is := is.New(w.t)
 		backs := map[string]time.Duration{"r0": 7 * time.Second}
-		w.gates.verdict = func(r *wire.AcquireRequest) *wire.AcquireResponse {
+		w.gates.Verdict = func(r *wire.AcquireRequest) *wire.AcquireResponse {
 			back, over := backs[r.GetReplica()]
 			if !over {
 				return nil
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -16,7 +16,7 @@
 	header := func(name, value string) map[string]string { return map[string]string{name: value} }
 	verdict := func(v wire.Verdict) func(*world) {
 		return func(w *world) {
-			w.gates.verdict = func(*wire.AcquireRequest) *wire.AcquireResponse {
+			w.gates.Verdict = func(*wire.AcquireRequest) *wire.AcquireResponse {
 				return &wire.AcquireResponse{Verdict: v, RetryAfter: durationpb.New(4 * time.Second)}
 			}
 		}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -5,14 +5,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,7 +17,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/edit"
@@ -31,19 +26,14 @@
 	"clementinehead.example/chead/fleet"
 	"clementinehead.example/chead/gate"
 	"clementinehead.example/chead/once"
+	"clementinehead.example/chead/prop"
 	"clementinehead.example/chead/store"
 	"clementinehead.example/chead/tally"
 	"clementinehead.example/chead/view"
 	"clementinehead.example/chead/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261203")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "30")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "20261203", Checks: "30"}) }
 
 // world is some daemons' entries before a store, two replicas of one engine
 // each, and a plain service, on one in-memory network.
@@ -54,7 +44,7 @@
 	store    *fakes.Store
 	engines  []*fakes.Engine
 	plain    *fakes.Plain
-	gates    *gates
+	gates    *fakes.Gates
 	real     *gate.Gate // in place of gates, nil for none
 	unready  atomic.Bool
 	gone     atomic.Bool // the gates' daemon, d0
@@ -141,7 +131,7 @@
 
 func newWorld(t *testing.T, n int, d conf.Document, o fakes.EngineOptions) *world {
 	w := &world{t: t, document: d, network: fakes.NewNetwork(), store: fakes.NewStore(), plain: fakes.NewPlain()}
-	w.gates = &gates{view: w.view.Load, limit: 64, held: map[uint64]*wire.AcquireRequest{}, crashes: map[uint64][]string{}}
+	w.gates = fakes.NewGates(w.view.Load, 64)
 	w.network.Serve("kv:80", w.store)
 	w.network.Serve("p0:80", w.plain)
 	w.network.Serve("p1:80", w.plain)
@@ -209,7 +199,7 @@
 		Daemons: w.daemons,
 		Ready: func() error {
 			if w.unready.Load() {
-				return errGate
+				return fakes.ErrGate
 			}
 			return nil
 		},
@@ -411,90 +401,3 @@
 	c := event.Choices[0]
 	return c.Text + c.Delta.Content + c.Message.Content
 }
-
-// gates stands in for the gates of all replicas. It gives permits up to a
-// limit and remembers crashes as a gate does.
-type gates struct {
-	view    func() *view.View
-	mu      sync.Mutex
-	limit   int
-	delay   time.Duration
-	number  uint64
-	held    map[uint64]*wire.AcquireRequest
-	crashes map[uint64][]string
-	endings []wire.Ending
-	asked   []*wire.AcquireRequest
-	verdict func(*wire.AcquireRequest) *wire.AcquireResponse // nil or nil response: as usual
-}
-
-var errGate = errors.New("no gate here")
-
-func (g *gates) Acquire(_ context.Context, r *wire.AcquireRequest) (*wire.AcquireResponse, error) {
-	defer time.Sleep(g.delay)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.asked = append(g.asked, r)
-	if g.verdict != nil {
-		if response := g.verdict(r); response != nil {
-			return response, nil
-		}
-	}
-	if len(g.crashes[r.GetFingerprint()]) >= 2 {
-		return &wire.AcquireResponse{Verdict: wire.Verdict_VERDICT_SUSPECT}, nil
-	}
-	if len(g.held) >= g.limit {
-		return &wire.AcquireResponse{Verdict: wire.Verdict_VERDICT_BUSY, RetryAfter: durationpb.New(3 * time.Second)}, nil
-	}
-	g.number++
-	place, _ := g.view().Place(r.GetReplica())
-	g.held[g.number] = r
-	return &wire.AcquireResponse{
-		Verdict: wire.Verdict_VERDICT_GRANTED, Permit: g.number, Fence: place.Replica.Fence,
-		Address:  strings.Replace(r.GetReplica(), "r", "e", 1) + ":80",
-		Validity: durationpb.New(time.Second),
-		Alone:    len(g.crashes[r.GetFingerprint()]) > 0,
-	}, nil
-}
-
-func (g *gates) Release(_ context.Context, r *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	held, ok := g.held[r.GetPermit()]
-	if !ok {
-		return &wire.ReleaseResponse{}, nil
-	}
-	delete(g.held, r.GetPermit())
-	g.endings = append(g.endings, r.GetEnding())
-	suspect := held.GetFingerprint()
-	if r.GetEnding() == wire.Ending_ENDING_CRASHED {
-		g.crashes[suspect] = append(g.crashes[suspect], fmt.Sprint(r.GetReplica(), "/", r.GetPermit()))
-	}
-	return &wire.ReleaseResponse{Strikes: uint32(len(g.crashes[suspect])), Crashes: slices.Clone(g.crashes[suspect])}, nil
-}
-
-func (g *gates) Handover(context.Context, *wire.HandoverRequest) (*wire.HandoverResponse, error) {
-	return nil, errGate
-}
-
-func (g *gates) Strike(context.Context, *wire.StrikeRequest) (*wire.StrikeResponse, error) {
-	return nil, errGate
-}
-
-// counts returns how often each ending was told.
-func (g *gates) count(ending wire.Ending) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	n := 0
-	for _, e := range g.endings {
-		if e == ending {
-			n++
-		}
-	}
-	return n
-}
-
-func (g *gates) holding() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.held)
-}
--- a/fleet/rapid_test.go
+++ b/fleet/rapid_test.go
@@ -1,10 +1,8 @@
 package fleet
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"testing"
 	"time"
 
@@ -12,16 +10,10 @@
 
 	"clementinehead.example/chead/chart"
 	"clementinehead.example/chead/conf"
+	"clementinehead.example/chead/prop"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "20261203"}) }
 
 func drawDocument(t *rapid.T) conf.Document {
 	document := conf.Fill(conf.Document{Groups: map[string]conf.Group{}})
--- a/gate/main_test.go
+++ b/gate/main_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"clementinehead.example/chead/prop"
 )
 
 var update = flag.Bool("update", false, "write the golden files anew")
@@ -25,13 +27,4 @@
 	is.Equal(table, string(want))
 }
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "1"}) }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,17 +12,11 @@
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/fleet"
+	"clementinehead.example/chead/prop"
 	"clementinehead.example/chead/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "20261203"}) }
 
 func group(replicas, size int) conf.Group {
 	return conf.Group{Model: "m", Version: "1", Size: size, Replicas: replicas}
--- a/once/book_test.go
+++ b/once/book_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,15 +14,11 @@
 
 	"clementinehead.example/chead/fakes"
 	"clementinehead.example/chead/once"
+	"clementinehead.example/chead/prop"
 	"clementinehead.example/chead/store"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261203")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "20261203"}) }
 
 const window = time.Hour
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,16 +18,13 @@
 
 	"clementinehead.example/chead/edit"
 	"clementinehead.example/chead/fleet"
+	"clementinehead.example/chead/prop"
 	"clementinehead.example/chead/relay"
 	"clementinehead.example/chead/store"
 	"clementinehead.example/chead/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "23")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "23"}) }
 
 // peer is a client whose calls a test answers.
 type peer struct {
--- a/roster/table_test.go
+++ b/roster/table_test.go
@@ -1,9 +1,7 @@
 package roster
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,15 +9,11 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"clementinehead.example/chead/prop"
 	"clementinehead.example/chead/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "21")
-	_ = flag.Set("rapid.checks", "20")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "21", Checks: "20"}) }
 
 const (
 	alive    = wire.Standing_STANDING_ALIVE
--- a/tally/holder_test.go
+++ b/tally/holder_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/prop"
 	"clementinehead.example/chead/store"
 	"clementinehead.example/chead/wire"
 )
@@ -27,15 +26,7 @@
 	checks = "100"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: seed, Checks: checks}) }
 
 // action is one step of a random history.
 type action struct {
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -2,24 +2,19 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"clementinehead.example/chead/fleet"
+	"clementinehead.example/chead/prop"
 	"clementinehead.example/chead/store"
 	"clementinehead.example/chead/view"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "24")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "24"}) }
 
 // drawFabric returns a fabric domain's value, or its deletion, with replicas
 // of random groups.
