--- a/admin/property_test.go
+++ b/admin/property_test.go
@@ -13,7 +13,7 @@
 	"clementinehead.example/chead/prop"
 )
 
-func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "22", Checks: "12"}) }
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "22", Checks: "20"}) }
 
 const systemSize = 5
 
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -33,7 +33,7 @@
 	"clementinehead.example/chead/wire"
 )
 
-func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "20261203", Checks: "30"}) }
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "20261203", Checks: "50"}) }
 
 // world is some daemons' entries before a store, two replicas of one engine
 // each, and a plain service, on one in-memory network.
--- a/roster/capacity_test.go
+++ b/roster/capacity_test.go
@@ -16,14 +16,14 @@
 	byteBudget  = 2048             // bytes a second and daemon
 	callBudget  = 100              // the same in an outage and after it
 	storeBudget = 1000             // calls a second to the store by all daemons under constant change
-	quick       = 9                // daemons that are measured without -full
+	quick       = 60               // daemons that are measured without -full
 	settle      = time.Minute
 	measured    = time.Minute
 	editsTried  = 8
 	content     = 40 << 10 // bytes of the configuration that is spread
 )
 
-var full = flag.Bool("full", false, "measure at 60 and 410 daemons, too; takes two minutes")
+var full = flag.Bool("full", false, "measure at 410 daemons, too; takes two minutes")
 
 // report collects what is measured at one size, a line each.
 type report struct {
--- a/roster/table_test.go
+++ b/roster/table_test.go
@@ -13,7 +13,7 @@
 	"clementinehead.example/chead/wire"
 )
 
-func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "21", Checks: "20"}) }
+func TestMain(m *testing.M) { prop.Main(m.Run, prop.Properties{Seed: "21", Checks: "40"}) }
 
 const (
 	alive    = wire.Standing_STANDING_ALIVE
