A line for each repeat that is refused, and for daemons and records that are lost and found

Cause: a repeat that the budget, the route or the deadline forbade left no line; the error behind a lost send was dropped; a failed renewal of a daemon's record and a daemon that fell silent were not logged at all. An engineer saw only the final answer. Ruled out: more fields on the final line: it can't tell which of two sends met the budget. Change: 'not sent again' with its inputs (spent, budget, attempts, time left); 'error' in 'send ended'; 'record not renewed' / 'record renewed again', once a loss; 'daemon silent' / 'daemon heard' with the silence.

--- a/edge/enlist.go
+++ b/edge/enlist.go
@@ -26,20 +26,36 @@
 	store *platform.Store
 	log   logr.Logger
 	lease int64
+	lost  bool // the last renewal failed
 }
 
 func (r *record) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause := recordRenew
-		if err := r.renew(ctx); err != nil {
+		err := r.renew(ctx)
+		if err != nil {
 			pause = recordRetry
 		}
+		if ctx.Err() == nil {
+			r.note(err)
+		}
 		clock.Sleep(ctx, pause)
 	}
 	r.end()
 	return nil
 }
 
+// note logs when renewals begin to fail and when they work again.
+func (r *record) note(err error) {
+	switch {
+	case err != nil && !r.lost:
+		r.log.Info("record not renewed", "error", err.Error())
+	case err == nil && r.lost:
+		r.log.Info("record renewed again", "lease", r.lease)
+	}
+	r.lost = err != nil
+}
+
 func (r *record) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, recordLimit)
 	defer cancel()
--- a/front/front.go
+++ b/front/front.go
@@ -78,9 +78,11 @@
 	ran     int // sends that may have run
 	tried   []string
 	cause   string // what ended the last send
+	fault   string // the error behind it
 	ahead   int    // requests that waited before it, where it got no place
 	fit     int    // endpoints that serve its model or service, where it got no place
 	waited  time.Duration
+	budget  pick.Spending // of the last repeat, allowed or not
 	stream  stream
 }
 
--- a/front/send.go
+++ b/front/send.go
@@ -28,6 +28,22 @@
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=result -linecomment -output=result_string.go
 
+// hurdle is why a request is not sent again. The comments are the names in log
+// lines.
+type hurdle int
+
+const (
+	allowed    hurdle = iota // allowed
+	callerLeft               // caller left
+	noTime                   // too little time left
+	manyTries                // too many endpoints tried
+	runsOnce                 // may not be repeated
+	noAttempts               // route's attempts used up
+	noBudget                 // budget of repeats used up
+)
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=hurdle -linecomment -output=hurdle_string.go
+
 const (
 	mostSends    = 4                     // endpoints that one request is offered to
 	leastLeft    = 30 * time.Millisecond // with less time left no endpoint is asked
@@ -55,7 +71,9 @@
 			f.settle(j, last, err)
 			return
 		}
-		if !f.again(j, got) {
+		if why := f.again(j, got); why != allowed {
+			f.options.Log.Info("not sent again", "id", j.id, "reason", why.String(), "result", got.String(), "sends", j.sends, "ran", j.ran,
+				"attempts", j.route.Attempts, "left_ms", j.left().Milliseconds(), "spent", j.budget.Spent, "budget", j.budget.Allowed)
 			f.settle(j, last, nil)
 			return
 		}
@@ -63,16 +81,28 @@
 	}
 }
 
-// again decides whether a request is sent once more.
-func (f *Front) again(j *job, got result) bool {
-	if got == left || j.left() < leastLeft || len(j.tried) >= mostSends {
-		return false
+// again decides whether a request is sent once more: allowed, or what is in the
+// way.
+func (f *Front) again(j *job, got result) hurdle {
+	switch {
+	case got == left:
+		return callerLeft
+	case j.left() < leastLeft:
+		return noTime
+	case len(j.tried) >= mostSends:
+		return manyTries
+	case got != unrun && !j.route.Repeatable():
+		return runsOnce
+	case got != unrun && j.ran >= j.route.Attempts:
+		return noAttempts
+	case j.sends == 0: // only what reached an endpoint counts as sent once
+		return allowed
 	}
-	if got != unrun && (!j.route.Repeatable() || j.ran >= j.route.Attempts) {
-		return false
+	j.budget = f.options.Desk.Spend(j.service)
+	if !j.budget.OK {
+		return noBudget
 	}
-	// Only what reached an endpoint counts as sent once.
-	return j.sends == 0 || f.options.Desk.Spend(j.service)
+	return allowed
 }
 
 // answer is a failure that an endpoint gave, kept in case nothing better comes.
@@ -99,12 +129,13 @@
 		return unrun, errStale
 	}
 	j.tried = append(j.tried, place.Endpoint.ID)
+	j.fail("", nil)
 	got := f.send(ctx, j, place, last)
 	place.Done(got == unknown || got == unrun || got == failed && last.status >= http.StatusInternalServerError)
 	if got != settled {
 		j.avoid[place.Endpoint.ID] = true
 		f.options.Log.Info("send ended", "id", j.id, "endpoint", place.Endpoint.ID, "result", got.String(),
-			"group", place.Endpoint.State.Member.Group, "cause", j.cause, "sends", j.sends, "left_ms", j.left().Milliseconds())
+			"group", place.Endpoint.State.Member.Group, "cause", j.cause, "error", j.fault, "sends", j.sends, "left_ms", j.left().Milliseconds())
 	}
 	return got, nil
 }
@@ -127,7 +158,7 @@
 		if ctx.Err() == nil {
 			place.Suspect()
 		}
-		j.cause = "no connection"
+		j.fail("no connection", err)
 		return f.ended(j, unrun)
 	}
 	j.sends++
@@ -136,7 +167,7 @@
 	a, err := f.options.Pool.Send(ctx, conn, f.request(j, place.Endpoint))
 	if err != nil {
 		j.ran++
-		j.cause = "no answer"
+		j.fail("no answer", err)
 		f.crashed(j, place)
 		return f.ended(j, unknown)
 	}
@@ -168,6 +199,15 @@
 	return r
 }
 
+// fail notes what ended a send.
+func (j *job) fail(cause string, err error) {
+	j.cause = cause
+	j.fault = ""
+	if err != nil {
+		j.fault = err.Error()
+	}
+}
+
 // crashed notes that an endpoint broke off the request, unless we did.
 func (f *Front) crashed(j *job, place *pick.Place) {
 	if j.r.Context().Err() != nil || j.left() <= 0 {
@@ -193,7 +233,7 @@
 func (f *Front) whole(j *job, place *pick.Place, a *conns.Answer, last *answer) result {
 	body, err := a.All(plainLimit)
 	if err != nil {
-		j.cause = "answer cut short"
+		j.fail("answer cut short", err)
 		f.crashed(j, place)
 		return f.ended(j, unknown)
 	}
--- a/front/stream.go
+++ b/front/stream.go
@@ -113,7 +113,7 @@
 			return f.close(j, a)
 		}
 		if err != nil {
-			j.cause = "stream cut short"
+			j.fail("stream cut short", err)
 			f.crashed(j, place)
 			return f.ended(j, unknown)
 		}
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -164,10 +164,7 @@
 			State: site.State{Models: []string{"m"}, Member: site.Member{Group: "g" + b.id, Epoch: 1, Phase: site.Open}},
 		}
 	}
-	desk := pick.New(pick.Options{
-		Domain: "north", Boot: func() time.Duration { return time.Hour }, View: func() *sight.View { return view },
-		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Budget: pick.Budget{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
-	})
+	desk := newDesk(func() *sight.View { return view }, pick.Budget{Ratio: 0.2, Extra: 20, Window: 10 * time.Second})
 	w.front = New(Options{
 		View: func() *sight.View { return view }, Age: func() time.Duration { return w.age }, KeyLimit: 3 * time.Second,
 		Desk: desk, Pool: conns.New(conns.Dial), Strikes: &Strikes{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
@@ -177,6 +174,14 @@
 	return w
 }
 
+// newDesk returns the desk of a daemon that is alone.
+func newDesk(view func() *sight.View, budget pick.Budget) *pick.Desk {
+	return pick.New(pick.Options{
+		Domain: "north", Boot: func() time.Duration { return time.Hour }, View: view,
+		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Budget: budget,
+	})
+}
+
 // reply is what a caller got.
 type reply struct {
 	status int
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -43,6 +43,7 @@
 type peer struct {
 	message Message
 	heard   time.Duration
+	away    bool // it was said in the log
 }
 
 // New returns a Gossip that has heard nobody.
@@ -131,12 +132,22 @@
 			delete(g.peers, id)
 			continue
 		}
+		g.miss(p, now)
 		addresses[p.message.From.Peer] = true
 	}
 	g.mu.Unlock()
 	return g.slice(addresses)
 }
 
+// miss logs that a peer fell silent.
+func (g *Gossip) miss(p *peer, now time.Duration) {
+	if p.away || now-p.heard < g.silence() {
+		return
+	}
+	p.away = true
+	g.options.Log.Info("daemon silent", "peer", p.message.From.ID, "domain", p.message.From.Domain, "silent_ms", (now - p.heard).Milliseconds())
+}
+
 func (g *Gossip) slice(addresses map[string]bool) []string {
 	var all []string
 	for a := range addresses {
@@ -180,11 +191,17 @@
 		p = &peer{}
 		g.peers[message.From.ID] = p
 	}
+	news := !known || p.away
+	silent := g.options.Boot() - p.heard
 	p.message = message
-	p.heard = g.options.Boot()
+	p.heard += silent
+	p.away = false
 	g.mu.Unlock()
 	if !known {
-		g.options.Log.Info("daemon heard", "peer", message.From.ID, "domain", message.From.Domain)
+		silent = 0
+	}
+	if news {
+		g.options.Log.Info("daemon heard", "peer", message.From.ID, "domain", message.From.Domain, "silent_ms", silent.Milliseconds())
 	}
 	g.options.Hear(message)
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
 	"clementinehead.example/chead/clock"
@@ -71,3 +72,30 @@
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(len(a.Alive()), 0)
 }
+
+// The log says when a daemon falls silent and when it is heard again.
+func TestSilenceIsLogged(t *testing.T) {
+	is := is.New(t)
+	var lines []string
+	now := time.Second
+	g := New(Options{
+		Self: site.Daemon{ID: "a"}, Boot: func() time.Duration { return now }, Hear: func(Message) {},
+		Listed: func() map[string]site.Daemon { return nil },
+		Log:    funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{}),
+	})
+	b := Message{From: site.Daemon{ID: "b", Peer: "127.0.0.1:1", Domain: "north"}}
+	g.take(b)
+	now += silence
+	for range 3 {
+		g.targets()
+	}
+	is.Equal(len(g.Alive()), 0)
+	g.take(b)
+	g.take(b)
+	want := []string{
+		`"level"=0 "msg"="daemon heard" "peer"="b" "domain"="north" "silent_ms"=0`,
+		`"level"=0 "msg"="daemon silent" "peer"="b" "domain"="north" "silent_ms"=800`,
+		`"level"=0 "msg"="daemon heard" "peer"="b" "domain"="north" "silent_ms"=800`,
+	}
+	is.Equal(lines, want)
+}
--- a/pick/budget.go
+++ b/pick/budget.go
@@ -17,16 +17,24 @@
 // Ask counts a request.
 func (b *Budget) Ask(now time.Time) { b.asked = append(trim(b.asked, now.Add(-b.Window)), now) }
 
-// Spend reports whether a further send is allowed now, and counts it.
-func (b *Budget) Spend(now time.Time) bool {
+// Spending is what came of asking for a further send.
+type Spending struct {
+	OK      bool
+	Spent   int     // further sends in the window before
+	Allowed float64 // the most in the window
+}
+
+// Spend allows a further send and counts it, or refuses it.
+func (b *Budget) Spend(now time.Time) Spending {
 	b.asked = trim(b.asked, now.Add(-b.Window))
 	b.spent = trim(b.spent, now.Add(-b.Window))
 	extra := b.Extra * min(1, float64(now.Sub(b.Since))/float64(b.Window))
-	if float64(len(b.spent)+1) > b.Ratio*float64(len(b.asked))+extra {
-		return false
+	s := Spending{Spent: len(b.spent), Allowed: b.Ratio*float64(len(b.asked)) + extra}
+	s.OK = float64(s.Spent+1) <= s.Allowed
+	if s.OK {
+		b.spent = append(b.spent, now)
 	}
-	b.spent = append(b.spent, now)
-	return true
+	return s
 }
 
 func trim(times []time.Time, after time.Time) []time.Time {
--- a/pick/desk.go
+++ b/pick/desk.go
@@ -115,8 +115,8 @@
 	return nil, &Error{Op: "acquire", Kind: kind, After: mostRetry / 2, Ahead: ahead, Fit: fit, Waited: time.Since(began)}
 }
 
-// Spend reports whether another send to a service is within the budget.
-func (d *Desk) Spend(service string) bool {
+// Spend asks for another send to a service out of the shared budget.
+func (d *Desk) Spend(service string) Spending {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.budget(service)
--- a/pick/replay_test.go
+++ b/pick/replay_test.go
@@ -245,14 +245,14 @@
 		b.Ask(now)
 	}
 	for range 4 {
-		is.True(b.Spend(now))
+		is.True(b.Spend(now).OK)
 	}
-	is.True(!b.Spend(now))                      // 0.2 x 10 + 2 are spent
-	is.True(b.Spend(now.Add(11 * time.Second))) // the window is over
+	is.True(!b.Spend(now).OK)                      // 0.2 x 10 + 2 are spent
+	is.True(b.Spend(now.Add(11 * time.Second)).OK) // the window is over
 
 	// Daemons that all start again don't know what they spent a moment ago.
 	again := Budget{Extra: 10, Window: 10 * time.Second, Since: now}
-	is.True(!again.Spend(now))
-	is.True(again.Spend(now.Add(time.Second)))
-	is.True(!again.Spend(now.Add(time.Second)))
+	is.True(!again.Spend(now).OK)
+	is.True(again.Spend(now.Add(time.Second)).OK)
+	is.True(!again.Spend(now.Add(time.Second)).OK)
 }
