--- a/edge/edge.go
+++ b/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -82,7 +83,7 @@
 	})
 	d.desk = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, View: d.sight.View, Alive: d.gossip.Alive,
-		Budget: pick.Budget{Ratio: s.Ratio * budgetPart, Extra: s.Extra * budgetPart, Window: s.window(), Since: time.Now()}, Shares: d.shares,
+		Budget: pick.Budget{Ratio: s.Ratio * budgetPart, Extra: s.Extra * budgetPart, Window: s.window(), Since: time.Now()}, Shares: d.shares, Draw: rand.Float64,
 	})
 	d.pool = conns.New(conns.Dial)
 	d.front = front.New(front.Options{
--- a/pick/desk.go
+++ b/pick/desk.go
@@ -15,8 +15,9 @@
 	Boot   func() time.Duration
 	View   func() *sight.View
 	Alive  func() []gossip.Message
-	Budget Budget     // for each service, of all daemons together
-	Shares func() int // daemons that share the extra sends
+	Budget Budget         // for each service, of all daemons together
+	Shares func() int     // daemons that share the budget and a cold endpoint's rate, heard or not
+	Draw   func() float64 // at random, from 0 up to 1
 }
 
 // Desk gives requests a place at an endpoint. Use New.
--- a/pick/fit.go
+++ b/pick/fit.go
@@ -26,8 +26,9 @@
 			c.Read = h.read(*service.Engine, model, ask.Prompt)
 		}
 	}
-	if service.ColdRate > 0 && e.Seen+e.Cold > d.options.Boot() {
-		c.Frozen = h.frozen(now, service.ColdRate/float64(1+len(d.options.Alive())))
+	if service.ColdRate > 0 {
+		interval := time.Duration(float64(time.Second) * float64(d.options.Shares()) / service.ColdRate)
+		c.Frozen = h.frozen(now, e.Seen+e.Cold > d.options.Boot(), interval, d.options.Draw)
 	}
 	return c
 }
--- a/pick/head.go
+++ b/pick/head.go
@@ -17,10 +17,12 @@
 	failedAt time.Time
 	stuckTil time.Time // what others reported stuck is passed over until then
 	suspect  time.Time // what this daemon did not reach is passed over until then
-	sent     []time.Time
-	others   int // requests of the other daemons
-	unread   int // prompt tokens of this daemon's requests that have not begun
-	foreign  int // the same of the other daemons
+	begun    time.Time // the last request of this daemon began
+	cold     bool      // it was cold when it was last looked at
+	coldFrom time.Time // while cold it gets nothing of this daemon before
+	others   int       // requests of the other daemons
+	unread   int       // prompt tokens of this daemon's requests that have not begun
+	foreign  int       // the same of the other daemons
 }
 
 const (
@@ -30,7 +32,6 @@
 	stuckAfter  = 450 * time.Millisecond // without any progress, once events came
 	stuckFirst  = 700 * time.Millisecond // the same before the first one
 	stuckPause  = 1500 * time.Millisecond
-	coldWindow  = time.Second
 	expectedGap = 1.6 // a gap is as expected up to this factor
 )
 
@@ -53,7 +54,7 @@
 		h.progress = now
 	}
 	h.own++
-	h.sent = append(trim(h.sent, now.Add(-coldWindow)), now)
+	h.begun = now
 }
 
 func (h *head) event(now time.Time, gap time.Duration) {
@@ -112,8 +113,12 @@
 }
 
 // frozen reports whether a cold endpoint has had this daemon's share of its
-// rate.
-func (h *head) frozen(now time.Time, rate float64) bool {
-	h.sent = trim(h.sent, now.Add(-coldWindow))
-	return float64(len(h.sent)) >= max(1, rate)
+// rate: one request each interval. The daemons begin apart, each at a part draw
+// of its first interval, since they all learn at once that an endpoint is back.
+func (h *head) frozen(now time.Time, cold bool, interval time.Duration, draw func() float64) bool {
+	if cold && !h.cold {
+		h.coldFrom = now.Add(time.Duration(draw() * float64(interval)))
+	}
+	h.cold = cold
+	return cold && (now.Before(h.coldFrom) || now.Before(h.begun.Add(interval)))
 }
