Callers' connections follow the limits in force; header limit; shares tested

Cause: header time and idle time were fixed at 5 s and 60 s whatever the configuration said, a header's size was not bounded by it, and with two engine services the keeper took either by the order of a map. Ruled out: a new http.Server for each configuration (connections keep the old one's limits); wrapping net.Conn's deadlines (net/http sets its own over them). Change: front.Idle is the callers' ConnState: timers by the limits in force when a connection is new or falls idle. 431 above max header bytes. The engine service is the first by name.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -116,6 +116,14 @@
 	return !d.leaving.Load() && d.sight.View().Config != nil && d.sight.Age() < readyAge
 }
 
+// limits returns what callers may send, by the configuration in force.
+func (d *Daemon) limits() site.Limits {
+	if c := d.sight.View().Config; c != nil {
+		return c.Limits
+	}
+	return site.Limits{}
+}
+
 // peers returns the other daemons that take callers.
 func (d *Daemon) peers() []site.Daemon {
 	var ready []site.Daemon
@@ -130,11 +138,15 @@
 // shares returns among how many daemons the budget is shared: all that the store
 // lists, also those that are not heard, since they may still serve.
 func (d *Daemon) shares() int {
-	known := map[string]bool{d.self.ID: true}
-	for id := range d.sight.View().Daemons {
+	return among(d.self.ID, d.sight.View().Daemons, d.gossip.Alive())
+}
+
+func among(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
+	known := map[string]bool{self: true}
+	for id := range listed {
 		known[id] = true
 	}
-	for _, m := range d.gossip.Alive() {
+	for _, m := range heard {
 		known[m.From.ID] = true
 	}
 	return max(fewestShares, len(known))
@@ -193,7 +205,7 @@
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, parts := errgroup.WithContext(parts)
-	callers := &http.Server{Handler: d.front, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	callers := &http.Server{Handler: d.front, ConnState: front.NewIdle(d.limits).State}
 	checks := http.NewServeMux()
 	checks.HandleFunc("GET "+platform.ReadyPath, d.guide.Readiness)
 	directory := http.NewServeMux()
--- a/edge/enlist_test.go
+++ b/edge/enlist_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
+	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/mimic"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/site"
@@ -71,3 +72,17 @@
 	is.Equal(p.count("record not renewed"), 1) // once for each loss, not for each try
 	is.Equal(p.count("record renewed again"), 1)
 }
+
+// The budget is shared by all daemons that may serve: those that the store
+// lists, heard or not, and those that are heard, listed or not.
+func TestSharesCountWhoMayServe(t *testing.T) {
+	is := is.New(t)
+	listed := map[string]site.Daemon{}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		listed[id] = site.Daemon{ID: id}
+	}
+	heard := []gossip.Message{{From: site.Daemon{ID: "b"}}, {From: site.Daemon{ID: "new"}}}
+	is.Equal(among("a", listed, heard), 8)
+	is.Equal(among("a", listed, nil), 7) // cut off from all others
+	is.Equal(among("a", nil, heard), fewestShares)
+}
--- a/front/front.go
+++ b/front/front.go
@@ -124,6 +124,9 @@
 		return staleOr(stale, http.StatusNotFound, "no such route")
 	}
 	j.route = route
+	if limit := v.Config.Limits.Header; limit > 0 && headerSize(j.r) > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
+	}
 	if refused := f.identify(j, v.Config, stale); refused != nil {
 		return refused
 	}
@@ -194,6 +197,19 @@
 	return nil
 }
 
+// headerSize returns the bytes of a request's line and header.
+func headerSize(r *http.Request) int64 {
+	const separators = 4 // ": " and the line's end
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	n += len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return int64(n)
+}
+
 // hostOf returns the host that a request names, without a port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -151,7 +151,7 @@
 		"engines": {Name: "engines", Engine: &site.Engine{Slots: 4, Models: []site.Model{{Name: "m", Size: 1, Pace: 1}}}},
 	},
 	Accounts: map[string]site.Account{"good-key": {Name: "guild"}},
-	Limits:   site.Limits{Body: 1 << 10},
+	Limits:   site.Limits{Body: 1 << 10, Header: 2 << 10},
 }
 
 func newWorld(t *testing.T, service string, stubs ...*stub) *world {
--- a/site/config.go
+++ b/site/config.go
@@ -137,12 +137,13 @@
 	return best, found
 }
 
-// EngineService returns the first service with model engines.
+// EngineService returns the service with model engines, the first by name.
 func (c *Config) EngineService() (Service, bool) {
+	first, found := Service{}, false
 	for _, s := range c.Services {
-		if s.Engine != nil {
-			return s, true
+		if s.Engine != nil && (!found || s.Name < first.Name) {
+			first, found = s, true
 		}
 	}
-	return Service{}, false
+	return first, found
 }
