chead explain tells a request's story from the logs; lines say what waiting and placing went by

Cause: an engineer had to grep the logs of all daemons by hand; a refusal said 'Full' without the rates that decided it, a served request not when its first event came or how long it paused, a repeat without a place looked like a plain failure.

--- /dev/null
+++ b/cmd/chead/explain.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"os"
+
+	"clementinehead.example/chead/story"
+)
+
+type explainCommand struct {
+	ID   string   `arg:"" help:"The request's id."`
+	Logs []string `arg:"" optional:"" type:"existingfile" help:"Logs of the daemons; standard input where absent."`
+}
+
+// Run prints what happened to a request, from the daemons' logs.
+func (c explainCommand) Run() error {
+	logs := story.New(c.ID)
+	if len(c.Logs) == 0 {
+		if err := logs.Read(os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, path := range c.Logs {
+		if err := readLog(logs, path); err != nil {
+			return err
+		}
+	}
+	told, err := logs.Story()
+	if err != nil {
+		return err
+	}
+	return told.Write(os.Stdout)
+}
+
+func readLog(logs *story.Logs, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return logs.Read(file)
+}
--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -19,6 +19,7 @@
 	Status  statusCommand  `cmd:"" help:"Print what a daemon believes of the whole system."`
 	Report  reportCommand  `cmd:"" help:"Print who received what and who was refused."`
 	Audit   auditCommand   `cmd:"" help:"Print the trail of changes."`
+	Explain explainCommand `cmd:"" help:"Print what happened to a request, from the daemons' logs."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/front/front.go
+++ b/front/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -77,10 +78,12 @@
 	sends   int // to endpoints
 	ran     int // sends that may have run
 	tried   []string
-	cause   string // what ended the last send
-	fault   string // the error behind it
-	ahead   int    // requests that waited before it, where it got no place
-	fit     int    // endpoints that serve its model or service, where it got no place
+	cause   string        // what ended the last send
+	fault   string        // the error behind it
+	queue   pick.Queue    // the line, where it got no place
+	fit     int           // endpoints that serve its model or service, where it got no place
+	load    int           // requests at the last endpoint that it was sent to
+	read    time.Duration // until that endpoint should have read its prompt
 	waited  time.Duration
 	budget  pick.Spending // of the last repeat, allowed or not
 	stream  stream
@@ -269,12 +272,17 @@
 	}
 	f.options.Log.Info("request "+outcome,
 		"id", j.id, "route", j.route.Name, "account", j.account, "model", j.model, "status", status, "reason", reason,
-		"tried", strings.Join(j.tried, ","), "ran", j.ran, "events", j.stream.passed,
-		"ahead", j.ahead, "fit", j.fit, "returned_ms", j.spent.Milliseconds(),
+		"tried", strings.Join(j.tried, ","), "ran", j.ran, "load", j.load, "read_ms", j.read.Milliseconds(),
+		"events", j.stream.passed, "first_ms", j.stream.first.Milliseconds(), "gap_ms", j.stream.gap.Milliseconds(),
+		"ahead", j.queue.InTime+j.queue.Late, "fit", j.fit, "freed", round(j.queue.Rate), "arrivals", round(j.queue.Arrivals),
+		"slack_ms", j.queue.Slack.Milliseconds(), "returned_ms", j.spent.Milliseconds(),
 		"waited_ms", j.waited.Milliseconds(), "took_ms", took.Milliseconds(),
 		"version", version, "revision", v.Revision, "age_ms", f.options.Age().Milliseconds())
 }
 
+// round shortens a rate for the log.
+func round(v float64) float64 { return math.Round(v*10) / 10 }
+
 // context returns the context in which a request is sent. What may run once
 // only goes on when its caller has left.
 func (j *job) context() (context.Context, context.CancelFunc) {
--- a/front/send.go
+++ b/front/send.go
@@ -122,6 +122,9 @@
 	j.waited += time.Since(asked)
 	if err != nil {
 		j.unplaced(err)
+		if len(j.tried) > 0 {
+			f.options.Log.Info("no place for a repeat", "id", j.id, "reason", unplaced(err).reason, "fit", j.fit, "left_ms", j.left().Milliseconds())
+		}
 		return unrun, err
 	}
 	if !j.route.Public && j.account != "" && f.options.Age() > f.options.KeyLimit {
@@ -129,6 +132,8 @@
 		return unrun, errStale
 	}
 	j.tried = append(j.tried, place.Endpoint.ID)
+	j.load = place.Load
+	j.read = place.Read
 	j.fail("", nil)
 	got := f.send(ctx, j, place, last)
 	place.Done(got == unknown || got == unrun || got == failed && last.status >= http.StatusInternalServerError)
@@ -144,7 +149,7 @@
 func (j *job) unplaced(err error) {
 	var refused *pick.Error
 	if errors.As(err, &refused) {
-		j.ahead = refused.Ahead
+		j.queue = refused.Queue
 		j.fit = refused.Fit
 	}
 }
--- a/front/stream.go
+++ b/front/stream.go
@@ -23,6 +23,9 @@
 	last   string // id of the last event that the caller has
 	next   int64  // id that the next event must have, where known
 	passed int
+	first  time.Duration // from arrival to the first event
+	gap    time.Duration // the longest pause between two events, as they went to the caller
+	at     time.Time     // of the last event
 }
 
 const (
@@ -163,7 +166,7 @@
 	if err := http.NewResponseController(j.w).Flush(); err != nil {
 		return false
 	}
-	j.stream.passed++
+	j.stream.mark(j.arrived, time.Now())
 	if e.id != "" {
 		j.stream.last = e.id
 		j.stream.next = e.number + 1
@@ -171,6 +174,17 @@
 	return true
 }
 
+// mark notes an event that went to the caller.
+func (s *stream) mark(arrived, now time.Time) {
+	if s.passed == 0 {
+		s.first = now.Sub(arrived)
+	} else {
+		s.gap = max(s.gap, now.Sub(s.at))
+	}
+	s.at = now
+	s.passed++
+}
+
 // follows reports whether an event is the next one of the stream.
 func (s stream) follows(e event) bool { return s.next == 0 || e.id == "" || e.number == s.next }
 
--- a/pick/desk.go
+++ b/pick/desk.go
@@ -69,20 +69,19 @@
 			return place, nil
 		}
 	}
-	ahead := queue.InTime + queue.Late
 	fit := len(d.fit(ask))
 	verdict := Wait(queue)
 	if !verdict.Wait {
 		d.mu.Unlock()
-		return nil, &Error{Op: "acquire", Kind: Full, After: verdict.After, Ahead: ahead, Fit: fit}
+		return nil, &Error{Op: "acquire", Kind: Full, After: verdict.After, Queue: queue, Fit: fit}
 	}
 	w := &waiter{ask: ask, place: make(chan *Place, 1), inTime: began.Add(queue.Slack)}
 	l.waiting = append(l.waiting, w)
 	d.mu.Unlock()
-	return d.await(ctx, l, w, began, ahead)
+	return d.await(ctx, l, w, began, queue)
 }
 
-func (d *Desk) await(ctx context.Context, l *line, w *waiter, began time.Time, ahead int) (*Place, error) {
+func (d *Desk) await(ctx context.Context, l *line, w *waiter, began time.Time, queue Queue) (*Place, error) {
 	timer := time.NewTimer(w.ask.Limit)
 	defer timer.Stop()
 	kind := Late
@@ -91,7 +90,7 @@
 		if given {
 			return place, nil
 		}
-		return nil, &Error{Op: "acquire", Kind: Full, After: mostRetry / 2, Ahead: ahead, Waited: time.Since(began)}
+		return nil, &Error{Op: "acquire", Kind: Full, After: mostRetry / 2, Queue: queue, Waited: time.Since(began)}
 	case <-timer.C:
 	case <-ctx.Done():
 		kind = Left
@@ -113,7 +112,7 @@
 	if fit == 0 && kind == Late {
 		kind = Nowhere
 	}
-	return nil, &Error{Op: "acquire", Kind: kind, After: mostRetry / 2, Ahead: ahead, Fit: fit, Waited: time.Since(began)}
+	return nil, &Error{Op: "acquire", Kind: kind, After: mostRetry / 2, Queue: queue, Fit: fit, Waited: time.Since(began)}
 }
 
 // Spend asks for another send to a service out of the shared budget.
@@ -184,7 +183,10 @@
 	h.begin(now)
 	h.unread += ask.Prompt
 	l.active++
-	return &Place{Endpoint: fit[i], desk: d, head: h, line: l, last: now, taken: now, unread: ask.Prompt}
+	return &Place{
+		Endpoint: fit[i], Load: candidates[i].Load, Read: candidates[i].Read,
+		desk: d, head: h, line: l, last: now, taken: now, unread: ask.Prompt,
+	}
 }
 
 // Report returns what to tell the other daemons.
--- a/pick/error.go
+++ b/pick/error.go
@@ -23,12 +23,12 @@
 	Op     string
 	Kind   Kind
 	After  time.Duration // when to come back
-	Ahead  int           // requests that waited before it
+	Queue  Queue         // the line as it found it
 	Fit    int           // endpoints that serve its model or service
 	Waited time.Duration
 }
 
 // Error names the operation, the kind and the inputs.
 func (e *Error) Error() string {
-	return fmt.Sprintf("pick: %s: %s: %d before it, %d endpoints, waited %v", e.Op, e.Kind, e.Ahead, e.Fit, e.Waited)
+	return fmt.Sprintf("pick: %s: %s: %d before it, %d endpoints, waited %v", e.Op, e.Kind, e.Queue.InTime+e.Queue.Late, e.Fit, e.Waited)
 }
--- a/pick/place.go
+++ b/pick/place.go
@@ -10,6 +10,8 @@
 // Place is a request's place at an endpoint, until Done.
 type Place struct {
 	Endpoint site.Endpoint
+	Load     int           // requests in progress there, as it was chosen
+	Read     time.Duration // until it should have read this prompt, the same
 	desk     *Desk
 	head     *head
 	line     *line
