A soak of separate processes under random faults; a cut connection is no crash

After cuts of three paths equal requests were refused everywhere with 503 for a minute, though all endpoints were well. Ruled out: a shorter memory (a request that really crashes endpoints comes again); clearing by success alone (nothing is tried any more once it is out). Change: after a break the endpoint is dialled; only one that takes no connections has crashed. The crash has a log line. Tests: TestCutConnectionsAreNoCrashes (fails where the dial is ignored).

The soak (package soak, command chsoak): seeded plan of overlapping faults, in series; daemons and runners as processes; paths between all of them that delay, reset, cut one way or silence; signals; a store that is down, forgets or loses answers. It checks: once at most, 'not run' is true, streams whole, an end in time, nothing cut without a cause, configuration in force and never back, keys out of use, recovery, no end of a process that nobody asked for.

--- /dev/null
+++ b/cmd/chsoak/main.go
@@ -0,0 +1,91 @@
+// Command chsoak runs the programs as separate processes under random faults and
+// checks the promises to callers and endpoints.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"clementinehead.example/chead/soak"
+)
+
+type commands struct {
+	Seed    uint64        `default:"0" help:"First seed; drawn by the clock where 0."`
+	Seeds   int           `default:"1" help:"Seeds to run, one after the other."`
+	Daemons int           `default:"3" help:"Daemons."`
+	Runners int           `default:"8" help:"Runners, of which two serve plain calls."`
+	Length  time.Duration `default:"10s" help:"How long faults are injected."`
+	Bin     string        `default:"bin" type:"existingdir" help:"Where chead and chfake are."`
+	Dir     string        `help:"Where logs go; a new directory where absent."`
+	Plan    bool          `help:"Print the faults of each seed."`
+}
+
+func (c commands) run() error {
+	if c.Dir == "" {
+		dir, err := os.MkdirTemp("", "chsoak.")
+		if err != nil {
+			return err
+		}
+		c.Dir = dir
+	}
+	if c.Seed == 0 {
+		c.Seed = uint64(time.Now().Unix())
+	}
+	fmt.Println("logs are in", c.Dir)
+	broken := 0
+	for i := range c.Seeds {
+		report, err := c.one(c.Seed + uint64(i))
+		if err != nil {
+			return err
+		}
+		if len(report.Broken) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d of %d seeds broke a promise", broken, c.Seeds)
+	}
+	return nil
+}
+
+func (c commands) one(seed uint64) (soak.Report, error) {
+	dir := filepath.Join(c.Dir, fmt.Sprint(seed))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return soak.Report{}, err
+	}
+	report, err := soak.Run(context.Background(), soak.Options{
+		Seed: seed, Dir: dir, Edge: filepath.Join(c.Bin, "chead"), Fake: filepath.Join(c.Bin, "chfake"),
+		Daemons: c.Daemons, Runners: c.Runners, Length: c.Length,
+	})
+	if c.Plan {
+		for _, step := range report.Steps {
+			fmt.Println("  ", step)
+		}
+	}
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d lost, %d promises broken\n",
+		seed, len(report.Steps), report.Requests, report.Served, report.Refused, report.Lost, len(report.Broken))
+	for _, text := range report.Broken {
+		fmt.Println("  BROKEN", text)
+	}
+	return report, err
+}
+
+func main() {
+	var c commands
+	kong.Parse(&c, kong.Name("chsoak"), kong.Description("Runs the system under random faults and checks its promises."))
+	if err := c.run(); err != nil {
+		var failed *soak.Error
+		if errors.As(err, &failed) {
+			fmt.Fprintln(os.Stderr, "not run:", err)
+			os.Exit(2)
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -77,6 +77,16 @@
 	return &Conn{Conn: raw, Address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// Reach reports whether an address takes connections. The error is Unsent.
+func (p *Pool) Reach(ctx context.Context, address string) error {
+	c, err := p.Get(ctx, address, true)
+	if err != nil {
+		return err
+	}
+	_ = c.Close()
+	return nil
+}
+
 // take returns the unused connection that was used last and is still good.
 func (p *Pool) take(address string) *Conn {
 	for {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -153,18 +153,18 @@
 }
 
 func (d *Daemon) demand() map[string]int {
-	_, demand := d.desk.Report()
-	return demand
+	return d.desk.Report().Demand
 }
 
 // tell returns what the other daemons are told.
 func (d *Daemon) tell() gossip.Message {
-	heads, demand := d.desk.Report()
-	open, term := d.keeper.Told()
-	return gossip.Message{
-		Ready: d.ready(), Fresh: !d.leaving.Load() && d.sight.Age() < readyAge, Revision: d.sight.View().Revision,
-		Term: term, Heads: heads, Demand: demand, Strikes: d.strikes.Told(), Groups: open,
-	}
+	m := d.desk.Report()
+	m.Groups, m.Term = d.keeper.Told()
+	m.Ready = d.ready()
+	m.Fresh = !d.leaving.Load() && d.sight.Age() < readyAge
+	m.Revision = d.sight.View().Revision
+	m.Strikes = d.strikes.Told()
+	return m
 }
 
 // listen takes in what the other daemons said, ten times a second.
--- a/front/send.go
+++ b/front/send.go
@@ -51,6 +51,7 @@
 	waitPart     = 3                     // a request waits for a place for at most this part of its time
 	waitMost     = 1200 * time.Millisecond
 	deadlineRoom = 20 * time.Millisecond // for the way back
+	reachLimit   = 400 * time.Millisecond
 )
 
 // serve sends a request until it is settled.
@@ -213,12 +214,24 @@
 	}
 }
 
-// crashed notes that an endpoint broke off the request, unless we did.
+// crashed looks whether an endpoint that broke off a request is gone, unless we
+// broke it off. One that still takes connections has not crashed: the path to it
+// was cut, or it lost one answer.
 func (f *Front) crashed(j *job, place *pick.Place) {
 	if j.r.Context().Err() != nil || j.left() <= 0 {
 		return
 	}
-	f.options.Strikes.Add(j.digest, place.Endpoint.ID)
+	id, digest, endpoint := j.id, j.digest, place.Endpoint
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reachLimit)
+		defer cancel()
+		err := f.options.Pool.Reach(ctx, endpoint.Address)
+		if err == nil {
+			return
+		}
+		n := f.options.Strikes.Add(digest, endpoint.ID)
+		f.options.Log.Info("endpoint crashed", "id", id, "endpoint", endpoint.ID, "crashes", n, "error", err.Error())
+	}()
 }
 
 // request is what goes to the endpoint.
--- a/front/strike.go
+++ b/front/strike.go
@@ -42,8 +42,8 @@
 	return strconv.FormatUint(d.Sum64(), 36)
 }
 
-// Add notes the crash of an endpoint.
-func (s *Strikes) Add(digest, endpoint string) {
+// Add notes the crash of an endpoint and returns how many are known here.
+func (s *Strikes) Add(digest, endpoint string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.book == nil {
@@ -54,12 +54,13 @@
 	}
 	entry := s.book[digest]
 	if entry.endpoint == endpoint && time.Since(entry.last) < strikeApart {
-		return
+		return entry.count
 	}
 	entry.count++
 	entry.endpoint = endpoint
 	entry.last = time.Now()
 	s.book[digest] = entry
+	return entry.count
 }
 
 // Clear notes that a request was served whole.
--- a/mimic/runner.go
+++ b/mimic/runner.go
@@ -21,9 +21,10 @@
 	Fabric  string        // empty for a plain service
 	Slots   int           // requests at once
 	Join    time.Duration // to join a group
-	Event   time.Duration // between two events of a stream
+	Event   time.Duration // between two events of a stream, and that a plain call takes
 	Events  int           // of a stream
 	Put     func(key string, value []byte)
+	Began   func(id string) // called before a run begins, may be nil
 }
 
 // Runner is a stand-in for a model runner or an application runner. It serves a
@@ -231,6 +232,9 @@
 	r.active++
 	r.ran[id]++
 	r.mu.Unlock()
+	if r.options.Began != nil {
+		r.options.Began(id)
+	}
 	defer func() {
 		r.mu.Lock()
 		r.active--
@@ -238,6 +242,7 @@
 	}()
 	w.Header().Set("X-Server-Signature", r.options.ID)
 	if r.options.Fabric == "" {
+		time.Sleep(r.options.Event)
 		_, _ = io.WriteString(w, "done by "+r.options.ID)
 		return
 	}
--- a/mimic/store.go
+++ b/mimic/store.go
@@ -20,6 +20,7 @@
 	leases   map[int64]lease
 	changed  chan struct{}
 	down     bool
+	loses    bool  // answers to changes
 	kept     int64 // history up to this revision is gone
 	mux      *http.ServeMux
 }
@@ -62,15 +63,34 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.expire()
-	down := s.down
+	down, loses := s.down, s.loses && r.Method == http.MethodPost
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if loses {
+		s.mux.ServeHTTP(&noAnswer{http.Header{}}, r)
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
+// noAnswer takes an answer that nobody gets.
+type noAnswer struct{ header http.Header }
+
+func (n *noAnswer) Header() http.Header         { return n.header }
+func (n *noAnswer) Write(b []byte) (int, error) { return len(b), nil }
+func (n *noAnswer) WriteHeader(int)             {}
+
+// SetLosing makes the store carry changes out and lose the answers, or answer
+// again.
+func (s *Store) SetLosing(loses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loses = loses
+}
+
 // SetDown makes the store refuse all calls, or serve again.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
--- a/pick/desk.go
+++ b/pick/desk.go
@@ -63,7 +63,7 @@
 		l.arrivals.add(began)
 	}
 	queue := l.queue(ask, began)
-	if queue.InTime == 0 || ask.Begun {
+	if !l.busy(began) || ask.Begun {
 		if place := d.place(ask, l, began); place != nil {
 			d.mu.Unlock()
 			return place, nil
@@ -189,24 +189,29 @@
 	}
 }
 
-// Report returns what to tell the other daemons.
-func (d *Desk) Report() (heads map[string]gossip.Head, demand map[string]int) {
+// Report returns what to tell the other daemons of requests and endpoints.
+func (d *Desk) Report() gossip.Message {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	heads = map[string]gossip.Head{}
+	m := gossip.Message{Heads: map[string]gossip.Head{}, Demand: map[string]int{}, Lines: map[string]gossip.Line{}}
 	for id, h := range d.heads {
 		if h.own > 0 || h.ownStuck(now) {
-			heads[id] = gossip.Head{Running: h.own, Unread: h.unread, Stuck: h.ownStuck(now)}
+			m.Heads[id] = gossip.Head{Running: h.own, Unread: h.unread, Stuck: h.ownStuck(now)}
 		}
 	}
-	demand = map[string]int{}
 	for key, l := range d.lines {
 		if n := l.demand(now); n > 0 {
-			demand[key] = n
+			m.Demand[key] = n
+		}
+		own := l.tell(now)
+		own.Freed = tenths(own.Freed)
+		own.Came = tenths(own.Came)
+		if own != (gossip.Line{}) {
+			m.Lines[key] = own
 		}
 	}
-	return heads, demand
+	return m
 }
 
 // Update takes what the other daemons said, and the groups that the keeper told
@@ -219,9 +224,15 @@
 		h.others = 0
 		h.foreign = 0
 	}
+	for _, l := range d.lines {
+		l.others = gossip.Line{}
+	}
 	d.tell(own)
 	for _, m := range messages {
 		d.tell(m.Groups)
+		for key, other := range m.Lines {
+			d.line(key).join(other)
+		}
 		for id, other := range m.Heads {
 			h := d.head(id)
 			h.others += other.Running
--- a/pick/line.go
+++ b/pick/line.go
@@ -1,8 +1,11 @@
 package pick
 
 import (
+	"math"
 	"sort"
 	"time"
+
+	"clementinehead.example/chead/gossip"
 )
 
 // line is the requests that wait for one model or service.
@@ -10,9 +13,10 @@
 	waiting  []*waiter // by arrival
 	freed    meter     // places that came free here
 	arrivals meter
-	first    float64 // seconds from a place to the first event or answer, smoothed
-	held     float64 // seconds that a request keeps its place, smoothed
-	active   int     // requests with a place
+	first    float64     // seconds from a place to the first event or answer, smoothed
+	held     float64     // seconds that a request keeps its place, smoothed
+	active   int         // requests with a place
+	others   gossip.Line // of the other daemons together
 }
 
 type waiter struct {
@@ -45,20 +49,52 @@
 	return l
 }
 
-// queue returns what a request finds that arrives now.
+// queue returns what a request finds that arrives now. A place that comes free
+// may go to any daemon's request, so the lines of all daemons are one.
 func (l *line) queue(ask Ask, now time.Time) Queue {
-	q := Queue{
-		Rate: l.freed.rate(now), Arrivals: l.arrivals.rate(now), Limit: ask.Limit, Begun: ask.Begun,
+	all := l.tell(now)
+	all.Soon += l.others.Soon
+	all.Late += l.others.Late
+	all.Freed += l.others.Freed
+	all.Came += l.others.Came
+	return Queue{
+		InTime: all.Soon, Late: all.Late, Rate: all.Freed, Arrivals: all.Came, Limit: ask.Limit, Begun: ask.Begun,
 		Slack: ask.Aim - time.Duration(l.first*float64(time.Second)),
 	}
+}
+
+// tenths rounds a rate, which is told to others in text.
+func tenths(v float64) float64 { return math.Round(v*10) / 10 }
+
+// join adds another daemon's line.
+func (l *line) join(other gossip.Line) {
+	l.others.Soon += other.Soon
+	l.others.Late += other.Late
+	l.others.Freed += other.Freed
+	l.others.Came += other.Came
+}
+
+// busy reports whether a request waits here that goes before one that arrives.
+func (l *line) busy(now time.Time) bool {
+	for _, w := range l.waiting {
+		if now.Before(w.inTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// tell returns this daemon's own line.
+func (l *line) tell(now time.Time) gossip.Line {
+	own := gossip.Line{Freed: l.freed.rate(now), Came: l.arrivals.rate(now)}
 	for _, w := range l.waiting {
 		if now.Before(w.inTime) {
-			q.InTime++
+			own.Soon++
 		} else {
-			q.Late++
+			own.Late++
 		}
 	}
-	return q
+	return own
 }
 
 // order returns those that wait, the first to be served first: streams that
