--- a/cmd/chead/edge.go
+++ b/cmd/chead/edge.go
@@ -39,8 +39,11 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
 		for range hangup {
-			_, err := edge.ReadSettings(c.Settings)
-			log.Info("settings read anew, in force at the next start", "fault", err != nil)
+			if _, err := edge.ReadSettings(c.Settings); err != nil {
+				log.Info("settings refused, the old ones stay", "error", err.Error())
+				continue
+			}
+			log.Info("settings read anew, in force at the next start")
 		}
 	}()
 	registry := prometheus.NewRegistry()
--- a/cmd/chfake/caller.go
+++ b/cmd/chfake/caller.go
@@ -1,21 +1,21 @@
 package main
 
 import (
-	"encoding/json"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"clementinehead.example/chead/mimic"
 )
 
 type callerCommand struct {
 	Guides   []string `required:"" help:"host:port of daemons that tell where to connect."`
-	Host     string   `default:"front.example" help:"Host that requests name."`
 	Path     string   `default:"/talk/" help:"Path of the requests."`
 	Model    string   `default:"m" help:"Model."`
 	Key      string   `default:"good-key" help:"Key of the client account."`
@@ -27,6 +27,7 @@
 const (
 	callerDeadline = 8 * time.Second
 	callerTries    = 3
+	guideTimeout   = time.Second
 )
 
 // outcome counts how the requests ended.
@@ -79,52 +80,32 @@
 	if err != nil {
 		return http.StatusServiceUnavailable, time.Second, false
 	}
-	r, err := http.NewRequest(http.MethodPost, "http://"+address+c.Path, strings.NewReader("x"))
+	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
+	defer cancel()
+	r, err := mimic.Call{Address: address, Path: c.Path, ID: id, Model: c.Model, Key: c.Key, Deadline: callerDeadline}.Request(ctx)
 	if err != nil {
 		return 0, 0, false
 	}
-	r.Host = c.Host
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Model", c.Model)
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	r.Header.Set("Authorization", "Bearer "+c.Key)
-	client := http.Client{Timeout: callerDeadline}
-	response, err := client.Do(r)
+	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, 0, false
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-	return response.StatusCode, time.Duration(seconds * float64(time.Second)), err == nil && c.whole(string(body))
-}
-
-// whole reports whether a stream has each event once and in order.
-func (c callerCommand) whole(body string) bool {
-	var want strings.Builder
-	for i := 1; i <= c.Events; i++ {
-		fmt.Fprintf(&want, "id: %d\ndata: token\n\n", i)
-	}
-	return body == want.String()
+	return response.StatusCode, mimic.After(response), err == nil && string(body) == mimic.Stream(c.Events)
 }
 
 // address asks a daemon where to connect.
 func (c callerCommand) address() (string, error) {
 	guide := c.Guides[rand.IntN(len(c.Guides))]
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + guide + "/api/resolve?name=" + c.Host)
+	ctx, cancel := context.WithTimeout(context.Background(), guideTimeout)
+	defer cancel()
+	named, err := mimic.Resolve(ctx, http.DefaultClient, guide)
 	if err != nil {
 		return "", err
 	}
-	defer func() { _ = response.Body.Close() }()
-	var answer struct {
-		Addresses []string `json:"addresses"`
-	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return "", err
-	}
-	if len(answer.Addresses) == 0 {
+	if len(named) == 0 {
 		return "", errors.New("no daemon is ready")
 	}
-	return answer.Addresses[rand.IntN(len(answer.Addresses))], nil
+	return named[rand.IntN(len(named))], nil
 }
--- a/demo-site.sh
+++ b/demo-site.sh
@@ -48,7 +48,7 @@
 for i in 1 2 3; do
 	cat >"$logs/d$i.json" <<JSON
 {"id":"d$i","domain":"north","region":"r","caller":"127.0.0.1:${ports}2$i","ready":"127.0.0.1:${ports}3$i","guide":"127.0.0.1:${ports}4$i",
- "peer":"127.0.0.1:${ports}5$i","metrics":"127.0.0.1:${ports}6$i","store":"$store","revoke":5000,"grace":8,"ratio":0.2,"extra":100,"window":10,"memory":284}
+ "peer":"127.0.0.1:${ports}5$i","metrics":"127.0.0.1:${ports}6$i","store":"$store","revoke":5000,"apply":2000,"grace":8,"ratio":0.2,"extra":100,"window":10,"memory":284}
 JSON
 	start "d$i" bin/chead edge --settings "$logs/d$i.json"
 done
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -76,7 +76,7 @@
 	}
 	calls := caller()
 	d.store = platform.NewStore(s.Store, calls.Do)
-	d.sight = sight.New(sight.Options{Store: d.store, Boot: clock.Boot, Log: o.Log, Quick: func() bool { return d.keeper.InOffice() }})
+	d.sight = sight.New(sight.Options{Store: d.store, Boot: clock.Boot, Log: o.Log, Pause: s.pause(), Quick: func() bool { return d.keeper.InOffice() }})
 	d.gossip = gossip.New(gossip.Options{
 		Self: d.self, Conn: packets, Boot: clock.Boot, Log: o.Log, Tell: d.tell, Hear: func(gossip.Message) {},
 		Listed: func() map[string]site.Daemon { return d.sight.View().Daemons },
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -21,6 +21,7 @@
 	Metrics string  `json:"metrics"` // host:port for collectors of metrics, empty for none
 	Store   string  `json:"store"`   // host:port of the platform's store
 	Revoke  int     `json:"revoke"`  // milliseconds in which a key taken away must be out of use
+	Apply   int     `json:"apply"`   // milliseconds in which a new configuration must be in force
 	Grace   float64 `json:"grace"`   // seconds between SIGTERM and SIGKILL
 	Ratio   float64 `json:"ratio"`   // further sends for each request, all daemons together
 	Extra   float64 `json:"extra"`   // further sends in a window beside
@@ -64,6 +65,9 @@
 	if s.Revoke <= 0 {
 		faults = append(faults, errors.New("revoke: must be above 0"))
 	}
+	if s.Apply <= 0 {
+		faults = append(faults, errors.New("apply: must be above 0"))
+	}
 	if s.Grace <= 0 {
 		faults = append(faults, errors.New("grace: must be above 0"))
 	}
@@ -79,6 +83,19 @@
 // revoke is the time in which a key that was taken away must be out of use.
 func (s Settings) revoke() time.Duration { return time.Duration(s.Revoke) * time.Millisecond }
 
+const (
+	applyMargin = 1350 * time.Millisecond // for one call to the store that fails
+	leastPause  = 300 * time.Millisecond
+	mostPause   = 1500 * time.Millisecond // the daemon's picture gets too old to take callers
+)
+
+// pause is how long a daemon out of office waits between two watches: the calls
+// of all daemons add up at the store.
+func (s Settings) pause() time.Duration {
+	apply := time.Duration(s.Apply) * time.Millisecond
+	return min(mostPause, max(leastPause, apply-applyMargin))
+}
+
 func (s Settings) grace() time.Duration { return time.Duration(s.Grace * float64(time.Second)) }
 
 func (s Settings) window() time.Duration { return time.Duration(s.Window * float64(time.Second)) }
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -99,7 +99,7 @@
 	t.Helper()
 	s := Settings{
 		ID: "d" + strconv.Itoa(i), Domain: "north", Region: "r", Caller: mimic.Address(), Ready: mimic.Address(), Guide: mimic.Address(), Peer: mimic.Address(),
-		Store: w.at.Listener.Addr().String(), Revoke: 5000, Grace: 6, Ratio: 0.2, Extra: 100, Window: 10,
+		Store: w.at.Listener.Addr().String(), Revoke: 5000, Apply: 2000, Grace: 6, Ratio: 0.2, Extra: 100, Window: 10,
 	}
 	d, err := New(Options{Settings: s, Log: testLog(t).WithValues("daemon", s.ID), Registry: prometheus.NewRegistry()})
 	if err != nil {
--- /dev/null
+++ b/mimic/config.go
@@ -0,0 +1,25 @@
+package mimic
+
+import "fmt"
+
+// Host is the name that callers use in the configurations of Config.
+const Host = "front.example"
+
+// ConfigKey is where operators write the configuration.
+const ConfigKey = "op/config"
+
+// Config is a version of a configuration, with a route for streams of model m, one
+// for plain calls that run once and one for calls that may be repeated. Each
+// version has a public route /markN/ and a key key-N of its own beside good-key.
+func Config(version int) []byte {
+	text := fmt.Sprintf(`{"version":%[1]d,"routes":[
+ {"name":"talk","host":"%[2]s","path_prefix":"/talk/","type":"streaming","timeout_ms":8000,"target_latency_ms":500,"service":"engines","max_attempts":2,"resumable":true,"target_gap_ms":300},
+ {"name":"file","host":"%[2]s","path_prefix":"/file/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":1},
+ {"name":"read","host":"%[2]s","path_prefix":"/read/","type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2},
+ {"name":"mark","host":"%[2]s","path_prefix":"/mark%[1]d/","type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2,"public":true}],
+ "services":[{"name":"engines","health_path":"/healthz","max_connections":100,"engine":{"slots":8,"stride":1,"step_ms":5,"read_per_s":45000,"loads_per_s":5,"loads_at_once":7,"cached_prefixes":1,"report_lag_ms":50,"form_ms":50,
+  "models":[{"name":"m","size":2,"traffic_share":1,"pace":1,"load_s":1,"warm_s":0.1}]}},
+  {"name":"plain","health_path":"/healthz","max_connections":100}],
+ "limits":{"max_body_bytes":100000},"tenants":[{"name":"guild","api_keys":["good-key","key-%[1]d"]}]}`, version, Host)
+	return []byte(text)
+}
--- a/mimic/store.go
+++ b/mimic/store.go
@@ -125,6 +125,10 @@
 	s.announce()
 }
 
+// RemoveRunner takes a runner's entry out, as the platform does some time after
+// its death.
+func (s *Store) RemoveRunner(id string) { s.Remove("servers/" + id) }
+
 func (s *Store) put(i item) {
 	i.Revision = s.revision
 	i.Created = s.revision
--- a/sight/sight.go
+++ b/sight/sight.go
@@ -14,8 +14,7 @@
 
 const (
 	watchWait   = 1500 * time.Millisecond // the longest that one watch waits
-	quickPause  = 250 * time.Millisecond  // between two watches of the keeper, so that changes come in batches
-	watchPause  = 650 * time.Millisecond  // the same of the other daemons
+	quickPause  = 250 * time.Millisecond  // between two watches of the keeper
 	answerLimit = 700 * time.Millisecond  // beyond a watch's wait
 	listLimit   = 2 * time.Second
 	retryPause  = 300 * time.Millisecond
@@ -28,7 +27,8 @@
 type Options struct {
 	Store *platform.Store
 	Boot  func() time.Duration
-	Quick func() bool // changes are needed sooner than usual
+	Pause time.Duration // between two watches, so that changes come in batches
+	Quick func() bool   // changes are needed sooner than that
 	Log   logr.Logger
 }
 
@@ -159,7 +159,7 @@
 	if s.options.Quick() {
 		return quickPause
 	}
-	return watchPause
+	return s.options.Pause
 }
 
 func (s *Sight) publish(next *View) {
--- a/soak/check.go
+++ b/soak/check.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"clementinehead.example/chead/mimic"
 )
 
 // judge checks what callers got against what ran.
@@ -68,10 +70,10 @@
 	if rec.path != "/talk/" || rec.status != http.StatusOK {
 		return ""
 	}
-	if !rec.cut && rec.body != stream(events) {
+	if !rec.cut && rec.body != mimic.Stream(events) {
 		return "looks whole"
 	}
-	if !strings.HasPrefix(stream(events), rec.body) {
+	if !strings.HasPrefix(mimic.Stream(events), rec.body) {
 		return "events missing or twice"
 	}
 	return ""
--- a/soak/client.go
+++ b/soak/client.go
@@ -2,39 +2,33 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"clementinehead.example/chead/mimic"
 )
 
 // record is one request of a caller and what came of it.
 type record struct {
-	id      string
-	path    string
-	key     string
-	daemon  int
-	sent    time.Time
-	ended   time.Time
-	status  int // 0 where there was no answer
-	body    string
-	cut     bool // the body didn't come to its end
-	seconds float64
+	id     string
+	path   string
+	key    string
+	daemon int
+	sent   time.Time
+	ended  time.Time
+	status int // 0 where there was no answer
+	body   string
+	cut    bool          // the body didn't come to its end
+	after  time.Duration // when to come back
 }
 
 // whole reports whether a stream came whole.
-func (r record) whole() bool { return r.status == http.StatusOK && !r.cut && r.body == stream(events) }
-
-func stream(n int) string {
-	var b strings.Builder
-	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: token\n\n", i)
-	}
-	return b.String()
+func (r record) whole() bool {
+	return r.status == http.StatusOK && !r.cut && r.body == mimic.Stream(events)
 }
 
 const (
@@ -81,22 +75,11 @@
 func (c *client) ask(d *daemon) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), guideLimit)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.guide+"/api/resolve?name="+host, nil)
-	if err != nil {
-		return nil
-	}
-	response, err := c.http.Do(r)
+	named, err := mimic.Resolve(ctx, c.http, d.guide)
 	if err != nil {
-		return nil
-	}
-	defer func() { _ = response.Body.Close() }()
-	var answer struct {
-		Addresses []string `json:"addresses"`
+		return nil // the next daemon is asked
 	}
-	if json.NewDecoder(response.Body).Decode(&answer) != nil {
-		return nil
-	}
-	return answer.Addresses
+	return named
 }
 
 // pick returns the daemon for the next request, of those that are named.
@@ -138,16 +121,12 @@
 func (c *client) exchange(d *daemon, rec *record) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+patience)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.in.Address()+rec.path, io.NopCloser(strings.NewReader("x")))
+	call := mimic.Call{Address: d.in.Address(), Path: rec.path, ID: rec.id, Model: "m", Key: rec.key, Deadline: deadline}
+	r, err := call.Request(ctx)
 	if err != nil {
 		return
 	}
-	r.Host = host
-	r.Header.Set("X-Request-Id", rec.id)
-	r.Header.Set("X-Model", "m")
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
-	r.Header.Set("Authorization", "Bearer "+rec.key)
-	response, err := c.http.Do(r) // never repeated: its body can't be read twice
+	response, err := c.http.Do(r)
 	if err != nil {
 		return
 	}
@@ -156,7 +135,7 @@
 	rec.status = response.StatusCode
 	rec.body = string(body)
 	rec.cut = err != nil
-	rec.seconds, _ = strconv.ParseFloat(response.Header.Get("Retry-After"), 64) // 0 where it isn't told
+	rec.after = mimic.After(response)
 }
 
 // insist sends a request again after refusals, when the caller is told to come
@@ -167,7 +146,7 @@
 		if rec.status == http.StatusOK && !rec.cut {
 			return true
 		}
-		time.Sleep(max(defaultWait, time.Duration(rec.seconds*float64(time.Second))))
+		time.Sleep(max(defaultWait, rec.after))
 	}
 	return false
 }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -88,7 +88,7 @@
 	r.end(time.Second)
 	time.Sleep(min(down, entryLapse))
 	if down > entryLapse {
-		w.store.Remove("servers/" + r.name)
+		w.store.RemoveRunner(r.name)
 		time.Sleep(down - entryLapse)
 	}
 	_ = r.start() // as above
--- a/soak/world.go
+++ b/soak/world.go
@@ -30,11 +30,11 @@
 const (
 	grace        = 8 * time.Second // between SIGTERM and SIGKILL
 	revoke       = 5 * time.Second
-	inForce      = 2500 * time.Millisecond // of a new configuration
+	apply        = 2 * time.Second // of a new configuration
+	inForce      = apply + 500*time.Millisecond
 	recovery     = 12 * time.Second
 	entryLapse   = 1500 * time.Millisecond // of a dead runner
 	startLimit   = 15 * time.Second
-	host         = "front.example"
 	events       = 20 // of a stream
 	settingsMode = 0o600
 )
@@ -99,27 +99,12 @@
 	return w, nil
 }
 
-// config is one version of the configuration: each has a route and a key of its
-// own.
-func config(version int) []byte {
-	text := fmt.Sprintf(`{"version":%[1]d,"routes":[
- {"name":"talk","host":"%[2]s","path_prefix":"/talk/","type":"streaming","timeout_ms":8000,"target_latency_ms":500,"service":"engines","max_attempts":2,"resumable":true,"target_gap_ms":300},
- {"name":"file","host":"%[2]s","path_prefix":"/file/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":1},
- {"name":"read","host":"%[2]s","path_prefix":"/read/","type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2},
- {"name":"mark","host":"%[2]s","path_prefix":"/mark%[1]d/","type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2,"public":true}],
- "services":[{"name":"engines","health_path":"/healthz","max_connections":100,"engine":{"slots":8,"stride":1,"step_ms":5,"read_per_s":45000,"loads_per_s":5,"loads_at_once":7,"cached_prefixes":1,"report_lag_ms":50,"form_ms":50,
-  "models":[{"name":"m","size":2,"traffic_share":1,"pace":1,"load_s":1,"warm_s":0.1}]}},
-  {"name":"plain","health_path":"/healthz","max_connections":100}],
- "limits":{"max_body_bytes":100000},"tenants":[{"name":"guild","api_keys":["good-key","key-%[1]d"]}]}`, version, host)
-	return []byte(text)
-}
-
 // change writes the next configuration.
 func (w *world) change() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	w.store.Put("op/config", config(w.version))
+	w.store.Put(mimic.ConfigKey, mimic.Config(w.version))
 	w.changes[w.version] = time.Now()
 }
 
@@ -182,7 +167,7 @@
 	}
 	settings, err := json.Marshal(map[string]any{
 		"id": name, "domain": "north", "region": "r", "caller": d.caller, "ready": mimic.Address(), "guide": d.guide, "peer": mimic.Address(),
-		"store": d.store.Address(), "revoke": revoke.Milliseconds(), "grace": grace.Seconds(), "ratio": 0.2, "extra": 100, "window": 10, "memory": 284,
+		"store": d.store.Address(), "revoke": revoke.Milliseconds(), "apply": apply.Milliseconds(), "grace": grace.Seconds(), "ratio": 0.2, "extra": 100, "window": 10, "memory": 284,
 	})
 	if err != nil {
 		return &Error{Op: "settings", Kind: Start, Err: err}
