Groups are formed once all endpoints are listed; large fleets give way in several fabric domains

Ruled out: the measure of demand (with ten groups it stayed at ten). Change: before there is traffic groups wait until no endpoint was new for 0.5 s, 3 s at the most. One fabric domain in transit for each 60 endpoints, and what is on its way counts as there.

--- a/groups/form.go
+++ b/groups/form.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"time"
 
 	"clementinehead.example/chead/site"
 )
@@ -35,10 +36,35 @@
 			delete(p.kept, fabric)
 		}
 	}
+	if p.growing(w) {
+		return
+	}
 	for p.formOne(w) {
 	}
 }
 
+const (
+	arrivalPause = 500 * time.Millisecond // without a new endpoint, they are all listed
+	arrivalMost  = 3 * time.Second        // they are waited for
+)
+
+// growing reports whether endpoints are still being listed at the start. Groups
+// of the smallest model would take each pair as it comes, and leave nothing whole
+// to the others.
+func (p *Planner) growing(w World) bool {
+	if w.Begun || len(w.Units) == 0 {
+		return false
+	}
+	if p.listed == 0 {
+		p.first = w.Now
+	}
+	if len(w.Units) != p.listed {
+		p.listed = len(w.Units)
+		p.grew = w.Now
+	}
+	return w.Now-p.grew < arrivalPause && w.Now-p.first < arrivalMost
+}
+
 func (p *Planner) formOne(w World) bool {
 	free := p.free(w)
 	all := p.balances(w)
--- a/groups/planner.go
+++ b/groups/planner.go
@@ -47,6 +47,9 @@
 	kept    map[string]claim   // fabric domains whose endpoints are kept for a model
 	demand  map[string]float64 // smoothed, by model
 	doubts  map[string]bool    // endpoints whose entries say that they left
+	listed  int                // endpoints at the last step before there was traffic
+	first   time.Duration      // when the first of these was listed
+	grew    time.Duration      // when their number last changed
 }
 
 // claim keeps the free endpoints of a fabric domain for a model.
--- a/groups/planner_test.go
+++ b/groups/planner_test.go
@@ -1,6 +1,7 @@
 package groups
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -176,3 +177,22 @@
 		}
 	})
 }
+
+// Endpoints are listed one after the other at the start. The larger model is not
+// left with what pairs of the smaller one leave over (pgoi-grown: 3 groups of 8
+// beside 69 pairs, and two in three requests for the larger model refused).
+func TestFormsOnceAllAreListed(t *testing.T) {
+	is := is.New(t)
+	l := newLab(0, 0)
+	p := NewPlanner(1, nil)
+	for i := range 10 {
+		for f := range 6 {
+			l.add(fmt.Sprintf("f%d-%02d", f, i), fmt.Sprintf("f%d", f))
+		}
+		l.run(p, labTick)
+	}
+	l.run(p, 8*time.Second)
+	got := l.serving()
+	is.True(got["large"] >= 6) // one in each fabric domain
+	is.True(4*got["large"]+2*got["small"] >= 60-2*6)
+}
--- a/groups/yield.go
+++ b/groups/yield.go
@@ -6,17 +6,30 @@
 	"clementinehead.example/chead/site"
 )
 
+// yieldEach is how many endpoints there are for each fabric domain that may
+// change hands at once: what yields serves nobody for some seconds.
+const yieldEach = 60
+
 // yield ends groups of a model that is better off, in the fabric domain where
 // the poor model gets a group for the fewest, if that leaves the worse off of
 // the two better off than before.
 func (p *Planner) yield(poor balance, others []balance, free map[string][]Unit, w World) {
-	if len(others) == 0 || len(p.kept) > 0 || p.inTransit() || !w.Begun {
+	busy := p.inTransit(w)
+	if len(others) == 0 || !w.Begun || len(busy) >= max(1, len(w.Units)/yieldEach) {
 		return
 	}
+	for _, c := range p.kept {
+		if c.model == poor.model.Name {
+			poor.have++ // it will be formed
+		}
+	}
 	rich := others[len(others)-1]
 	var best []*group
 	fabric := ""
 	for _, name := range p.fabricsOf(w) {
+		if busy[name] {
+			continue
+		}
 		groups := p.enough(name, poor.model, rich.model, free[name], w)
 		if len(groups) == 0 || !worthwhile(poor, rich, len(groups)) {
 			continue
@@ -77,15 +90,19 @@
 	return gave.have > 0 && min(gained.ratio(), gave.ratio()) > poor.ratio()+leastGain
 }
 
-// inTransit reports whether a group is closing or ending already, whose
-// endpoints will be free soon.
-func (p *Planner) inTransit() bool {
+// inTransit returns the fabric domains whose endpoints are kept for a model, or
+// will be free soon since a group is closing or ending.
+func (p *Planner) inTransit(w World) map[string]bool {
+	busy := map[string]bool{}
+	for fabric := range p.kept {
+		busy[fabric] = true
+	}
 	for _, g := range p.groups {
 		if g.stage >= closing {
-			return true
+			busy[w.Units[g.head()].State.Fabric] = true
 		}
 	}
-	return false
+	return busy
 }
 
 func (p *Planner) fabricsOf(w World) []string {
