--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,7 +20,7 @@
 
 const (
 	talkEach  = 50 * time.Millisecond
-	fileEach  = 100 * time.Millisecond
+	fileEach  = 40 * time.Millisecond
 	probeEach = 150 * time.Millisecond
 	finalTry  = 300 * time.Millisecond
 )
--- a/soak/world.go
+++ b/soak/world.go
@@ -127,13 +127,13 @@
 	if err != nil {
 		return &Error{Op: "path", Kind: Start, Err: err}
 	}
-	service, fabric := "engines", "f1"
+	service, fabric, takes := "engines", "f1", "20ms"
 	if i >= w.options.Runners-plain {
-		service, fabric = "plain", ""
+		service, fabric, takes = "plain", "", "100ms"
 	}
 	r := &runner{path: path, proc: proc{name: name, log: log, line: w.ran, command: []string{
 		w.options.Fake, "runner", "--id", name, "--listen", listen, "--address", path.Address(), "--store", store, "--service", service,
-		"--domain", "north", "--fabric", fabric, "--slots", "8", "--join", "50ms", "--event", "20ms", "--events", fmt.Sprint(events), "--trace",
+		"--domain", "north", "--fabric", fabric, "--slots", "8", "--join", "50ms", "--event", takes, "--events", fmt.Sprint(events), "--trace",
 	}}}
 	w.runners = append(w.runners, r)
 	return r.start()
