--- a/groups/adopt.go
+++ b/groups/adopt.go
@@ -1,6 +1,8 @@
 package groups
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"clementinehead.example/chead/site"
@@ -15,8 +17,8 @@
 			found[m.Group] = append(found[m.Group], u)
 		}
 	}
-	for name, units := range found {
-		p.adoptGroup(w, name, units)
+	for _, name := range slices.Sorted(maps.Keys(found)) {
+		p.adoptGroup(w, name, found[name])
 	}
 }
 
--- /dev/null
+++ b/mimic/call.go
@@ -0,0 +1,157 @@
+package mimic
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+func reply(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Put(r.URL.Query().Get("key"), value)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, i)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after")
+	found := []item{}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, i)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	more := len(found) > pageItems
+	if more {
+		found = found[:pageItems]
+	}
+	reply(w, http.StatusOK, map[string]any{"items": found, "has_more": more, "as_of": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		s.expire()
+		if s.down {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if after < s.kept {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events, revision, changed := s.since(query.Get("path_prefix"), after), s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 || over {
+			reply(w, http.StatusOK, map[string]any{"events": events, "as_of": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after int64) []item {
+	found := []item{}
+	for _, i := range s.history {
+		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+type transaction struct {
+	Expect []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"expect"`
+	Puts   []item   `json:"puts"`
+	Remove []string `json:"remove"`
+}
+
+func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
+	var t transaction
+	if err := decode(r, &t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range t.Expect {
+		if s.items[e.Key].Revision != e.Revision {
+			reply(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
+			return
+		}
+	}
+	for _, p := range t.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		if _, known := s.leases[p.Lease]; p.Lease != 0 && !known {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.put(item{Key: p.Key, Value: p.Value, Lease: p.Lease})
+	}
+	for _, key := range t.Remove {
+		s.remove(key)
+	}
+	s.announce()
+	reply(w, http.StatusOK, map[string]any{"revision": s.revision})
+}
+
+func decode(r *http.Request, into any) error {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
