Metrics by model, failure domain, client account and order

chead_front_account_requests_total (100 accounts, then 'other'), chead_front_sends_total, chead_front_wait_seconds, chead_keeper_groups, chead_keeper_orders_total.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,7 +92,7 @@
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: &platform.Engines{Do: calls.Do}, Sight: d.sight, Alive: d.gossip.Alive,
-		Demand: d.demand, Boot: clock.Boot, Log: o.Log,
+		Demand: d.demand, Boot: clock.Boot, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
 	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Peers: d.peers})
 	return d, nil
--- a/front/front.go
+++ b/front/front.go
@@ -264,7 +264,7 @@
 // note logs and counts a request's end.
 func (f *Front) note(j *job, outcome string, status int, reason string) {
 	took := time.Since(j.arrived)
-	f.options.Metrics.ended(outcome, status, took)
+	f.options.Metrics.ended(j.account, outcome, status, took)
 	v := f.options.View()
 	version := int64(0)
 	if v.Config != nil {
--- a/front/send.go
+++ b/front/send.go
@@ -120,9 +120,11 @@
 		Service: j.service, Model: j.model, Prompt: j.size.Prompt, Rank: j.rank, Avoid: j.avoid, Limit: min(waitMost, j.left()/waitPart),
 		Aim: j.route.Aim - j.spent - time.Since(j.arrived), Back: j.spent > 0, Begun: j.stream.begun,
 	})
-	j.waited += time.Since(asked)
+	waited := time.Since(asked)
+	j.waited += waited
 	if err != nil {
 		j.unplaced(err)
+		f.options.Metrics.placed(j.model, unplaced(err).reason, waited)
 		if len(j.tried) > 0 {
 			f.options.Log.Info("no place for a repeat", "id", j.id, "reason", unplaced(err).reason, "fit", j.fit, "left_ms", j.left().Milliseconds())
 		}
@@ -132,11 +134,13 @@
 		place.Done(false)
 		return unrun, errStale
 	}
+	f.options.Metrics.placed(j.model, "placed", waited)
 	j.tried = append(j.tried, place.Endpoint.ID)
 	j.load = place.Load
 	j.read = place.Read
 	j.fail("", nil)
 	got := f.send(ctx, j, place, last)
+	f.options.Metrics.sends.WithLabelValues(j.model, place.Endpoint.Domain, got.String()).Inc()
 	place.Done(got == unknown || got == unrun || got == failed && last.status >= http.StatusInternalServerError)
 	if got != settled {
 		j.avoid[place.Endpoint.ID] = true
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -38,6 +38,7 @@
 	Demand  func() map[string]int // this daemon's own
 	Boot    func() time.Duration
 	Log     logr.Logger
+	Metrics *Metrics
 }
 
 // Keeper orders the groups while this daemon is in office. Use New.
@@ -212,6 +213,7 @@
 	}
 	k.groups = groups
 	k.stages = stages
+	k.options.Metrics.count(k.planner.sorted())
 }
 
 // give carries an order out and takes its outcome.
@@ -226,6 +228,7 @@
 	}
 	k.options.Log.Info("order", "endpoint", o.To.ID, "order", o.Order.Verb.String(), "group", o.Order.Group, "model", o.Order.Model,
 		"sequence", o.Order.Sequence, "term", o.Order.Token, "error", message(err))
+	k.options.Metrics.ordered(o.Order.Verb, err)
 	k.planner.Answered(o.To.ID, o.Order, done, err)
 	r := k.reports[o.To.ID]
 	r.sent = 0 // its report is of interest now
--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/sight"
@@ -16,7 +17,7 @@
 func newKeeper() *Keeper {
 	return New(Options{
 		Self: site.Daemon{ID: "d1"}, Boot: func() time.Duration { return time.Minute }, Log: logr.Discard(),
-		Alive: func() []gossip.Message { return nil }, Demand: func() map[string]int { return nil },
+		Alive: func() []gossip.Message { return nil }, Demand: func() map[string]int { return nil }, Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 }
 
--- a/groups/office.go
+++ b/groups/office.go
@@ -39,6 +39,7 @@
 	k.planner = nil
 	k.groups = map[string]gossip.Group{}
 	k.stages = map[string]stage{}
+	k.options.Metrics.count(nil)
 }
 
 // run stands for office where the keeper is gone and this daemon is the first
--- a/groups/order_test.go
+++ b/groups/order_test.go
@@ -128,4 +128,3 @@
 		l.broken = append(l.broken, fmt.Sprintf("%v: %s joins %s while %s serves", l.now, e.id, order.Group, m.Group))
 	}
 }
-
