--- a/pick/choose.go
+++ b/pick/choose.go
@@ -44,6 +44,31 @@
 	return best
 }
 
+// sample is how many endpoints a request is placed among where what is known of
+// them is old.
+const sample = 4
+
+// ChooseAmong is as Choose, among a few candidates drawn at random, and among all
+// where none of these will do. It answers many daemons that know the load of
+// endpoints from some hundred milliseconds ago: if all chose the best of all,
+// they would fall upon the same one until they hear of each other. See
+// Mitzenmacher, "How Useful Is Old Information?", IEEE TPDS 11(1), 2000.
+func ChooseAmong(candidates []Candidate, draw func() float64) int {
+	if len(candidates) <= sample {
+		return Choose(candidates)
+	}
+	var few [sample]Candidate
+	var at [sample]int
+	for i := range few {
+		at[i] = int(draw() * float64(len(candidates)))
+		few[i] = candidates[at[i]]
+	}
+	if i := Choose(few[:]); i >= 0 {
+		return at[i]
+	}
+	return Choose(candidates)
+}
+
 func (c Candidate) cost() time.Duration {
 	v := c.Read + time.Duration(c.Load+1)*loadPrice
 	if c.Load >= c.Slots {
