--- a/front/send.go
+++ b/front/send.go
@@ -28,22 +28,6 @@
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=result -linecomment -output=result_string.go
 
-// hurdle is why a request is not sent again. The comments are the names in log
-// lines.
-type hurdle int
-
-const (
-	allowed    hurdle = iota // allowed
-	callerLeft               // caller left
-	noTime                   // too little time left
-	manyTries                // too many endpoints tried
-	runsOnce                 // may not be repeated
-	noAttempts               // route's attempts used up
-	noBudget                 // budget of repeats used up
-)
-
-//go:generate go tool -modfile=../tools/go.mod stringer -type=hurdle -linecomment -output=hurdle_string.go
-
 const (
 	mostSends    = 4                     // endpoints that one request is offered to
 	leastLeft    = 30 * time.Millisecond // with less time left no endpoint is asked
@@ -82,30 +66,6 @@
 	}
 }
 
-// again decides whether a request is sent once more: allowed, or what is in the
-// way.
-func (f *Front) again(j *job, got result) hurdle {
-	switch {
-	case got == left:
-		return callerLeft
-	case j.left() < leastLeft:
-		return noTime
-	case len(j.tried) >= mostSends:
-		return manyTries
-	case got != unrun && !j.route.Repeatable():
-		return runsOnce
-	case got != unrun && j.ran >= j.route.Attempts:
-		return noAttempts
-	case j.sends == 0: // only what reached an endpoint counts as sent once
-		return allowed
-	}
-	j.budget = f.options.Desk.Spend(j.service)
-	if !j.budget.OK {
-		return noBudget
-	}
-	return allowed
-}
-
 // answer is a failure that an endpoint gave, kept in case nothing better comes.
 type answer struct {
 	status int
@@ -273,52 +233,3 @@
 	f.deliver(j, last)
 	return settled
 }
-
-// deliver passes an endpoint's answer to the caller.
-func (f *Front) deliver(j *job, a *answer) {
-	h := j.w.Header()
-	for name, values := range a.header {
-		h[name] = values
-	}
-	h.Del("Content-Length")
-	j.w.WriteHeader(a.status)
-	if _, err := j.w.Write(a.body); err != nil {
-		f.note(j, "cut", a.status, "caller left")
-		return
-	}
-	f.options.Strikes.Clear(j.digest)
-	f.note(j, "served", a.status, "")
-}
-
-// settle gives the final answer after the last send.
-func (f *Front) settle(j *job, last *answer, err error) {
-	switch {
-	case j.stream.begun:
-		f.note(j, "cut", http.StatusOK, "stream not finished")
-		panic(http.ErrAbortHandler) // the caller sees that the stream isn't whole
-	case last.status != 0:
-		f.deliver(j, last)
-	case j.r.Context().Err() != nil:
-		f.note(j, "left", 0, "caller left")
-	case j.ran > 0 && j.left() <= leastLeft:
-		f.refuse(j, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"})
-	case j.ran > 0:
-		f.refuse(j, &refusal{status: http.StatusBadGateway, reason: "the endpoint broke off"})
-	default:
-		f.refuse(j, unplaced(err))
-	}
-}
-
-// unplaced is the refusal of a request that has not run.
-func unplaced(err error) *refusal {
-	r := &refusal{http.StatusServiceUnavailable, "endpoints refused it", staleRetry}
-	var full *pick.Error
-	if errors.As(err, &full) {
-		r.reason = full.Kind.String()
-		r.after = full.After
-	}
-	if errors.Is(err, errStale) {
-		r.reason = errStale.Error()
-	}
-	return r
-}
