Bounds of the settings hold at once after SIGHUP or a change of the file

Cause: SIGHUP only checked the file, and a change without a signal was not noticed, so bounds that the platform changes held from the next start. Change: revoke, apply, grace, ratio, extra and window are read where they are used; Daemon.Reload puts new ones in force and names what waits for a restart.

--- a/cmd/chead/edge.go
+++ b/cmd/chead/edge.go
@@ -35,15 +35,6 @@
 	out := lines.New(os.Stdout)
 	go out.Run(ctx)
 	log := newLog(out).WithValues("daemon", settings.ID)
-	go func() {
-		for range hangups {
-			if _, err := edge.ReadSettings(c.Settings); err != nil {
-				log.Info("settings refused, the old ones stay", "error", err.Error())
-				continue
-			}
-			log.Info("settings read anew, in force at the next start")
-		}
-	}()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(lines.NewMetrics(out))
@@ -51,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, c.Settings, log, d)
 	err = d.Run(ctx)
 	out.Flush()
 	return err
--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -39,7 +39,9 @@
 var hangups = make(chan os.Signal, 1)
 
 func main() {
-	signal.Notify(hangups, syscall.SIGHUP)
+	if len(os.Args) > 1 && os.Args[1] == "edge" {
+		signal.Notify(hangups, syscall.SIGHUP)
+	}
 	var c commands
 	context := kong.Parse(&c, kong.Name("chead"), kong.Description("Serves models whose replicas span several instances."))
 	context.FatalIfErrorf(context.Run())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,6 +50,8 @@
 	options Options
 	self    site.Daemon
 	leaving atomic.Bool
+	inForce atomic.Pointer[Settings] // of these the bounds
+	began   time.Time
 
 	store   *platform.Store
 	sight   *sight.Sight
@@ -66,7 +68,8 @@
 // Address.
 func New(o Options) (*Daemon, error) {
 	s := o.Settings
-	d := &Daemon{options: o, strikes: &front.Strikes{}}
+	d := &Daemon{options: o, strikes: &front.Strikes{}, began: time.Now()}
+	d.inForce.Store(&s)
 	d.self = site.Daemon{
 		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Caller: s.Caller, Peer: s.Peer,
 	}
@@ -76,18 +79,18 @@
 	}
 	calls := caller()
 	d.store = platform.NewStore(s.Store, calls.Do)
-	d.sight = sight.New(sight.Options{Store: d.store, Boot: clock.Boot, Log: o.Log, Pause: s.pause(), Quick: func() bool { return d.keeper.InOffice() }})
+	d.sight = sight.New(sight.Options{Store: d.store, Boot: clock.Boot, Log: o.Log, Pause: func() time.Duration { return d.bounds().pause() }, Quick: func() bool { return d.keeper.InOffice() }})
 	d.gossip = gossip.New(gossip.Options{
 		Self: d.self, Conn: packets, Boot: clock.Boot, Log: o.Log, Tell: d.tell, Hear: func(gossip.Message) {},
 		Listed: func() map[string]site.Daemon { return d.sight.View().Daemons },
 	})
 	d.desk = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, View: d.sight.View, Alive: d.gossip.Alive,
-		Budget: pick.Budget{Ratio: s.Ratio * budgetPart, Extra: s.Extra * budgetPart, Window: s.window(), Since: time.Now()}, Shares: d.shares, Draw: rand.Float64,
+		Budget: d.budget, Shares: d.shares, Draw: rand.Float64,
 	})
 	d.pool = conns.New(conns.Dial)
 	d.front = front.New(front.Options{
-		View: d.sight.View, Age: d.sight.Age, KeyLimit: s.revoke() - proofMargin, Desk: d.desk, Pool: d.pool,
+		View: d.sight.View, Age: d.sight.Age, KeyLimit: func() time.Duration { return d.bounds().revoke() - proofMargin }, Desk: d.desk, Pool: d.pool,
 		Strikes: d.strikes, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
 	d.keeper = groups.New(groups.Options{
@@ -276,7 +279,7 @@
 	d.leaving.Store(true)
 	d.front.Leave()
 	clock.Sleep(ctx, leaveListen)
-	ctx, cancel := context.WithTimeout(ctx, d.options.Settings.grace()-leaveListen-leaveMargin)
+	ctx, cancel := context.WithTimeout(ctx, d.bounds().grace()-leaveListen-leaveMargin)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		d.options.Log.Info("requests cut off", "active", d.front.Active())
--- a/front/front.go
+++ b/front/front.go
@@ -32,7 +32,7 @@
 type Options struct {
 	View     func() *sight.View
 	Age      func() time.Duration // of the view
-	KeyLimit time.Duration        // the oldest view by which a key is accepted
+	KeyLimit func() time.Duration // the oldest view by which a key is accepted
 	Desk     *pick.Desk
 	Pool     *conns.Pool
 	Strikes  *Strikes
@@ -121,7 +121,7 @@
 	if v.Config == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration yet", staleRetry}
 	}
-	stale := age > f.options.KeyLimit
+	stale := age > f.options.KeyLimit()
 	route, found := v.Config.Route(hostOf(j.r), j.r.URL.Path)
 	if !found {
 		return staleOr(stale, http.StatusNotFound, "no such route")
--- a/front/send.go
+++ b/front/send.go
@@ -90,7 +90,7 @@
 		}
 		return unrun, err
 	}
-	if !j.route.Public && j.account != "" && f.options.Age() > f.options.KeyLimit {
+	if !j.route.Public && j.account != "" && f.options.Age() > f.options.KeyLimit() {
 		place.Done(false)
 		return unrun, errStale
 	}
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -192,7 +192,7 @@
 	}
 	desk := newDesk(func() *sight.View { return view }, pick.Budget{Ratio: 0.2, Extra: 20, Window: 10 * time.Second})
 	w.front = New(Options{
-		View: func() *sight.View { return view }, Age: func() time.Duration { return w.age }, KeyLimit: 3 * time.Second,
+		View: func() *sight.View { return view }, Age: func() time.Duration { return w.age }, KeyLimit: func() time.Duration { return 3 * time.Second },
 		Desk: desk, Pool: conns.New(conns.Dial), Strikes: &Strikes{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
 	})
 	w.http = httptest.NewServer(w.front)
@@ -204,7 +204,7 @@
 func newDesk(view func() *sight.View, budget pick.Budget) *pick.Desk {
 	return pick.New(pick.Options{
 		Domain: "north", Boot: func() time.Duration { return time.Hour }, View: view,
-		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Draw: func() float64 { return 0.5 }, Budget: budget,
+		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Draw: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
 	})
 }
 
--- a/pick/desk.go
+++ b/pick/desk.go
@@ -15,7 +15,7 @@
 	Boot   func() time.Duration
 	View   func() *sight.View
 	Alive  func() []gossip.Message
-	Budget Budget         // for each service, of all daemons together
+	Budget func() Budget  // as it is in force, for each service, of all daemons together
 	Shares func() int     // daemons that share the budget and a cold endpoint's rate, heard or not
 	Draw   func() float64 // at random, from 0 up to 1
 }
@@ -120,7 +120,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.budget(service)
-	b.Extra = d.options.Budget.Extra / float64(max(1, d.options.Shares()))
+	inForce := d.options.Budget()
+	b.Ratio = inForce.Ratio
+	b.Window = inForce.Window
+	b.Extra = inForce.Extra / float64(max(1, d.options.Shares()))
 	return b.Spend(time.Now())
 }
 
@@ -134,7 +137,7 @@
 func (d *Desk) budget(service string) *Budget {
 	b, ok := d.budgets[service]
 	if !ok {
-		copied := d.options.Budget
+		copied := d.options.Budget()
 		b = &copied
 		d.budgets[service] = b
 	}
--- a/pick/desk_test.go
+++ b/pick/desk_test.go
@@ -25,7 +25,7 @@
 	}
 	return New(Options{
 		Boot: func() time.Duration { return time.Hour }, View: func() *sight.View { return view },
-		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Draw: func() float64 { return 0.5 },
+		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Budget: func() Budget { return Budget{} }, Draw: func() float64 { return 0.5 },
 	})
 }
 
--- a/sight/sight.go
+++ b/sight/sight.go
@@ -27,8 +27,8 @@
 type Options struct {
 	Store *platform.Store
 	Boot  func() time.Duration
-	Pause time.Duration // between two watches, so that changes come in batches
-	Quick func() bool   // changes are needed sooner than that
+	Pause func() time.Duration // between two watches, so that changes come in batches
+	Quick func() bool          // changes are needed sooner than that
 	Log   logr.Logger
 }
 
@@ -159,7 +159,7 @@
 	if s.options.Quick() {
 		return quickPause
 	}
-	return s.options.Pause
+	return s.options.Pause()
 }
 
 func (s *Sight) publish(next *View) {
--- a/sight/sight_test.go
+++ b/sight/sight_test.go
@@ -35,7 +35,7 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	w.sight = New(Options{
 		Store: platform.NewStore(at.Listener.Addr().String(), client.Do), Boot: clock.Boot, Log: logr.Discard(),
-		Pause: time.Second, Quick: func() bool { return true },
+		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true },
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
