All daemons place among four endpoints drawn at random

Test: TestDaemonsSpread takes the place of TestManyDaemonsSpread, with its bounds and a second fleet.

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -44,8 +44,7 @@
 	return best
 }
 
-// sample is how many endpoints a request is placed among where what is known of
-// them is old.
+// sample is how many endpoints a request is placed among.
 const sample = 4
 
 // ChooseAmong is as Choose, among a few candidates drawn at random, and among all
--- a/pick/desk.go
+++ b/pick/desk.go
@@ -178,7 +178,7 @@
 	for i, e := range fit {
 		candidates[i] = d.candidate(e, ask, now)
 	}
-	i := d.choose(candidates)
+	i := ChooseAmong(candidates, d.options.Draw)
 	if i < 0 {
 		return nil
 	}
@@ -192,17 +192,6 @@
 	}
 }
 
-// crowd is how many daemons there are from which on each hears the others too
-// seldom to place by their load as it is.
-const crowd = 20
-
-func (d *Desk) choose(candidates []Candidate) int {
-	if d.options.Shares() < crowd {
-		return Choose(candidates)
-	}
-	return ChooseAmong(candidates, d.options.Draw)
-}
-
 // Report returns what to tell the other daemons of requests and endpoints.
 func (d *Desk) Report() gossip.Message {
 	d.mu.Lock()
--- a/pick/sample_test.go
+++ b/pick/sample_test.go
@@ -8,23 +8,26 @@
 	"github.com/matryer/is"
 )
 
-// crowded plays 72 daemons before 40 endpoints of 20 places: 400 requests a
-// second that take a second each, so 10 at each endpoint. A daemon hears of the
-// others' requests up to 450 ms late. It returns the share of requests that were
-// sent to an endpoint with no free place.
-func crowdedShare(choose func([]Candidate, func() float64) int) float64 {
-	const (
-		daemons   = 72
-		endpoints = 40
-		slots     = 20
-		perSecond = 400
-		hears     = 450 // milliseconds between two news of all others
-		seconds   = 12
-	)
+// fleet is a load that many daemons place.
+type fleet struct {
+	daemons, endpoints int
+	slots              int // of an endpoint
+	rate               int // requests a second, which take a second each
+	hears              int // milliseconds between two news of all other daemons
+}
+
+// full returns the share of requests that are sent to an endpoint with no free
+// place.
+func (f fleet) full(choose func([]Candidate, func() float64) int) float64 {
+	const seconds = 12
 	r := rand.New(rand.NewPCG(1, 2))
-	var load [endpoints]int
-	var heard [daemons][endpoints]int // the others' requests, as last heard
-	var own [daemons][endpoints]int
+	load := make([]int, f.endpoints)
+	heard := make([][]int, f.daemons) // the others' requests, as last heard
+	own := make([][]int, f.daemons)
+	for d := range heard {
+		heard[d] = make([]int, f.endpoints)
+		own[d] = make([]int, f.endpoints)
+	}
 	type end struct{ at, daemon, endpoint int }
 	var ends []end
 	sent, over := 0, 0
@@ -34,24 +37,24 @@
 			own[ends[0].daemon][ends[0].endpoint]--
 			ends = ends[1:]
 		}
-		for d := range daemons {
-			if (ms+d*7)%hears == 0 {
-				for e := range endpoints {
+		for d := range f.daemons {
+			if (ms+d*7)%f.hears == 0 {
+				for e := range f.endpoints {
 					heard[d][e] = load[e] - own[d][e]
 				}
 			}
 		}
-		if r.Float64() >= float64(perSecond)/1000 {
+		if r.Float64() >= float64(f.rate)/1000 {
 			continue
 		}
-		d := r.IntN(daemons)
-		candidates := make([]Candidate, endpoints)
+		d := r.IntN(f.daemons)
+		candidates := make([]Candidate, f.endpoints)
 		for e := range candidates {
-			candidates[e] = Candidate{Load: heard[d][e] + own[d][e], Slots: slots, Slow: 1, Near: true, Read: time.Millisecond}
+			candidates[e] = Candidate{Load: heard[d][e] + own[d][e], Slots: f.slots, Slow: 1, Near: true, Read: time.Millisecond}
 		}
 		e := choose(candidates, r.Float64)
 		sent++
-		if load[e] >= slots {
+		if load[e] >= f.slots {
 			over++
 		}
 		load[e]++
@@ -61,11 +64,21 @@
 	return float64(over) / float64(sent)
 }
 
-func TestManyDaemonsSpread(t *testing.T) {
+// Half of the places of a large fleet are taken, and four in five of a small one,
+// when daemons that all know the same fall upon the same endpoint.
+func TestDaemonsSpread(t *testing.T) {
 	is := is.New(t)
-	all := crowdedShare(func(c []Candidate, _ func() float64) int { return Choose(c) })
-	few := crowdedShare(ChooseAmong)
-	t.Logf("sent to a full endpoint: %.3f by the best of all, %.3f by the best of %d", all, few, sample)
-	is.True(all > 0.03)  // the pattern: half of the places are free
-	is.True(few < 0.005) // of all
+	for _, c := range []struct {
+		fleet
+		all, few float64 // bounds of the share
+	}{
+		{fleet{daemons: 72, endpoints: 40, slots: 20, rate: 400, hears: 450}, 0.03, 0.005},
+		{fleet{daemons: 9, endpoints: 20, slots: 17, rate: 270, hears: 110}, 0.03, 0.01},
+	} {
+		all := c.full(func(c []Candidate, _ func() float64) int { return Choose(c) })
+		few := c.full(ChooseAmong)
+		t.Logf("%+v: sent to a full endpoint: %.3f by the best of all, %.3f by the best of %d", c.fleet, all, few, sample)
+		is.True(all > c.all)
+		is.True(few < c.few)
+	}
 }
