--- a/soak/check.go
+++ b/soak/check.go
@@ -27,8 +27,8 @@
 		}
 	}
 	for _, d := range w.daemons {
-		if d.odd > 0 {
-			r.Broken = append(r.Broken, fmt.Sprintf("life: daemon %s ended %d times by itself, last with code %d", d.name, d.odd, d.code))
+		if odd, code := d.ends(); odd > 0 {
+			r.Broken = append(r.Broken, fmt.Sprintf("life: daemon %s ended %d times by itself, last with code %d", d.name, odd, code))
 		}
 	}
 }
--- a/soak/proc.go
+++ b/soak/proc.go
@@ -84,6 +84,13 @@
 	_ = p.cmd.Process.Signal(s) // it may just have ended
 }
 
+// ends returns how often the process ended unasked, and its last code.
+func (p *proc) ends() (odd, code int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.odd, p.code
+}
+
 // age returns how long ago the process was started.
 func (p *proc) age() time.Duration {
 	p.mu.Lock()
