soak: a probe of a version that a newer one took over is no finding

Ruled out: the daemon (its log shows both versions in force within 0.1 s). Change: a 404 counts only while no newer version was written. The check is as strict for the newest version, which is the one probed. Test: TestProbeOfAnOlderVersion.

--- a/soak/check.go
+++ b/soak/check.go
@@ -171,7 +171,7 @@
 		}
 		return
 	}
-	if rec.status != http.StatusNotFound || rec.sent.Sub(changed) < inForce {
+	if rec.status != http.StatusNotFound || rec.sent.Sub(changed) < inForce || p.outdated(version) {
 		return
 	}
 	if p.world.disturbed(i, changed.Add(-inForce), rec.ended, KillDaemon, StopDaemon, PauseDaemon, CutStore, StoreDown, StoreLoses) {
@@ -180,6 +180,14 @@
 	p.say("version %d not in force at d%d, %v after the change", version, i, rec.sent.Sub(changed))
 }
 
+// outdated reports whether a newer configuration has come, whose routes are
+// others.
+func (p *probe) outdated(version int) bool {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	return p.world.version > version
+}
+
 // back: a daemon doesn't go back to an older configuration, unless it was
 // started again.
 func (p *probe) back(i int, newest seen, old record) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,3 +64,18 @@
 	}
 	is.Equal(len(kinds), int(faults))
 }
+
+// A version that isn't served in time is found, unless a newer one came while its
+// probe was on its way (seed 215: the daemon had the newer one, rightly).
+func TestProbeOfAnOlderVersion(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	w := &world{version: 1, changes: map[int]time.Time{1: now}}
+	p := newProbe(w, nil)
+	missing := record{status: 404, sent: now.Add(inForce + time.Second), ended: now.Add(inForce + time.Second)}
+	p.apply(0, 1, now, missing)
+	is.Equal(len(p.broken()), 1)
+	w.version = 2
+	p.apply(0, 1, now, missing)
+	is.Equal(len(p.broken()), 1)
+}
