--- a/front/again_test.go
+++ b/front/again_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,9 +16,17 @@
 
 // logged makes a front write its log lines to memory.
 func (w *world) logged() func(message string) []string {
+	var mu sync.Mutex // a look at a broken endpoint may log after the answer
 	var lines []string
-	w.front.options.Log = funcr.NewJSON(func(line string) { lines = append(lines, line) }, funcr.Options{})
+	write := func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		lines = append(lines, line)
+	}
+	w.front.options.Log = funcr.NewJSON(write, funcr.Options{})
 	return func(message string) []string {
+		mu.Lock()
+		defer mu.Unlock()
 		var found []string
 		for _, line := range lines {
 			if strings.Contains(line, `"msg":"`+message+`"`) {
