Beliefs taken from others, odd datagrams and reports that can't be used are logged; the pause is whole

Cause (checklist): a group or a standing endpoint that another daemon told of changed where this one sends without a line; datagrams and reports that could not be used were dropped without one; a watch's pause ended with the time limit of the call before it, 2.2 s after that began; the platform's name of the settings variable stood in cmd/chead. Change: 'group told', 'endpoint said to stand still', 'report not taken', 'datagrams passed over' (a line each 5 s at the most); the pause is slept outside the call; platform.SettingsVariable.

--- a/clock/boot.go
+++ b/clock/boot.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Boot returns the time since the machine started, with the time that it was
+// Boot returns the time since the kernel started, with the time that it was
 // suspended, which the monotonic clock of package time leaves out. Whatever is
 // only valid for a while is judged by it.
 func Boot() time.Duration {
--- a/cmd/chead/edge.go
+++ b/cmd/chead/edge.go
@@ -19,7 +19,7 @@
 const collectAt = 50
 
 type edgeCommand struct {
-	Settings string `required:"" type:"existingfile" env:"CLEMENTINEHEAD_NODE_FILE" help:"Settings of this daemon, a JSON file."`
+	Settings string `required:"" type:"existingfile" env:"${settings}" help:"Settings of this daemon, a JSON file."`
 }
 
 // Run serves on the users' platform until SIGTERM or SIGINT, then shuts down
--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"clementinehead.example/chead/platform"
 )
 
 // version is set by the linker.
@@ -43,6 +45,7 @@
 		signal.Notify(hangups, syscall.SIGHUP)
 	}
 	var c commands
-	context := kong.Parse(&c, kong.Name("chead"), kong.Description("Serves models whose replicas span several instances."))
+	context := kong.Parse(&c, kong.Name("chead"), kong.Description("Serves models whose replicas span several instances."),
+		kong.Vars{"settings": platform.SettingsVariable})
 	context.FatalIfErrorf(context.Run())
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
 	"clementinehead.example/chead/clock"
@@ -33,8 +32,6 @@
 	leaveListen  = 3500 * time.Millisecond // connections are taken for so long after SIGTERM
 	leaveMargin  = 700 * time.Millisecond  // before SIGKILL
 	sweepEach    = time.Second
-	headerTime   = 5 * time.Second
-	idleTime     = 60 * time.Second
 	fewestShares = 6 // daemons that the budget is shared among at the least
 )
 
@@ -79,19 +76,24 @@
 	}
 	calls := caller()
 	d.store = platform.NewStore(s.Store, calls.Do)
-	d.sight = sight.New(sight.Options{Store: d.store, Boot: clock.Boot, Log: o.Log, Pause: func() time.Duration { return d.bounds().pause() }, Quick: func() bool { return d.keeper.InOffice() }})
+	d.sight = sight.New(sight.Options{
+		Store: d.store, Boot: clock.Boot, Log: o.Log,
+		Pause: func() time.Duration { return d.bounds().pause() },
+		Quick: func() bool { return d.keeper.InOffice() },
+	})
 	d.gossip = gossip.New(gossip.Options{
 		Self: d.self, Conn: packets, Boot: clock.Boot, Log: o.Log, Tell: d.tell, Hear: func(gossip.Message) {},
 		Listed: func() map[string]site.Daemon { return d.sight.View().Daemons },
 	})
 	d.desk = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, View: d.sight.View, Alive: d.gossip.Alive,
-		Budget: d.budget, Shares: d.shares, Draw: rand.Float64,
+		Budget: d.budget, Shares: d.shares, Draw: rand.Float64, Log: o.Log,
 	})
 	d.pool = conns.New(conns.Dial)
 	d.front = front.New(front.Options{
-		View: d.sight.View, Age: d.sight.Age, KeyLimit: func() time.Duration { return d.bounds().revoke() - proofMargin }, Desk: d.desk, Pool: d.pool,
-		Strikes: d.strikes, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
+		View: d.sight.View, Age: d.sight.Age, Desk: d.desk, Pool: d.pool,
+		KeyLimit: func() time.Duration { return d.bounds().revoke() - proofMargin },
+		Strikes:  d.strikes, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: &platform.Engines{Do: calls.Do}, Sight: d.sight, Alive: d.gossip.Alive,
@@ -144,6 +146,8 @@
 	return among(d.self.ID, d.sight.View().Daemons, d.gossip.Alive())
 }
 
+// among counts the daemons that are listed or heard, this one with them, and at
+// least fewestShares.
 func among(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
 	known := map[string]bool{self: true}
 	for id := range listed {
@@ -209,21 +213,7 @@
 	defer cancel()
 	group, parts := errgroup.WithContext(parts)
 	callers := &http.Server{Handler: d.front, ConnState: front.NewIdle(d.limits).State}
-	checks := http.NewServeMux()
-	checks.HandleFunc("GET "+platform.ReadyPath, d.guide.Readiness)
-	directory := http.NewServeMux()
-	directory.HandleFunc("GET "+platform.ResolvePath, d.guide.Resolve)
-	metrics := http.NewServeMux()
-	metrics.Handle("GET /metrics", promhttp.HandlerFor(d.options.Registry, promhttp.HandlerOpts{}))
-	servers := []served{
-		{"caller", s.Caller, callers},
-		{"ready", s.Ready, &http.Server{Handler: checks, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
-		{"guide", s.Guide, &http.Server{Handler: directory, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
-	}
-	if s.Metrics != "" {
-		servers = append(servers, served{"metrics", s.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}})
-	}
-	for _, server := range servers {
+	for _, server := range d.servers(callers) {
 		listener, err := net.Listen("tcp4", server.address)
 		if err != nil {
 			return &Error{Op: "listen " + server.name, Kind: Address, Err: err}
@@ -255,33 +245,3 @@
 	}
 	return &Error{Op: "run", Kind: Part, Err: err}
 }
-
-// served is one of the daemon's servers.
-type served struct {
-	name    string
-	address string
-	server  *http.Server
-}
-
-func (s served) run(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
-	defer stop()
-	if err := s.server.Serve(listener); err != http.ErrServerClosed {
-		return &Error{Op: "serve " + s.name, Kind: Part, Err: err}
-	}
-	return nil
-}
-
-// leave steers callers away, goes on with connections until those who keep an
-// older answer have asked again, and waits for what is in progress.
-func (d *Daemon) leave(ctx context.Context, callers *http.Server) {
-	d.options.Log.Info("daemon leaves", "active", d.front.Active())
-	d.leaving.Store(true)
-	d.front.Leave()
-	clock.Sleep(ctx, leaveListen)
-	ctx, cancel := context.WithTimeout(ctx, d.bounds().grace()-leaveListen-leaveMargin)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		d.options.Log.Info("requests cut off", "active", d.front.Active())
-	}
-}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -31,18 +31,34 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		named:    map[string]bool{},
-		accounts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chead_front_account_requests_total", Help: "Requests of a client account by their end."}, []string{"account", "outcome"}),
-		sends:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chead_front_sends_total", Help: "Sends by model, the endpoint's failure domain and what came of them."}, []string{"model", "domain", "result"}),
-		waited:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "chead_front_wait_seconds", Help: "In the line for a place, by how it ended.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 9)}, []string{"model", "end"}),
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chead_front_requests_total", Help: "Requests by their end."}, []string{"outcome", "status"}),
-		retries:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chead_front_retries_total", Help: "Sends beyond the first, by what ended the one before."}, []string{"cause"}),
-		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chead_front_first_event_seconds", Help: "From arrival to the first event of a stream.", Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12)}),
-		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "chead_front_seconds", Help: "From arrival to the end.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"outcome"}),
+		requests: counter("requests_total", "Requests by their end.", "outcome", "status"),
+		accounts: counter("account_requests_total", "Requests of a client account by their end.", "account", "outcome"),
+		sends:    counter("sends_total", "Sends by model, the endpoint's failure domain and what came of them.", "model", "domain", "result"),
+		retries:  counter("retries_total", "Sends beyond the first, by what ended the one before.", "cause"),
+		waited:   histogram("wait_seconds", "In the line for a place, by how it ended.", 9, "model", "end"),
+		took:     histogram("seconds", "From arrival to the end.", 12, "outcome"),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_event_seconds", Help: "From arrival to the first event of a stream.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12),
+		}),
 	}
 	r.MustRegister(m.requests, m.accounts, m.sends, m.retries, m.first, m.took, m.waited)
 	return m
 }
 
+const namespace = "chead_front"
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// histogram returns one with buckets that double from 5 ms on.
+func histogram(name, help string, buckets int, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, buckets),
+	}, labels)
+}
+
 func (m *Metrics) ended(account, outcome string, status int, took time.Duration) {
 	m.requests.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
 	m.accounts.WithLabelValues(m.label(account), outcome).Inc()
--- a/front/metrics_test.go
+++ b/front/metrics_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,3 +34,22 @@
 	is.Equal(testutil.CollectAndCount(many.accounts), mostAccounts+1)
 	is.Equal(testutil.ToFloat64(many.accounts.WithLabelValues(otherAccount, "served")), float64(2*mostAccounts))
 }
+
+// Every metric is on the page for the engineer on call, by its full name.
+func TestMetricsAreDescribed(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	m := NewMetrics(registry)
+	m.ended("a", "served", http.StatusOK, time.Second)
+	m.placed("m", "placed", 0)
+	m.sends.WithLabelValues("m", "north", "settled").Inc()
+	m.retries.WithLabelValues("failed").Inc()
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	is.NoErr(err)
+	found, err := registry.Gather()
+	is.NoErr(err)
+	is.Equal(len(found), 7)
+	for _, metric := range found {
+		is.True(strings.Contains(string(page), "`"+metric.GetName()+"`"))
+	}
+}
--- a/front/stream.go
+++ b/front/stream.go
@@ -56,7 +56,8 @@
 			return
 		}
 		if s.over(place, last) {
-			f.options.Log.Info("endpoint stands still", "id", j.id, "endpoint", place.Endpoint.ID, "group", place.Endpoint.State.Member.Group, "silent_ms", s.silent().Milliseconds())
+			f.options.Log.Info("endpoint stands still", "id", j.id, "endpoint", place.Endpoint.ID,
+				"group", place.Endpoint.State.Member.Group, "silent_ms", s.silent().Milliseconds())
 			_ = conn.Close()
 			return
 		}
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -204,7 +204,7 @@
 func newDesk(view func() *sight.View, budget pick.Budget) *pick.Desk {
 	return pick.New(pick.Options{
 		Domain: "north", Boot: func() time.Duration { return time.Hour }, View: view,
-		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Draw: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
+		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Log: logr.Discard(), Draw: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
 	})
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -19,7 +19,8 @@
 	patience  = 5                      // mean intervals between messages, where a round reaches only some
 	fanout    = 16                     // peers that one round reaches
 	datagram  = 60_000                 // bytes
-	forgotten = 30 * time.Second       // a peer that is away so long is dropped
+	oddEach   = 5 * time.Second
+	forgotten = 30 * time.Second // a peer that is away so long is dropped
 )
 
 // Options are what a Gossip needs.
@@ -38,6 +39,8 @@
 	options Options
 	mu      sync.Mutex
 	peers   map[string]*peer
+	passed  int           // datagrams and records
+	oddNext time.Duration // no line about these before
 }
 
 type peer struct {
@@ -111,7 +114,8 @@
 	for _, address := range g.targets() {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
-			continue // a record that can't be used names nobody
+			g.odd("resolve peer", err) // its record names nobody
+			continue
 		}
 		_, _ = g.options.Conn.WriteTo(data, to) // the next round makes up for it
 	}
@@ -171,16 +175,38 @@
 			return &Error{Op: "receive", Kind: Closed, Err: err}
 		}
 		if err != nil {
-			continue // a datagram that was lost
+			g.odd("receive", err)
+			continue
 		}
 		var message Message
-		if err := json.Unmarshal(buffer[:n], &message); err != nil || message.From.ID == "" {
-			continue // not one of ours
+		err = json.Unmarshal(buffer[:n], &message)
+		if err == nil && message.From.ID == "" {
+			err = errNameless
+		}
+		if err != nil {
+			g.odd("decode message", err)
+			continue
 		}
 		g.take(message)
 	}
 }
 
+var errNameless = errors.New("message without a sender")
+
+// odd logs what is passed over, at most one each oddEach: anybody may send
+// datagrams, and a record that can't be used is met at every round.
+func (g *Gossip) odd(op string, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.passed++
+	now := g.options.Boot()
+	if now < g.oddNext {
+		return
+	}
+	g.oddNext = now + oddEach
+	g.options.Log.Info("datagrams passed over", "op", op, "error", err.Error(), "passed", g.passed)
+}
+
 func (g *Gossip) take(message Message) {
 	if message.From.ID == g.options.Self.ID {
 		return
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -99,3 +99,23 @@
 	}
 	is.Equal(lines, want)
 }
+
+// What can't be used is logged with its cause, and a flood of it by one line.
+func TestOddDatagramsAreLogged(t *testing.T) {
+	is := is.New(t)
+	var lines []string
+	now := time.Second
+	g := New(Options{
+		Boot: func() time.Duration { return now },
+		Log:  funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{}),
+	})
+	for range 50 {
+		g.odd("decode message", errNameless)
+	}
+	now += oddEach
+	g.odd("decode message", errNameless)
+	is.Equal(lines, []string{
+		`"level"=0 "msg"="datagrams passed over" "op"="decode message" "error"="message without a sender" "passed"=1`,
+		`"level"=0 "msg"="datagrams passed over" "op"="decode message" "error"="message without a sender" "passed"=51`,
+	})
+}
--- a/groups/ask.go
+++ b/groups/ask.go
@@ -99,6 +99,8 @@
 		if r.misses == missesToDead {
 			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error())
 		}
+	default:
+		k.options.Log.Info("report not taken", "endpoint", e.ID, "error", err.Error())
 	}
 	k.reports[e.ID] = r
 }
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -202,7 +202,8 @@
 	for _, g := range k.planner.sorted() {
 		stages[g.name] = g.stage
 		if was, known := k.stages[g.name]; !known || was != g.stage {
-			k.options.Log.Info("group "+g.stage.String(), "group", g.name, "model", g.model.Name, "members", strings.Join(g.ids(), ","), "cause", g.cause, "term", k.term)
+			k.options.Log.Info("group "+g.stage.String(), "group", g.name, "model", g.model.Name,
+				"members", strings.Join(g.ids(), ","), "cause", g.cause, "term", k.term)
 		}
 		groups[g.head()] = gossip.Group{Name: g.name, Epoch: g.epoch, Model: g.model.Name, Open: g.stage == serving}
 	}
--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -1,14 +1,19 @@
 package groups
 
 import (
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/sight"
 	"clementinehead.example/chead/site"
 )
@@ -75,3 +80,18 @@
 	until := time.Minute + checkFor
 	is.Equal(k.checks, map[string]time.Duration{"a": until, "b": until})
 }
+
+// A report that can't be read is no silence, and is logged.
+func TestReportNotTaken(t *testing.T) {
+	is := is.New(t)
+	var lines []string
+	k := newKeeper()
+	k.options.Log = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	k.options.Engines = &platform.Engines{Do: func(*http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader("{"))}, nil
+	}}
+	k.fetch(t.Context(), site.Endpoint{ID: "e", Address: "127.0.0.1:1"})
+	is.Equal(k.reports["e"].misses, 0)
+	is.Equal(len(lines), 1)
+	is.True(strings.Contains(lines[0], `"msg"="report not taken" "endpoint"="e" "error"="platform: decode report: Malformed`))
+}
--- /dev/null
+++ b/pick/belief_test.go
@@ -0,0 +1,41 @@
+package pick
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/site"
+)
+
+// What others tell and this daemon goes by from then on is logged once, when it
+// changes.
+func TestBeliefsAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := labDesk("a")
+		var lines []string
+		d.options.Log = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+		open := gossip.Message{
+			From: site.Daemon{ID: "d2"}, Revision: 7, Heads: map[string]gossip.Head{"a": {Stuck: true}},
+			Groups: map[string]gossip.Group{"a": {Name: "g1", Epoch: 3, Model: "m", Open: true}},
+		}
+		for range 3 {
+			d.Update([]gossip.Message{open}, nil)
+			time.Sleep(100 * time.Millisecond)
+		}
+		shut := open
+		shut.Heads = nil
+		shut.Groups = map[string]gossip.Group{"a": {Name: "g1", Epoch: 3, Model: "m"}}
+		d.Update([]gossip.Message{shut}, nil)
+		is.Equal(lines, []string{
+			`"level"=0 "msg"="group told" "endpoint"="a" "group"="g1" "epoch"=3 "model"="m" "open"=true`,
+			`"level"=0 "msg"="endpoint said to stand still" "endpoint"="a" "peer"="d2" "revision"=7`,
+			`"level"=0 "msg"="group told" "endpoint"="a" "group"="g1" "epoch"=3 "model"="m" "open"=false`,
+		})
+	})
+}
--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"clementinehead.example/chead/gossip"
@@ -24,7 +25,7 @@
 	for i := range desks {
 		desks[i] = New(Options{
 			Boot: func() time.Duration { return *boot }, View: func() *sight.View { return view },
-			Alive: func() []gossip.Message { return nil }, Shares: func() int { return n }, Budget: func() Budget { return Budget{} }, Draw: func() float64 { return float64(i) / float64(n) },
+			Alive: func() []gossip.Message { return nil }, Shares: func() int { return n }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(), Draw: func() float64 { return float64(i) / float64(n) },
 		})
 	}
 	return desks
--- a/pick/desk.go
+++ b/pick/desk.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/sight"
 )
@@ -18,6 +20,7 @@
 	Budget func() Budget  // as it is in force, for each service, of all daemons together
 	Shares func() int     // daemons that share the budget and a cold endpoint's rate, heard or not
 	Draw   func() float64 // at random, from 0 up to 1
+	Log    logr.Logger
 }
 
 // Desk gives requests a place at an endpoint. Use New.
@@ -240,6 +243,9 @@
 			h := d.head(id)
 			h.others += other.Running
 			h.foreign += other.Unread
+			if other.Stuck && !h.told(now) {
+				d.options.Log.Info("endpoint said to stand still", "endpoint", id, "peer", m.From.ID, "revision", m.Revision)
+			}
 			if other.Stuck {
 				h.stuckTil = now.Add(stuckAfter)
 			}
@@ -251,9 +257,12 @@
 
 func (d *Desk) tell(groups map[string]gossip.Group) {
 	for id, g := range groups {
-		if g.Epoch >= d.told[id].Epoch {
-			d.told[id] = g
+		old := d.told[id]
+		if g.Epoch < old.Epoch || g == old {
+			continue
 		}
+		d.told[id] = g
+		d.options.Log.Info("group told", "endpoint", id, "group", g.Name, "epoch", g.Epoch, "model", g.Model, "open", g.Open)
 	}
 }
 
--- a/pick/desk_test.go
+++ b/pick/desk_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"clementinehead.example/chead/gossip"
@@ -25,7 +26,7 @@
 	}
 	return New(Options{
 		Boot: func() time.Duration { return time.Hour }, View: func() *sight.View { return view },
-		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Budget: func() Budget { return Budget{} }, Draw: func() float64 { return 0.5 },
+		Alive: func() []gossip.Message { return nil }, Shares: func() int { return 1 }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(), Draw: func() float64 { return 0.5 },
 	})
 }
 
--- a/pick/head.go
+++ b/pick/head.go
@@ -44,7 +44,10 @@
 	return h.own > 0 && now.Sub(h.progress) > limit
 }
 
-func (h *head) stuck(now time.Time) bool { return h.ownStuck(now) || now.Before(h.stuckTil) }
+func (h *head) stuck(now time.Time) bool { return h.ownStuck(now) || h.told(now) }
+
+// told reports what the others saw.
+func (h *head) told(now time.Time) bool { return now.Before(h.stuckTil) }
 
 // ownStuck reports what this daemon itself saw, which it tells the others.
 func (h *head) ownStuck(now time.Time) bool { return h.idle(now) || now.Before(h.suspect) }
--- a/sight/sight.go
+++ b/sight/sight.go
@@ -85,7 +85,7 @@
 // follow watches until the history that it needs is gone.
 func (s *Sight) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := s.watch(ctx)
+		changed, err := s.watch(ctx)
 		if platform.Is(err, platform.Compacted) {
 			s.options.Log.Info("history gone, listing anew", "revision", s.View().Revision)
 			return
@@ -93,6 +93,9 @@
 		if err != nil {
 			s.failure(ctx, "watch", err)
 		}
+		if changed {
+			clock.Sleep(ctx, s.pause())
+		}
 	}
 }
 
@@ -129,21 +132,20 @@
 	return nil
 }
 
-func (s *Sight) watch(ctx context.Context) error {
+// watch takes the changes that come within the wait, and reports whether there
+// were any.
+func (s *Sight) watch(ctx context.Context) (bool, error) {
 	wait := s.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
 	defer cancel()
 	sent := s.options.Boot()
 	listing, err := s.options.Store.Watch(ctx, platform.Everything, s.View().Revision, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	s.apply(listing)
 	s.success(sent)
-	if len(listing.Items) > 0 {
-		clock.Sleep(ctx, s.pause())
-	}
-	return nil
+	return len(listing.Items) > 0, nil
 }
 
 // wait returns how long the next watch may wait: a proof counts from when its
--- a/sight/sight_test.go
+++ b/sight/sight_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,3 +129,35 @@
 		t.Errorf("a view was %v old", most)
 	}
 }
+
+// Changes come all the time, and the daemon asks for them once a pause. The pause
+// ended with the time limit of the call before, 2.2 s after it began.
+func TestPauseIsWhole(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int64
+	store := mimic.NewStore()
+	at := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		store.ServeHTTP(w, r)
+	}))
+	defer at.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	s := New(Options{
+		Store: platform.NewStore(at.Listener.Addr().String(), client.Do), Boot: clock.Boot, Log: logr.Discard(),
+		Pause: func() time.Duration { return time.Hour }, Quick: func() bool { return false },
+	})
+	ctx, stop := context.WithTimeout(t.Context(), watchWait+answerLimit+time.Second)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Run(ctx)
+	}()
+	for ctx.Err() == nil {
+		store.Put("servers/e", []byte(entryReady))
+		time.Sleep(20 * time.Millisecond)
+	}
+	<-done
+	is.Equal(calls.Load(), int64(2)) // a list and a watch
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -21,9 +21,11 @@
 	for _, rec := range records {
 		r.count(rec)
 		for _, broken := range []string{once(rec, runs[rec.id]), unrun(rec, runs[rec.id]), intact(rec), answered(w, rec), drained(w, rec)} {
-			if broken != "" {
-				r.Broken = append(r.Broken, fmt.Sprintf("%s: %s to d%d, %v after the start: status %d, %d runs", broken, rec.id, rec.daemon, rec.sent.Sub(w.began).Round(time.Millisecond), rec.status, runs[rec.id]))
+			if broken == "" {
+				continue
 			}
+			at := rec.sent.Sub(w.began).Round(time.Millisecond)
+			r.Broken = append(r.Broken, fmt.Sprintf("%s: %s to d%d, %v after the start: status %d, %d runs", broken, rec.id, rec.daemon, at, rec.status, runs[rec.id]))
 		}
 	}
 	for _, d := range w.daemons {
