--- a/cmd/chead/edge.go
+++ b/cmd/chead/edge.go
@@ -26,7 +26,8 @@
 // Run runs a daemon on the users' platform until SIGTERM or SIGINT. It then shuts
 // down and lets requests in progress finish.
 func (c edgeCommand) Run() error {
-	settings, err := edge.ReadSettings(c.Settings)
+	file := &settingsFile{path: c.Settings}
+	settings, err := file.read()
 	if err != nil {
 		return err
 	}
@@ -43,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, c.Settings, log, d)
+	go reload(ctx, file, log, d)
 	err = d.Run(ctx)
 	out.Flush()
 	return err
--- a/cmd/chead/reload.go
+++ b/cmd/chead/reload.go
@@ -17,10 +17,9 @@
 // reload applies the settings file when SIGHUP arrives or the file changes, until
 // the context ends. Invalid settings are logged, and the previous ones stay in
 // force.
-func reload(ctx context.Context, path string, log logr.Logger, d *edge.Daemon) {
+func reload(ctx context.Context, file *settingsFile, log logr.Logger, d *edge.Daemon) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	loaded := versionOf(path)
 	for {
 		cause := "signal"
 		select {
@@ -28,13 +27,12 @@
 			return
 		case <-hangups:
 		case <-ticker.C:
-			if versionOf(path) == loaded {
+			if !file.changed() {
 				continue
 			}
 			cause = "file"
 		}
-		loaded = versionOf(path)
-		settings, err := edge.ReadSettings(path)
+		settings, err := file.read()
 		if err != nil {
 			log.Info("settings refused, the old ones stay", "cause", cause, "error", err.Error())
 			continue
@@ -44,6 +42,22 @@
 	}
 }
 
+// settingsFile is a settings file and the version of it that was read last.
+type settingsFile struct {
+	path   string
+	loaded fileVersion
+}
+
+// read reads the settings. The version is taken before, so that a change during or
+// after the read is noticed by changed.
+func (f *settingsFile) read() (edge.Settings, error) {
+	f.loaded = versionOf(f.path)
+	return edge.ReadSettings(f.path)
+}
+
+// changed reports whether the file differs from the version that was read last.
+func (f *settingsFile) changed() bool { return versionOf(f.path) != f.loaded }
+
 // fileVersion identifies a version of a file by its modification time and size.
 type fileVersion struct {
 	time time.Time
