Store-Era, Server-Leaving and Retry-After of endpoints are kept

Change: answers of the store carry their era. A listing, a watch, a commit and a lease belong to one era; calls across eras fail (kind Rewound). Terms of a new era are above those of all before. Endpoints that say that they leave get no more from this daemon and, by gossip, from others; one that asks for a pause gets none within it, and callers are told when to return.

--- /dev/null
+++ b/edge/catchup.go
@@ -0,0 +1,38 @@
+package edge
+
+import (
+	"sync/atomic"
+	"time"
+
+	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/watch"
+)
+
+// catchUpWait is how long a daemon that has started listens to the others before it
+// takes its configuration for the newest: five rounds of gossip.
+const catchUpWait = 500 * time.Millisecond
+
+// catchUp tells when a daemon that has started may accept keys by its configuration.
+// A store that came back from an older copy may hold a configuration with keys that
+// have been revoked since. Running daemons keep the newer one; a daemon that starts
+// waits until it holds one as new as theirs.
+type catchUp struct {
+	startedAt time.Duration // boot clock
+	done      atomic.Bool
+}
+
+// update compares the configuration with the versions that the other daemons hold.
+// A store that never came back from a copy needs no comparison.
+func (c *catchUp) update(held *watch.Snapshot, alive []gossip.Message, now time.Duration) {
+	if c.done.Load() || held.Config == nil {
+		return
+	}
+	newest := held.Config.Version
+	for _, m := range alive {
+		newest = max(newest, m.Version)
+	}
+	caughtUp := now-c.startedAt >= catchUpWait && held.Config.Version >= newest
+	if held.Era == 0 || caughtUp {
+		c.done.Store(true)
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -49,6 +49,7 @@
 	leaving atomic.Bool              // whether the daemon is shutting down
 	current atomic.Pointer[Settings] // newest settings, of which only those that Reload applies are used
 	started time.Time                // since when retries are counted, as pick.Budget.Since
+	catchUp catchUp
 
 	store   *platform.Store
 	watcher *watch.Watcher
@@ -67,6 +68,7 @@
 	s := o.Settings
 	d := &Daemon{options: o, crashes: &front.Crashes{}, started: time.Now()}
 	d.current.Store(&s)
+	d.catchUp.startedAt = clock.Boot()
 	d.self = site.Daemon{
 		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Caller: s.Caller, Peer: s.Peer,
 	}
@@ -92,12 +94,12 @@
 	d.pool = conns.New(conns.Dial)
 	d.front = front.New(front.Options{
 		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool,
-		MaxKeyAge: func() time.Duration { return d.settings().revoke() - revokeMargin },
+		MaxKeyAge: d.maxKeyAge,
 		Crashes:   d.crashes, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: &platform.Engines{Do: client.Do}, Watcher: d.watcher, Alive: d.gossip.Alive,
-		Demand: d.demand, Boot: clock.Boot, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
+		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
 	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Peers: d.peers})
 	return d, nil
@@ -119,7 +121,16 @@
 
 // ready reports whether this daemon accepts callers.
 func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.watcher.Snapshot().Config != nil && d.watcher.Age() < maxReadyAge
+	return !d.leaving.Load() && d.catchUp.done.Load() && d.watcher.Age() < maxReadyAge
+}
+
+// maxKeyAge returns the greatest age of a snapshot by which keys are accepted, or 0 if
+// none are.
+func (d *Daemon) maxKeyAge() time.Duration {
+	if !d.catchUp.done.Load() {
+		return 0
+	}
+	return d.settings().revoke() - revokeMargin
 }
 
 // limits returns the limits on what callers may send, as currently configured.
@@ -173,6 +184,9 @@
 	m.Ready = d.ready()
 	m.Fresh = !d.leaving.Load() && d.watcher.Age() < maxReadyAge
 	m.Revision = d.watcher.Snapshot().Revision
+	if c := d.watcher.Snapshot().Config; c != nil {
+		m.Version = c.Version
+	}
 	m.Crashes = d.crashes.Counts()
 	return m
 }
@@ -189,6 +203,7 @@
 		case <-tick.C:
 		}
 		alive := d.gossip.Alive()
+		d.catchUp.update(d.watcher.Snapshot(), alive, clock.Boot())
 		ownGroups, _ := d.keeper.Announcement()
 		d.placer.Update(alive, ownGroups)
 		crashCounts := map[string]int{}
--- a/edge/record.go
+++ b/edge/record.go
@@ -25,7 +25,7 @@
 	self    site.Daemon
 	store   *platform.Store
 	log     logr.Logger
-	lease   int64
+	lease   platform.Lease
 	failing bool // the last renewal failed
 }
 
@@ -52,7 +52,7 @@
 	case err != nil && !r.failing:
 		r.log.Info("record not renewed", "error", err.Error())
 	case err == nil && r.failing:
-		r.log.Info("record renewed again", "lease", r.lease)
+		r.log.Info("record renewed again", "lease", r.lease.ID)
 	}
 	r.failing = err != nil
 }
@@ -61,12 +61,12 @@
 func (r *registration) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if r.lease == 0 {
+	if r.lease.ID == 0 {
 		return r.write(ctx)
 	}
 	err := r.store.Renew(ctx, r.lease)
-	if platform.Is(err, platform.NotFound) {
-		r.log.Info("record lapsed, writing it anew")
+	if platform.Is(err, platform.NotFound) || platform.Is(err, platform.Rewound) {
+		r.log.Info("record lapsed, writing it anew", "error", err.Error(), "era", r.store.Era())
 		return r.write(ctx)
 	}
 	return err
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: platform.DaemonRecordKey(r.self.ID), Value: value, Lease: lease}}})
+	_, err = r.store.Commit(ctx, platform.Txn{Era: lease.Era, Puts: []platform.Put{{Key: platform.DaemonRecordKey(r.self.ID), Value: value, Lease: lease.ID}}})
 	if err == nil {
 		r.lease = lease
 	}
@@ -91,7 +91,7 @@
 
 // remove ends the lease, and with it the record.
 func (r *registration) remove() {
-	if r.lease == 0 {
+	if r.lease.ID == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/edge/record_test.go
+++ b/edge/record_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
@@ -86,3 +87,32 @@
 	is.Equal(countDaemons("a", listed, nil), 7) // no gossip from any other daemon
 	is.Equal(countDaemons("a", nil, heard), minDaemons)
 }
+
+// The store comes back from an older copy, in which the daemon's lease is missing and
+// its id is given out to another daemon. The record must be written anew, and the
+// other daemon's lease neither renewed nor ended.
+func TestLeaseOfAnotherEraIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	store := simul.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	older := store.Copy()
+	newRegistration := func(id string) *registration {
+		return &registration{self: site.Daemon{ID: id}, store: platform.NewStore(server.Listener.Addr().String(), client.Do), log: logr.Discard()}
+	}
+	first, second := newRegistration("d1"), newRegistration("d2")
+	is.NoErr(first.renew(t.Context()))
+	lost := first.lease
+	store.Restore(older)
+	is.NoErr(second.renew(t.Context()))
+	is.Equal(second.lease.ID, lost.ID) // given out again
+	is.NoErr(first.renew(t.Context()))
+	is.True(first.lease != lost)
+	first.lease = lost
+	first.remove()
+	is.NoErr(second.renew(t.Context()))
+	_, err := second.store.Get(t.Context(), platform.DaemonRecordKey("d2"))
+	is.NoErr(err)
+}
--- a/front/send.go
+++ b/front/send.go
@@ -153,6 +153,7 @@
 		return f.orDisconnected(j, unknown)
 	}
 	defer resp.Close()
+	recordNotices(slot, resp)
 	j.cause = strconv.Itoa(resp.StatusCode)
 	if resp.Header.Get(platform.HeaderRequest) != j.id && j.id != "" && resp.StatusCode < 400 {
 		j.ran++
@@ -172,6 +173,18 @@
 	return f.forwardBody(j, slot, resp, last)
 }
 
+// recordNotices records what a response states of its endpoint: that it leaves, or
+// that it wants no requests for a time. It comes before the response is passed on,
+// since callers count from then on.
+func recordNotices(slot *pick.Slot, resp *conns.Response) {
+	if platform.Leaving(resp.Header) {
+		slot.Leave()
+	}
+	if pause := platform.Pause(resp.StatusCode, resp.Header); pause > 0 {
+		slot.Pause(pause)
+	}
+}
+
 // orDisconnected returns disconnected if the caller's disconnecting may have ended
 // a try, and otherwise the result r. A request that may run only once goes on after
 // its caller has disconnected.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -8,6 +8,7 @@
 	Ready     bool                    `json:"ready"`             // accepts callers: it is Fresh and has a configuration
 	Fresh     bool                    `json:"fresh"`             // is not shutting down, and its copy of the store is recent
 	Revision  int64                   `json:"revision"`          // of its copy of the store
+	Version   int64                   `json:"version"`           // of its configuration, 0 if it has none
 	Term      int64                   `json:"term"`              // newest term of a keeper that it knows
 	Endpoints map[string]EndpointLoad `json:"heads,omitempty"`   // by endpoint ID
 	Demand    map[string]int          `json:"demand,omitempty"`  // slots that its requests would take if each was served on arrival, by "service/model"
@@ -19,9 +20,10 @@
 // EndpointLoad is the load that one daemon causes at an endpoint, and what it observes
 // there.
 type EndpointLoad struct {
-	Running      int  `json:"running"`          // requests in progress
-	UnreadTokens int  `json:"unread,omitempty"` // prompt tokens of those of its requests there whose response has had no event yet
-	Stalled      bool `json:"stuck,omitempty"`  // it observed no progress there, or could not reach it
+	Running      int   `json:"running"`           // requests in progress
+	UnreadTokens int   `json:"unread,omitempty"`  // prompt tokens of those of its requests there whose response has had no event yet
+	Leaving      int64 `json:"leaving,omitempty"` // site.State.Started of the endpoint if it stated that it leaves
+	Stalled      bool  `json:"stuck,omitempty"`   // it observed no progress there, or could not reach it
 }
 
 // Queue describes the requests that wait at one daemon for a model or a plain service.
--- a/groups/election.go
+++ b/groups/election.go
@@ -19,7 +19,8 @@
 }
 
 // remainsKeeper reports whether this daemon is the keeper. It resigns if another
-// daemon has a newer term.
+// daemon has a newer term, or if the store came back from an older copy, in which
+// its term may be missing.
 func (k *Keeper) remainsKeeper(stored *watch.Snapshot) bool {
 	newest := stored.Keeper.Number
 	for _, m := range k.options.Alive() {
@@ -27,8 +28,11 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.term != 0 && newest > k.term {
+	switch {
+	case k.term != 0 && newest > k.term:
 		k.resign("another keeper has term", newest)
+	case k.term != 0 && stored.Era != k.termEra:
+		k.resign("store is in another era", 0)
 	}
 	return k.term != 0
 }
@@ -49,23 +53,44 @@
 // the first of the candidates.
 func (k *Keeper) campaign(ctx context.Context, stored *watch.Snapshot) {
 	now := k.options.Boot()
-	if k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || !k.firstCandidate() {
+	present := presentKeeper(stored)
+	if k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || present != k.options.Self.ID && !k.firstCandidate() {
 		k.keeperGoneSince = 0
 		return
 	}
-	if stored.Keeper.Daemon != "" && k.heardFresh(stored.Keeper.Daemon) {
+	if present != "" && k.heardFresh(present) {
 		k.keeperGoneSince = 0
 		return
 	}
 	if k.keeperGoneSince == 0 {
 		k.keeperGoneSince = now
 	}
-	if stored.Keeper.Daemon != "" && now-k.keeperGoneSince < takeoverWait {
+	if present != "" && now-k.keeperGoneSince < takeoverWait {
 		return
 	}
 	k.becomeKeeper(ctx, stored)
 }
 
+// presentKeeper returns the keeper by the record in the store, or an empty string if
+// there is none. A record of an earlier era is of an older copy, and the daemon that
+// it names has resigned.
+func presentKeeper(stored *watch.Snapshot) string {
+	if stored.Keeper.Era != stored.Era {
+		return ""
+	}
+	return stored.Keeper.Daemon
+}
+
+// termsPerEra is the number of terms reserved for each era of the store. The terms of
+// an era are higher than those of earlier eras, which the store may have forgotten, so
+// that no fencing token is given out twice.
+const termsPerEra = 1 << 12
+
+// nextTerm returns the number of the next term.
+func nextTerm(stored *watch.Snapshot) int64 {
+	return max(stored.Keeper.Number+1, stored.Era*termsPerEra)
+}
+
 // heardFresh reports whether a daemon is alive, reaches the store and is not
 // shutting down.
 func (k *Keeper) heardFresh(id string) bool {
@@ -93,13 +118,14 @@
 func (k *Keeper) becomeKeeper(ctx context.Context, stored *watch.Snapshot) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	term := watch.Term{Number: stored.Keeper.Number + 1, Daemon: k.options.Self.ID}
+	term := watch.Term{Number: nextTerm(stored), Daemon: k.options.Self.ID, Era: stored.Era}
 	value, err := json.Marshal(term)
 	if err != nil {
 		k.options.Log.Error(err, "keeper record not written")
 		return
 	}
 	_, err = k.options.Store.Commit(ctx, platform.Txn{
+		Era:    stored.Era,
 		Expect: []platform.Condition{{Key: platform.KeeperKey, Revision: stored.Keeper.Revision}},
 		Puts:   []platform.Put{{Key: platform.KeeperKey, Value: value}},
 	})
@@ -113,7 +139,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.term = term.Number
+	k.termEra = term.Era
 	k.planner = NewPlanner(term.Number, k.lastModel)
 	k.reports = map[string]report{}
-	k.options.Log.Info("keeper takes office", "term", term.Number, "before", stored.Keeper.Daemon)
+	k.options.Log.Info("keeper takes office", "term", term.Number, "before", stored.Keeper.Daemon, "era", term.Era)
 }
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -34,9 +34,10 @@
 	Store   *platform.Store
 	Engines *platform.Engines
 	Watcher *watch.Watcher
-	Alive   func() []gossip.Message // the latest message of each other daemon that is alive
-	Demand  func() map[string]int   // this daemon's demand, by service and model, as in gossip.Message
-	Boot    func() time.Duration    // reads the boot clock
+	Alive   func() []gossip.Message  // the latest message of each other daemon that is alive
+	Leaving func(site.Endpoint) bool // whether an endpoint stated to any daemon that it leaves
+	Demand  func() map[string]int    // this daemon's demand, by service and model, as in gossip.Message
+	Boot    func() time.Duration     // reads the boot clock
 	Log     logr.Logger
 	Metrics *Metrics
 }
@@ -48,6 +49,7 @@
 
 	mu              sync.Mutex
 	term            int64                    // 0 while not the keeper
+	termEra         int64                    // era of the store in which the term began
 	planner         *Planner                 // nil while not the keeper
 	lastModel       map[string]string        // model of each engine's last group, by endpoint
 	lastStarted     map[string]int64         // site.State.Started of the engine when lastModel was recorded
@@ -158,7 +160,7 @@
 		if e.Service != service.Name {
 			continue
 		}
-		state := EndpointState{Endpoint: e, Usable: stored.Usable(e), StateAt: e.Seen}
+		state := EndpointState{Endpoint: e, Usable: stored.Usable(e) && !k.options.Leaving(e), StateAt: e.Seen}
 		if r, ok := k.reports[id]; ok {
 			state.Silent = r.misses >= missesToSilent
 			if r.hasState && r.state.Started == e.State.Started {
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -13,6 +13,7 @@
 	SameDomain  bool          // whether it is in this daemon's failure domain
 	Stalled     bool          // whether no request there makes progress
 	RateLimited bool          // whether it is cold and this daemon's share of its rate is used up
+	Paused      bool          // whether it asked for no requests from this daemon for now
 }
 
 const (
@@ -24,7 +25,7 @@
 )
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if every
-// candidate is full, stalled or rate-limited. The cost is the expected time to the
+// candidate is full, stalled, rate-limited or paused. The cost is the expected time to the
 // first event, increased if requests fail there.
 //
 // The cost of the load is multiplied by the endpoint's slowdown, so that a slow
@@ -35,7 +36,7 @@
 	best := -1
 	cost := time.Duration(0)
 	for i, c := range candidates {
-		if c.Stalled || c.RateLimited || c.Load >= c.Slots+overcommit {
+		if c.Stalled || c.RateLimited || c.Paused || c.Load >= c.Slots+overcommit {
 			continue
 		}
 		v := c.cost()
@@ -96,6 +97,7 @@
 	Slack       time.Duration // time that the request can wait for a slot before it is late; negative if it is late already
 	MaxWait     time.Duration // longest wait that the caller accepts
 	Resumed     bool          // whether its caller has received a part of the stream already
+	Paused      time.Duration // until the first endpoint that serves it takes requests again; 0 if one does now
 }
 
 // Decision says whether a request for which no slot is free waits or is refused.
@@ -117,17 +119,20 @@
 // failure domain or in a burst, when a single first-come, first-served queue would
 // serve every request late. The queue is therefore no longer than what can be
 // served in time, late requests get the capacity that remains, and a request that
-// would get none is refused at once. An interrupted stream always waits, because
-// to refuse it is to cut it.
+// would get none is refused at once, as is one that no endpoint takes for longer than
+// it can wait. An interrupted stream always waits, because to refuse it is to cut it.
 func Admit(q QueueState) Decision {
 	if q.Resumed {
 		return Decision{Wait: true}
 	}
-	expected := expectedWait(q.InTime+1, q.FreeRate)
+	if q.Paused > q.MaxWait {
+		return Decision{RetryAfter: q.Paused}
+	}
+	expected := max(q.Paused, expectedWait(q.InTime+1, q.FreeRate))
 	if expected <= min(q.Slack, q.MaxWait) {
 		return Decision{Wait: true}
 	}
-	withLate := expectedWait(q.InTime+q.Late+1, q.FreeRate)
+	withLate := max(q.Paused, expectedWait(q.InTime+q.Late+1, q.FreeRate))
 	if withLate <= min(maxLateWait, q.MaxWait) && !saturated(q.ArrivalRate, q.FreeRate) {
 		return Decision{Wait: true}
 	}
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -12,7 +12,7 @@
 	s := p.endpoint(e.ID)
 	c := Candidate{
 		ID: e.ID, Load: s.running + s.othersRunning, Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(now),
-		SameDomain: e.Domain == p.options.Domain, Stalled: now.Before(s.suspectedUntil),
+		SameDomain: e.Domain == p.options.Domain, Stalled: now.Before(s.suspectedUntil), Paused: now.Before(s.pausedUntil),
 	}
 	service, ok := p.service(request.Service)
 	if !ok {
@@ -44,12 +44,12 @@
 }
 
 // eligible returns the usable endpoints that serve the request's model or service,
-// except those at which the request failed.
+// except those that leave and those at which the request failed.
 func (p *Placer) eligible(request Request) []site.Endpoint {
 	v := p.options.Snapshot()
 	var endpoints []site.Endpoint
 	for _, e := range v.Endpoints {
-		if e.Service == request.Service && v.Usable(e) && !request.Avoid[e.ID] && (request.Model == "" || p.serves(v, e, request)) {
+		if e.Service == request.Service && v.Usable(e) && !p.isLeaving(e) && !request.Avoid[e.ID] && (request.Model == "" || p.serves(v, e, request)) {
 			endpoints = append(endpoints, e)
 		}
 	}
--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -18,6 +18,7 @@
 	lastFailure          time.Time
 	reportedStalledUntil time.Time // skipped until then, because another daemon reported it as stalled
 	suspectedUntil       time.Time // skipped until then, because Suspect was called
+	pausedUntil          time.Time // skipped until then, because the endpoint asked for it
 	lastBegin            time.Time // when a request of this daemon last acquired a slot
 	wasCold              bool      // whether it was cold at the latest check
 	coldNotBefore        time.Time // while it is cold, this daemon sends it no request before this time
--- /dev/null
+++ b/pick/notice_test.go
@@ -0,0 +1,62 @@
+package pick
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/site"
+)
+
+// Another daemon passes on that an endpoint leaves. It gets no request in the life
+// that the notice is of, and is used again once it has started anew, also if its entry
+// was missing meanwhile.
+func TestNoticeToLeaveOfAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		v := p.options.Snapshot()
+		entry := v.Endpoints["a"]
+		entry.State.Started = 5
+		v.Endpoints["a"] = entry
+		request := Request{Service: "s", Model: "m", MaxWait: 10 * time.Millisecond}
+		placed := func() bool {
+			slot, err := p.Acquire(t.Context(), request)
+			if err == nil {
+				slot.Done(false)
+			}
+			return err == nil
+		}
+		is.True(placed())
+		p.Update([]gossip.Message{{From: site.Daemon{ID: "d2"}, Endpoints: map[string]gossip.EndpointLoad{"a": {Leaving: 5}}}}, nil)
+		is.True(!placed())
+		is.Equal(p.Report().Endpoints["a"].Leaving, int64(5)) // passed on
+		delete(v.Endpoints, "a")
+		p.Update(nil, nil)
+		v.Endpoints["a"] = entry // an older copy of the store
+		is.True(!placed())
+		entry.State.Started = 6
+		v.Endpoints["a"] = entry
+		is.True(placed())
+		time.Sleep(leavingMemory)
+		p.Update(nil, nil)
+		is.Equal(len(p.leaving), 0)
+	})
+}
+
+// While all endpoints are paused for longer than a request may wait, it is refused at
+// once with the time until the first one takes requests again; for a shorter pause it
+// waits.
+func TestAdmitDuringPause(t *testing.T) {
+	is := is.New(t)
+	q := QueueState{FreeRate: 100, Slack: time.Second, MaxWait: time.Second, Paused: 3 * time.Second}
+	is.Equal(Admit(q), Decision{RetryAfter: 3 * time.Second})
+	q.Paused = 400 * time.Millisecond
+	is.Equal(Admit(q), Decision{Wait: true})
+	q.Paused = 3 * time.Second
+	q.Resumed = true
+	is.Equal(Admit(q), Decision{Wait: true})
+}
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -31,6 +31,7 @@
 	endpoints map[string]*endpointState
 	queues    map[string]*queue
 	budgets   map[string]*Budget
+	leaving   map[string]leaving      // endpoints that stated that they leave
 	announced map[string]gossip.Group // groups that the keeper announced, by the endpoint that leads them
 }
 
@@ -53,7 +54,7 @@
 func New(o Options) *Placer {
 	return &Placer{
 		options: o, endpoints: map[string]*endpointState{}, queues: map[string]*queue{},
-		budgets: map[string]*Budget{}, announced: map[string]gossip.Group{},
+		budgets: map[string]*Budget{}, leaving: map[string]leaving{}, announced: map[string]gossip.Group{},
 	}
 }
 
@@ -73,7 +74,9 @@
 			return slot, nil
 		}
 	}
-	eligible := len(p.eligible(request))
+	endpoints := p.eligible(request)
+	eligible := len(endpoints)
+	state.Paused = p.pausedFor(endpoints, began)
 	decision := Admit(state)
 	if !decision.Wait {
 		p.mu.Unlock()
@@ -212,9 +215,11 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	m := gossip.Message{Endpoints: map[string]gossip.EndpointLoad{}, Demand: map[string]int{}, Queues: map[string]gossip.Queue{}}
+	v := p.options.Snapshot()
 	for id, s := range p.endpoints {
-		if s.running > 0 || s.locallyStalled(now) {
-			m.Endpoints[id] = gossip.EndpointLoad{Running: s.running, UnreadTokens: s.unread, Stalled: s.locallyStalled(now)}
+		load := gossip.EndpointLoad{Running: s.running, UnreadTokens: s.unread, Stalled: s.locallyStalled(now), Leaving: p.reportLeaving(v, id)}
+		if load != (gossip.EndpointLoad{}) {
+			m.Endpoints[id] = load
 		}
 	}
 	for key, q := range p.queues {
@@ -256,6 +261,9 @@
 			s := p.endpoint(id)
 			s.othersRunning += other.Running
 			s.othersUnread += other.UnreadTokens
+			if other.Leaving != 0 {
+				p.recordLeaving(id, other.Leaving, m.From.ID)
+			}
 			if other.Stalled && !s.reportedStalled(now) {
 				p.options.Log.Info("endpoint said to stand still", "endpoint", id, "peer", m.From.ID, "revision", m.Revision)
 			}
@@ -265,6 +273,7 @@
 		}
 	}
 	p.dropUnlisted()
+	p.dropLeaving(now)
 	p.dispatch(now)
 }
 
--- a/simul/handlers.go
+++ b/simul/handlers.go
@@ -75,12 +75,13 @@
 	for timedOut := false; ; {
 		s.mu.Lock()
 		s.expire()
+		s.setEra(w)
 		if s.down {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/simul/store.go
+++ b/simul/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 )
 
@@ -16,6 +17,7 @@
 	down        bool          // all calls are refused
 	loseAnswers bool          // the answers to commits, lease grants and lease renewals are lost
 	compacted   int64         // revision up to which the history has been dropped
+	era         int64 // rises with each Restore
 	mux         *http.ServeMux
 }
 
@@ -38,7 +40,7 @@
 
 // NewStore returns an empty store at revision 1.
 func NewStore() *Store {
-	s := &Store{revision: 1, items: map[string]item{}, leases: map[int64]lease{}, changed: make(chan struct{}), mux: http.NewServeMux()}
+	s := &Store{revision: 1, era: 1, items: map[string]item{}, leases: map[int64]lease{}, changed: make(chan struct{}), mux: http.NewServeMux()}
 	s.mux.HandleFunc("PUT "+ItemPath, s.putItem)
 	s.mux.HandleFunc("GET /api/kv-key", s.getItem)
 	s.mux.HandleFunc("GET /api/kv-range", s.list)
@@ -55,6 +57,7 @@
 	s.mu.Lock()
 	s.expire()
 	down, lost := s.down, s.loseAnswers && r.Method == http.MethodPost
+	s.setEra(w)
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -67,6 +70,11 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// setEra states the era in a response. The caller holds the lock.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+}
+
 // discardWriter discards a response.
 type discardWriter struct{ header http.Header }
 
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -12,6 +12,13 @@
 // not listed count as removed.
 func (w *Watcher) replace(listing platform.Listing) {
 	next := w.Snapshot().clone()
+	switch {
+	case !w.listed:
+		next.Era = listing.Era
+		w.listed = true
+	case next.Era != listing.Era:
+		w.beginEra(next, listing)
+	}
 	listed := map[string]bool{}
 	for _, item := range listing.Items {
 		listed[item.Key] = true
@@ -37,7 +44,7 @@
 	for _, item := range listing.Items {
 		w.applyItem(next, item)
 	}
-	dropExpired(next, now)
+	w.dropExpired(next, now)
 	next.Revision = max(next.Revision, listing.Revision)
 	w.publish(next)
 }
@@ -49,17 +56,29 @@
 			return true
 		}
 	}
+	for _, until := range s.KeptOut {
+		if now >= until {
+			return true
+		}
+	}
 	return false
 }
 
 // dropExpired removes lapsed endpoints whose grace period is over.
-func dropExpired(s *Snapshot, now time.Duration) {
+func (w *Watcher) dropExpired(s *Snapshot, now time.Duration) {
 	for id, until := range s.Lapsed {
 		if now >= until {
+			w.rewind.recordDeparture(s.Endpoints[id], now)
 			delete(s.Endpoints, id)
 			delete(s.Lapsed, id)
 		}
 	}
+	for domain, until := range s.KeptOut {
+		if now >= until {
+			delete(s.OutOfService, domain)
+			delete(s.KeptOut, domain)
+		}
+	}
 }
 
 // applyItem applies one item to s unless s reflects a later revision of its key.
@@ -107,6 +126,10 @@
 }
 
 func (w *Watcher) applyEvacuation(s *Snapshot, domain string, item platform.Item) {
+	if _, kept := s.KeptOut[domain]; item.Removed && kept {
+		return
+	}
+	delete(s.KeptOut, domain)
 	if item.Removed {
 		delete(s.OutOfService, domain)
 	} else {
@@ -128,6 +151,11 @@
 		return
 	}
 	known, ok := s.Endpoints[id]
+	if w.rewind.revives(endpoint, item.Revision) {
+		w.options.Log.Info("endpoint of the older copy passed over, it has left", "endpoint", id, "revision", item.Revision)
+		return
+	}
+	endpoint.Draining = endpoint.Draining || ok && w.rewind.reverts(known, endpoint, item.Revision)
 	if !ok || known.Draining != endpoint.Draining || known.State.Started != endpoint.State.Started {
 		w.options.Log.Info("endpoint", "endpoint", id, "draining", endpoint.Draining, "domain", endpoint.Domain, "revision", item.Revision)
 	}
@@ -146,6 +174,7 @@
 		s.Lapsed[id] = now + lapseGrace
 		return
 	}
+	w.rewind.recordDeparture(endpoint, now)
 	delete(s.Endpoints, id)
 	delete(s.Lapsed, id)
 }
--- a/watch/snapshot.go
+++ b/watch/snapshot.go
@@ -9,11 +9,13 @@
 // Snapshot is what the store held at a revision. It is immutable once
 // published.
 type Snapshot struct {
+	Era          int64 // of the store; Revision and Keeper.Revision belong to it
 	Revision     int64
 	Config       *site.Config // nil until one has been decoded
 	Endpoints    map[string]site.Endpoint
 	Lapsed       map[string]time.Duration // when the grace period of a lapsed endpoint ends, on the boot clock
 	OutOfService map[string]bool          // failure domains out of service
+	KeptOut      map[string]time.Duration // of these, domains that the present era doesn't list, and until when they are kept, on the boot clock
 	Daemons      map[string]site.Daemon
 	Keeper       Term
 }
@@ -23,7 +25,8 @@
 type Term struct {
 	Number   int64  `json:"term"`
 	Daemon   string `json:"daemon"`
-	Revision int64  `json:"-"` // of the keeper key in the store, 0 if it was never read
+	Era      int64  `json:"era"` // of the store when the term began; the term ends with it
+	Revision int64  `json:"-"`   // of the keeper key in the store, 0 if it was never read
 }
 
 // Usable reports whether an endpoint may get new work: it is not draining and its
@@ -49,6 +52,7 @@
 	next.Endpoints = cloneMap(s.Endpoints)
 	next.Lapsed = cloneMap(s.Lapsed)
 	next.OutOfService = cloneMap(s.OutOfService)
+	next.KeptOut = cloneMap(s.KeptOut)
 	next.Daemons = cloneMap(s.Daemons)
 	return &next
 }
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -39,6 +39,8 @@
 	freshAt     atomic.Int64  // boot clock when the last successful read was sent
 	failedAt    time.Duration // boot clock of the last failed call
 	unreachable bool          // the last call failed
+	listed      bool          // a listing was applied
+	rewind      rewind
 
 	mu        sync.Mutex
 	changed   chan struct{}    // closed at the next change
@@ -47,7 +49,7 @@
 
 // New returns a Watcher with an empty snapshot, aged at least an hour.
 func New(o Options) *Watcher {
-	w := &Watcher{options: o, changed: make(chan struct{}), revisions: map[string]int64{}}
+	w := &Watcher{options: o, changed: make(chan struct{}), revisions: map[string]int64{}, rewind: rewind{departed: map[string]departure{}}}
 	w.snapshot.Store((&Snapshot{}).clone())
 	w.freshAt.Store(int64(-time.Hour))
 	w.failedAt = -time.Hour
@@ -88,8 +90,8 @@
 func (w *Watcher) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed, err := w.watch(ctx)
-		if platform.Is(err, platform.Compacted) {
-			w.options.Log.Info("history gone, listing anew", "revision", w.Snapshot().Revision)
+		if platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound) {
+			w.options.Log.Info("history gone, listing anew", "revision", w.Snapshot().Revision, "error", err.Error())
 			return
 		}
 		if err != nil {
@@ -134,6 +136,7 @@
 		return err
 	}
 	w.replace(listing)
+	w.options.Log.Info("store listed", "era", listing.Era, "revision", listing.Revision, "keys", len(listing.Items))
 	w.recordSuccess(sent)
 	return nil
 }
@@ -145,7 +148,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
 	sent := w.options.Boot()
-	listing, err := w.options.Store.Watch(ctx, platform.AllKeys, w.Snapshot().Revision, wait)
+	held := w.Snapshot()
+	listing, err := w.options.Store.Watch(ctx, platform.AllKeys, held.Era, held.Revision, wait)
 	if err != nil {
 		return false, err
 	}
