--- a/simul/store.go
+++ b/simul/store.go
@@ -17,7 +17,7 @@
 	down        bool          // all calls are refused
 	loseAnswers bool          // the answers to commits, lease grants and lease renewals are lost
 	compacted   int64         // revision up to which the history has been dropped
-	era         int64 // rises with each Restore
+	era         int64         // rises with each Restore
 	mux         *http.ServeMux
 }
 
