groups: loads that complete a group come first, and repairs don't wait for ticks

Loads are the scarce resource (6 at once, 12 to 16 s each), and they were given out by id over all fabric domains, so no domain had enough prepared endpoints; endpoints left over before traffic were not loaded at all, though loads are quick and unlimited then. Change: loads are chosen by what they complete (chooseLoads): the group that needs the least load time, weighted by how underserved its model is; then spares, each for the model with the fewest spares in its domain; then second models of members. Spares are loaded before traffic too. Apart from that the keeper steps when an order or report is answered, takes a leave that it saw the member of for done, asks for a report twice within 300 ms instead of twice in turn, and smooths the demand by time.

--- a/groups/form.go
+++ b/groups/form.go
@@ -1,6 +1,7 @@
 package groups
 
 import (
+	"fmt"
 	"sort"
 	"strconv"
 	"time"
@@ -36,7 +37,8 @@
 			delete(p.reservations, fabric)
 		}
 	}
-	if p.awaitingListing(snap) {
+	p.listing = p.awaitingListing(snap)
+	if p.listing {
 		return
 	}
 	for p.formGroup(snap) {
@@ -143,9 +145,12 @@
 func (p *Planner) addGroup(model site.Model, endpoints []EndpointState, snap Snapshot) {
 	p.formed++
 	epoch := p.term*epochsPerTerm + p.formed
-	g := &group{name: "g" + strconv.FormatInt(epoch, 10), epoch: epoch, model: model, since: snap.Now, cause: "formed"}
+	g := &group{name: "g" + strconv.FormatInt(epoch, 10), epoch: epoch, model: model, since: snap.Now}
+	counts := map[readiness]int{}
 	for _, e := range endpoints {
 		g.members = append(g.members, member{e.ID, e.State.Started})
+		counts[p.readiness(e, model.Name)]++
 	}
+	g.cause = fmt.Sprintf("formed: %d resident, %d staged, %d absent", counts[resident], counts[staged], counts[absent])
 	p.groups[g.name] = g
 }
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/site"
@@ -15,17 +16,19 @@
 )
 
 const (
-	tick              = 100 * time.Millisecond  // between steps of the planner
-	orderTimeout      = 400 * time.Millisecond  // for the call of one order
-	reportTimeout     = 250 * time.Millisecond  // for the call of one report
-	pollInterval      = 150 * time.Millisecond  // between reports of an endpoint in transition
-	earlyPollInterval = time.Second             // the same before there is traffic
-	checkInterval     = 200 * time.Millisecond  // between reports of an endpoint that is checked, as it may be stalled
-	missesToSilent    = 2                       // consecutive missed reports from which an endpoint counts as silent
-	checkDuration     = 3 * time.Second         // for which an endpoint is checked after it was reported as stalled or did not answer
-	takeoverWait      = 200 * time.Millisecond  // time for which the keeper must be seen gone before another daemon becomes keeper
-	startWait         = 300 * time.Millisecond  // after the start, before this daemon may become keeper
-	maxSnapshotAge    = 2500 * time.Millisecond // a daemon whose snapshot is older does not become keeper
+	tick               = 100 * time.Millisecond  // longest time between steps of the planner
+	minStepPause       = 10 * time.Millisecond   // least time between steps
+	stepShare          = 8                       // after a step the keeper pauses for at least this multiple of its duration
+	orderTimeout       = 400 * time.Millisecond  // for the call of one order
+	reportTimeout      = 300 * time.Millisecond  // for a report, with both of its requests
+	secondRequestAfter = 100 * time.Millisecond  // from the first request for a report to the second
+	pollInterval       = 150 * time.Millisecond  // between reports of an endpoint in transition
+	earlyPollInterval  = time.Second             // the same before there is traffic
+	checkInterval      = 200 * time.Millisecond  // between reports of an endpoint that is checked, as it may be stalled
+	checkDuration      = 3 * time.Second         // for which an endpoint is checked after it was reported as stalled or did not answer
+	takeoverWait       = 200 * time.Millisecond  // time for which the keeper must be seen gone before another daemon becomes keeper
+	startWait          = 300 * time.Millisecond  // after the start, before this daemon may become keeper
+	maxSnapshotAge     = 2500 * time.Millisecond // a daemon whose snapshot is older does not become keeper
 )
 
 // Options are the dependencies of a Keeper.
@@ -47,6 +50,8 @@
 type Keeper struct {
 	options Options
 
+	wake chan struct{} // holds a value while an answer awaits the next step
+
 	mu              sync.Mutex
 	term            int64                    // 0 while not the keeper
 	termEra         int64                    // era of the store in which the term began
@@ -65,7 +70,7 @@
 // New returns a Keeper for a daemon that is not elected.
 func New(o Options) *Keeper {
 	return &Keeper{
-		options: o, reports: map[string]report{}, checks: map[string]time.Duration{},
+		options: o, wake: make(chan struct{}, 1), reports: map[string]report{}, checks: map[string]time.Duration{},
 		announced: map[string]gossip.Group{}, loggedStages: map[string]stage{}, startedAt: o.Boot(),
 		lastModel: map[string]string{}, lastStarted: map[string]int64{},
 	}
@@ -86,17 +91,31 @@
 }
 
 // Run maintains the groups until the context ends, whenever this daemon is the
-// keeper.
+// keeper. The answer to an order or a report makes it take the next step without
+// waiting for the tick, since a group that is repaired takes several steps.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
 	for {
+		began := time.Now()
+		k.step(ctx)
+		took := time.Since(began)
+		if !clock.Sleep(ctx, max(minStepPause, stepShare*took)) {
+			return nil
+		}
+		timer := time.NewTimer(tick - minStepPause)
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			k.step(ctx)
+		case <-timer.C:
+		case <-k.wake:
 		}
+		timer.Stop()
+	}
+}
+
+// wakeUp makes Run take the next step soon.
+func (k *Keeper) wakeUp() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -162,7 +181,7 @@
 		}
 		state := EndpointState{Endpoint: e, Usable: stored.Usable(e) && !k.options.Leaving(e), StateAt: e.Seen}
 		if r, ok := k.reports[id]; ok {
-			state.Silent = r.misses >= missesToSilent
+			state.Silent = r.misses > 0
 			if r.hasState && r.state.Started == e.State.Started {
 				state.Report = r.state
 				state.ReportAt = r.stateRequestedAt - service.Engine.ReportLag
@@ -228,6 +247,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	done, err := k.options.Engines.SendOrder(ctx, o.To, o.Order)
+	defer k.wakeUp()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.planner == nil {
--- a/groups/load.go
+++ b/groups/load.go
@@ -4,51 +4,28 @@
 	"sort"
 
 	"clementinehead.example/chead/platform"
-	"clementinehead.example/chead/site"
 )
 
 // stageModels returns orders that load models onto hosts in the background, so that
 // their endpoints can soon join groups of these models. A host gets up to
 // Engine.Staged models besides those whose groups its endpoint can join at once.
-// Endpoints that can join no group come first.
 func (p *Planner) stageModels(snap Snapshot) []Order {
 	p.dropFinishedLoads(snap)
+	if p.listing || !p.mayLoad(snap) {
+		return nil
+	}
 	var orders []Order
-	for _, unprepared := range []bool{true, false} {
-		for _, id := range sortedIDs(snap.Endpoints) {
-			e := snap.Endpoints[id]
-			if !e.Usable || e.Silent || e.State.Busy || p.unprepared(e, snap) != unprepared {
-				continue
-			}
-			orders = append(orders, p.stageModel(e, snap)...)
+	for _, l := range p.chooseLoads(snap) {
+		if !p.mayLoad(snap) {
+			break
 		}
-	}
-	return orders
-}
-
-// unprepared reports whether an endpoint is in no group and can join none without
-// a load.
-func (p *Planner) unprepared(e EndpointState, snap Snapshot) bool {
-	for _, m := range snap.Engine.Models {
-		if p.readiness(e, m.Name) != absent {
-			return false
+		issued := p.issue(l.endpoint, platform.Order{Verb: platform.Stage, Model: l.model.Name}, snap)
+		if len(issued) == 0 {
+			continue
 		}
-	}
-	return p.groupOf(e.ID) == nil
-}
-
-func (p *Planner) stageModel(e EndpointState, snap Snapshot) []Order {
-	if _, loading := p.loads[e.ID]; loading {
-		return nil
-	}
-	model, wanted := p.modelToStage(e, snap)
-	if !wanted || !p.mayLoad(snap) {
-		return nil
-	}
-	orders := p.issue(e, platform.Order{Verb: platform.Stage, Model: model.Name}, snap)
-	if len(orders) > 0 {
-		p.loads[e.ID] = load{model: model, engineStarted: e.State.Started, startedAt: snap.Now}
+		p.loads[l.endpoint.ID] = load{model: l.model, engineStarted: l.endpoint.State.Started, startedAt: snap.Now}
 		p.loadStarts = append(p.loadStarts, snap.Now)
+		orders = append(orders, issued...)
 	}
 	return orders
 }
@@ -66,37 +43,9 @@
 	}
 }
 
-const (
-	// fasterLoadFactor is how many times better served a model may be than another
-	// for an endpoint outside groups to load it instead, because its load is shorter.
-	fasterLoadFactor = 1.5
-	// loadTimeoutFactor is the time after which a load is given up, in usual load
-	// times of the model.
-	loadTimeoutFactor = 3
-)
-
-// modelToStage returns the model to load onto an endpoint's host. There is none for an
-// endpoint that is joining or closing, for one outside groups before there was traffic,
-// if the host has Engine.Staged spare models, or if no model is absent.
-func (p *Planner) modelToStage(e EndpointState, snap Snapshot) (site.Model, bool) {
-	phase := e.State.Member.Phase
-	if phase == site.Outside && !snap.HadTraffic || phase == site.Joining || phase == site.Closing {
-		return site.Model{}, false
-	}
-	if p.spareModels(e) >= snap.Engine.Staged {
-		return site.Model{}, false
-	}
-	best, found := balance{}, false
-	for _, b := range p.balances(snap) {
-		if p.readiness(e, b.model.Name) != absent {
-			continue
-		}
-		if !found || phase == site.Outside && b.model.Load < best.model.Load && b.ratio() < fasterLoadFactor*best.ratio() {
-			best, found = b, true
-		}
-	}
-	return best.model, found
-}
+// loadTimeoutFactor is the time after which a load is given up, in usual load times
+// of the model.
+const loadTimeoutFactor = 3
 
 // spareModels returns how many models are on an endpoint's host besides those
 // whose groups it can join at once.
--- a/groups/planner.go
+++ b/groups/planner.go
@@ -47,7 +47,9 @@
 	loadStarts     []time.Duration         // start times of the loads within loadWindow
 	reservations   map[string]reservation  // by fabric domain
 	demand         map[string]float64      // smoothed Snapshot.Demand, by model
+	demandAt       time.Duration           // boot clock: when demand was last updated, 0 before the first time
 	suspected      map[string]bool         // endpoints that left their group by their entries, but not yet by their reports
+	listing        bool                    // endpoints are still being listed at the start
 	listedCount    int                     // endpoints at the latest step, while there is no traffic yet
 	firstListedAt  time.Duration           // boot clock: when the first of these endpoints was listed
 	countChangedAt time.Duration           // boot clock: when listedCount last changed
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -88,11 +88,10 @@
 // fetch requests an endpoint's report once and records the result. An endpoint that
 // does not answer is checked for checkDuration.
 func (k *Keeper) fetch(ctx context.Context, e site.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
 	requestedAt := k.options.Boot()
-	state, err := k.options.Engines.Report(ctx, e)
+	state, err := k.requestTwice(ctx, e)
 	now := k.options.Boot()
+	defer k.wakeUp()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r := k.reports[e.ID]
@@ -103,7 +102,7 @@
 	case platform.Is(err, platform.Lost) || platform.Is(err, platform.WrongEndpoint):
 		r.misses++
 		k.checks[e.ID] = now + checkDuration
-		if r.misses == missesToSilent {
+		if r.misses == 1 {
 			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error())
 		}
 	default:
@@ -111,3 +110,35 @@
 	}
 	k.reports[e.ID] = r
 }
+
+// requestTwice requests an endpoint's report, and once more over another connection
+// if no answer has come within secondRequestAfter, since a single packet or
+// connection may be lost. It returns the first answer.
+func (k *Keeper) requestTwice(ctx context.Context, e site.Endpoint) (site.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	type answer struct {
+		state site.State
+		err   error
+	}
+	answers := make(chan answer, 2)
+	request := func() {
+		state, err := k.options.Engines.Report(ctx, e)
+		answers <- answer{state, err}
+	}
+	go request()
+	second := time.NewTimer(secondRequestAfter)
+	defer second.Stop()
+	for pending := 1; ; {
+		select {
+		case <-second.C:
+			pending++
+			go request()
+		case a := <-answers:
+			pending--
+			if a.err == nil || pending == 0 {
+				return a.state, a.err
+			}
+		}
+	}
+}
--- a/groups/record.go
+++ b/groups/record.go
@@ -26,6 +26,8 @@
 	lastOrder     platform.Order // most recent order
 	sentAt        time.Duration  // boot clock: when lastOrder was issued, 0 for none
 	outcome       outcome        // of lastOrder
+	memberAsked   bool           // when lastOrder was issued, a state newer than the order before it showed the endpoint in lastOrder.Group
+	anyLost       bool           // an order counted as lost, and may be executed yet
 }
 
 // RecordOutcome records the result of an order to an endpoint: err is the error of
@@ -42,12 +44,14 @@
 		r.outcome = accepted
 		// An endpoint that has begun to leave its group counts as outside. If the
 		// leave is done already, there may have been nothing to do and the endpoint
-		// may be in another group, so nothing changes. After a join it is not
-		// outside. Other orders change nothing. A join that is done at once found the
-		// endpoint in the group already and was not counted, so the sequence stays known.
-		r.outside = order.Verb == platform.Leave && !done || r.outside && order.Verb != platform.Join
+		// may be in another group, so nothing changes, unless it was known to be in the
+		// group that it left. After a join it is not outside. Other orders change
+		// nothing. A join that is done at once found the endpoint in the group already
+		// and was not counted, so the sequence stays known.
+		left := order.Verb == platform.Leave && (!done || r.memberAsked)
+		r.outside = left || r.outside && order.Verb != platform.Join
 		switch {
-		case !done:
+		case !done || left:
 			r.sequence = order.Sequence + 1
 		case order.Verb != platform.Join:
 			r.sequenceKnown = false // executed at once, or nothing to do: the endpoint may have counted it or not, and its next report has the count
@@ -55,6 +59,7 @@
 	case platform.Is(err, platform.Lost):
 		r.outcome = lost
 		r.sequenceKnown = false
+		r.anyLost = true
 	default:
 		r.outcome = refused
 		r.sequenceKnown = false
@@ -114,6 +119,7 @@
 	}
 	order.Token = p.term
 	order.Sequence = r.sequence
+	r.memberAsked = !r.anyLost && e.StateAt > r.sentAt && e.State.Member.In(order.Group, order.Epoch)
 	r.lastOrder = order
 	r.sentAt = snap.Now
 	r.outcome = pending
--- a/groups/share.go
+++ b/groups/share.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"clementinehead.example/chead/site"
 )
@@ -48,8 +49,14 @@
 
 // smoothDemand updates the exponentially smoothed demand for each model.
 func (p *Planner) smoothDemand(snap Snapshot) {
+	elapsed := snap.Now - p.demandAt
+	if p.demandAt == 0 {
+		elapsed = 0
+	}
+	p.demandAt = snap.Now
+	weight := 1 - math.Exp(-elapsed.Seconds()/demandTime.Seconds())
 	for _, m := range snap.Engine.Models {
-		p.demand[m.Name] += demandWeight * (float64(snap.Demand[m.Name]) - p.demand[m.Name])
+		p.demand[m.Name] += weight * (float64(snap.Demand[m.Name]) - p.demand[m.Name])
 	}
 }
 
@@ -92,8 +99,8 @@
 }
 
 const (
-	demandWeight   = 0.04 // weight of the newest demand in the smoothed demand, at each step of the planner
-	demandFraction = 0.7  // fraction of a share that follows the demand
-	sizeExponent   = 1.3  // exponent of a group's size in the weight of demand: larger groups break more often
-	minDemand      = 8    // slots, summed over all models; a smaller demand is ignored
+	demandTime     = 2500 * time.Millisecond // time constant of the smoothed demand
+	demandFraction = 0.7                     // fraction of a share that follows the demand
+	sizeExponent   = 1.3                     // exponent of a group's size in the weight of demand: larger groups break more often
+	minDemand      = 8                       // slots, summed over all models; a smaller demand is ignored
 )
