--- a/groups/reassign.go
+++ b/groups/reassign.go
@@ -12,12 +12,12 @@
 const endpointsPerReassignment = 60
 
 // reassign retires groups of the most overserved model and reserves their endpoints
-// for the underserved one. It does so in the fabric domain where fewest groups are
-// needed, and only if the worse served of the two models is better served
+// for the underserved one, if that is short of groups. It does so in the fabric domain where
+// fewest groups are needed, and only if the worse served of the two models is better served
 // afterwards than the worse served one is now.
 func (p *Planner) reassign(underserved balance, others []balance, free map[string][]EndpointState, snap Snapshot) {
 	transit := p.inTransit(snap)
-	if len(others) == 0 || !snap.HadTraffic || len(transit) >= max(1, len(snap.Endpoints)/endpointsPerReassignment) {
+	if len(others) == 0 || !snap.HadTraffic || !p.isShort(underserved, snap) || len(transit) >= max(1, len(snap.Endpoints)/endpointsPerReassignment) {
 		return
 	}
 	for _, r := range p.reservations {
@@ -46,6 +46,17 @@
 	}
 }
 
+// shortLoad is the fraction of a model's slots from which on it lacks groups. Below,
+// its requests find free slots, and a reassignment would only cost service and loads.
+const shortLoad = 0.75
+
+// isShort reports whether the requests for a model need nearly all slots of its groups,
+// or more.
+func (p *Planner) isShort(b balance, snap Snapshot) bool {
+	slots := float64(b.groups * snap.Engine.Slots)
+	return p.demand[b.model.Name] > shortLoad*slots || b.groups == 0
+}
+
 // fewestGroups returns the fewest groups of overserved whose endpoints, with the
 // free ones of the fabric domain, can form a group of underserved without a load, or
 // none.
