groups: spread groups, warm spares, slow members replaced

Change: before traffic, spares form groups across domains that never open, so that each is ready for both models; in traffic such groups serve a model that is short, and make way when a domain has enough. Slow members (found by gaps between events, confirmed by their report) are replaced when there are spares; a slow group counts for what it serves. Members of groups use half of the loads.

--- a/groups/adopt.go
+++ b/groups/adopt.go
@@ -42,6 +42,7 @@
 			g.stage = serving
 		}
 	}
+	g.spread = isSpread(endpoints)
 	p.groups[name] = g
 }
 
--- a/groups/cluster_test.go
+++ b/groups/cluster_test.go
@@ -63,7 +63,7 @@
 )
 
 var testEngine = site.Engine{
-	Slots: 17, LoadRate: 5, Loads: 7, Staged: 1, ReportLag: testReportLag, FormTime: 300 * time.Millisecond,
+	Slots: 17, LoadRate: 5, Loads: 7, Staged: 1, ReportLag: testReportLag, FormTime: 300 * time.Millisecond, Across: 3,
 	Models: []site.Model{
 		{Name: "large", Size: 4, Share: 0.5, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
 		{Name: "small", Size: 2, Share: 0.5, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
--- a/groups/form.go
+++ b/groups/form.go
@@ -30,7 +30,7 @@
 
 // formGroups forms groups of free endpoints, for the most underserved model first.
 // If none can be formed for that model, groups of an overserved model are retired
-// and their endpoints reserved for it.
+// and their endpoints reserved for it. What is left is used for spread groups.
 func (p *Planner) formGroups(snap Snapshot) {
 	for fabric, r := range p.reservations {
 		if snap.Now > r.until {
@@ -77,14 +77,18 @@
 			p.addGroup(b.model, members, snap)
 			return true
 		}
+		if p.dissolveSpread(free, b.model, snap) {
+			return false
+		}
 		if i == 0 {
 			p.reassign(b, all[1:], free, snap)
 		}
 	}
-	return false
+	return p.formSpread(snap, all)
 }
 
-// freeEndpoints returns the usable endpoints in no group, by fabric domain.
+// freeEndpoints returns the usable endpoints in no group that are not slow, by fabric
+// domain.
 func (p *Planner) freeEndpoints(snap Snapshot) map[string][]EndpointState {
 	taken := map[string]bool{}
 	for _, g := range p.groups {
@@ -95,6 +99,9 @@
 	free := map[string][]EndpointState{}
 	for id, e := range snap.Endpoints {
 		r := p.records[id]
+		if _, slow := p.slow[id]; slow {
+			continue
+		}
 		if taken[id] || !e.Usable || e.Silent || !r.sequenceKnown || !r.outside || r.sentAt > 0 && r.outcome == pending {
 			continue
 		}
@@ -145,7 +152,7 @@
 func (p *Planner) addGroup(model site.Model, endpoints []EndpointState, snap Snapshot) {
 	p.formed++
 	epoch := p.term*epochsPerTerm + p.formed
-	g := &group{name: "g" + strconv.FormatInt(epoch, 10), epoch: epoch, model: model, since: snap.Now}
+	g := &group{name: "g" + strconv.FormatInt(epoch, 10), epoch: epoch, model: model, since: snap.Now, spread: isSpread(endpoints)}
 	counts := map[readiness]int{}
 	for _, e := range endpoints {
 		g.members = append(g.members, member{e.ID, e.State.Started})
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -25,6 +25,7 @@
 	pollInterval       = 150 * time.Millisecond  // between reports of an endpoint in transition
 	earlyPollInterval  = time.Second             // the same before there is traffic
 	checkInterval      = 200 * time.Millisecond  // between reports of an endpoint that is checked, as it may be stalled
+	slowInterval       = time.Second             // between reports of an endpoint that is or may be slow
 	checkDuration      = 3 * time.Second         // for which an endpoint is checked after it was reported as stalled or did not answer
 	takeoverWait       = 200 * time.Millisecond  // time for which the keeper must be seen gone before another daemon becomes keeper
 	startWait          = 300 * time.Millisecond  // after the start, before this daemon may become keeper
@@ -60,6 +61,7 @@
 	lastStarted     map[string]int64         // site.State.Started of the engine when lastModel was recorded
 	reports         map[string]report        // by endpoint
 	checks          map[string]time.Duration // boot clock: the end of the checks of each endpoint that may be stalled
+	slowChecks      map[string]time.Duration // boot clock: the end of the checks of each endpoint that may be slow
 	announced       map[string]gossip.Group  // groups announced to the other daemons, by leader
 	loggedStages    map[string]stage         // stage of each group as last logged, by name
 	hadTraffic      bool                     // traffic was seen at some daemon while this one was the keeper
@@ -70,7 +72,7 @@
 // New returns a Keeper for a daemon that is not elected.
 func New(o Options) *Keeper {
 	return &Keeper{
-		options: o, wake: make(chan struct{}, 1), reports: map[string]report{}, checks: map[string]time.Duration{},
+		options: o, wake: make(chan struct{}, 1), reports: map[string]report{}, checks: map[string]time.Duration{}, slowChecks: map[string]time.Duration{},
 		announced: map[string]gossip.Group{}, loggedStages: map[string]stage{}, startedAt: o.Boot(),
 		lastModel: map[string]string{}, lastStarted: map[string]int64{},
 	}
@@ -138,6 +140,7 @@
 	k.mu.Lock()
 	orders := k.planner.Step(snap)
 	polled := k.planner.ReportsNeeded(snap)
+	k.noteSlow(k.planner.SlowEndpoints())
 	k.announce()
 	k.mu.Unlock()
 	for _, o := range orders {
--- a/groups/load.go
+++ b/groups/load.go
@@ -14,9 +14,21 @@
 	if p.listing || !p.mayLoad(snap) {
 		return nil
 	}
+	balances := p.balances(snap)
+	orders := p.beginLoads(p.chooseLoads(snap, balances), snap, snap.Engine.Loads)
+	return append(orders, p.beginLoads(p.memberLoads(snap, balances), snap, max(1, snap.Engine.Loads/memberLoadShare))...)
+}
+
+// memberLoadShare is the part, as its inverse, of the concurrent loads that members of
+// groups may use. A load takes long, and more endpoints may soon be without a model.
+const memberLoadShare = 2
+
+// beginLoads returns the orders for loads as far as these may begin. Once there is
+// traffic, at most the given number may be in progress.
+func (p *Planner) beginLoads(choices []loadChoice, snap Snapshot, most int) []Order {
 	var orders []Order
-	for _, l := range p.chooseLoads(snap) {
-		if !p.mayLoad(snap) {
+	for _, l := range choices {
+		if !p.mayLoad(snap) || snap.HadTraffic && len(p.loads) >= most {
 			break
 		}
 		issued := p.issue(l.endpoint, platform.Order{Verb: platform.Stage, Model: l.model.Name}, snap)
--- a/groups/planner.go
+++ b/groups/planner.go
@@ -48,6 +48,7 @@
 	reservations   map[string]reservation  // by fabric domain
 	demand         map[string]float64      // smoothed Snapshot.Demand, by model
 	demandAt       time.Duration           // boot clock: when demand was last updated, 0 before the first time
+	slow           map[string]slowness     // slow endpoints
 	suspected      map[string]bool         // endpoints that left their group by their entries, but not yet by their reports
 	listing        bool                    // endpoints are still being listed at the start
 	listedCount    int                     // endpoints at the latest step, while there is no traffic yet
@@ -95,6 +96,7 @@
 		loads:        map[string]load{},
 		reservations: map[string]reservation{},
 		demand:       map[string]float64{},
+		slow:         map[string]slowness{},
 		suspected:    map[string]bool{},
 	}
 }
@@ -102,12 +104,14 @@
 // Step updates the groups from a snapshot and returns the orders to send now.
 func (p *Planner) Step(snap Snapshot) []Order {
 	p.updateRecords(snap)
+	p.updateSlow(snap)
 	p.smoothDemand(snap)
 	p.adopt(snap)
 	var orders []Order
 	for _, g := range p.sortedGroups() {
 		orders = append(orders, p.advance(g, snap)...)
 	}
+	p.replaceSlowMembers(snap)
 	p.formGroups(snap)
 	for _, g := range p.sortedGroups() {
 		if g.stage == forming && g.since == snap.Now {
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -20,7 +20,7 @@
 	hasState         bool
 }
 
-// noteStalled schedules checks of the groups that other daemons report as stalled,
+// noteStalled schedules checks of the groups that other daemons report as stalled or slow,
 // and records whether there was traffic.
 func (k *Keeper) noteStalled() {
 	now := k.options.Boot()
@@ -30,16 +30,31 @@
 	for _, m := range k.options.Alive() {
 		k.hadTraffic = k.hadTraffic || len(m.Demand) > 0
 		for id, reported := range m.Endpoints {
-			if !reported.Stalled {
-				continue
+			if reported.Stalled {
+				k.checkMembers(k.checks, id, now)
 			}
-			for _, member := range append(k.planner.MembersOf(id), id) {
-				k.checks[member] = now + checkDuration
+			if reported.Slow {
+				k.checkMembers(k.slowChecks, id, now)
 			}
 		}
 	}
 }
 
+// checkMembers schedules checks of the members of an endpoint's group. The lock must
+// be held.
+func (k *Keeper) checkMembers(checks map[string]time.Duration, id string, now time.Duration) {
+	for _, member := range append(k.planner.MembersOf(id), id) {
+		checks[member] = now + checkDuration
+	}
+}
+
+// noteSlow schedules further checks of endpoints that are slow. The lock must be held.
+func (k *Keeper) noteSlow(ids []string) {
+	for _, id := range ids {
+		k.slowChecks[id] = k.options.Boot() + checkDuration
+	}
+}
+
 // reportNewer reports whether an endpoint's own report is newer than its entry. A
 // report shows the state as it was up to lag before the request.
 func reportNewer(r report, e site.Endpoint, lag time.Duration) bool {
@@ -62,6 +77,13 @@
 	for _, id := range polled {
 		k.requestReport(ctx, stored, id, now, interval)
 	}
+	for id, until := range k.slowChecks {
+		if now > until {
+			delete(k.slowChecks, id)
+			continue
+		}
+		k.requestReport(ctx, stored, id, now, slowInterval)
+	}
 	for id, until := range k.checks {
 		if now > until && k.reports[id].misses == 0 {
 			delete(k.checks, id)
--- a/groups/share.go
+++ b/groups/share.go
@@ -11,17 +11,18 @@
 // balance is how well served a model is: its number of groups against its target.
 type balance struct {
 	model  site.Model
-	groups int     // present, up to and including stage serving
+	groups int     // present, up to and including stage serving, without slower ones
+	slower float64 // capacity of its spread groups and of those with slow members, in other groups
 	target float64 // number of groups for its share of the endpoints
 }
 
-// ratio returns the number of groups relative to the target, and a very large value
+// ratio returns the capacity in groups relative to the target, and a very large value
 // if the target is not positive.
 func (b balance) ratio() float64 {
 	if b.target <= 0 {
 		return 1e9
 	}
-	return float64(b.groups) / b.target
+	return (float64(b.groups) + b.slower) / b.target
 }
 
 // balances returns the balance of each model, the most underserved model first.
@@ -37,7 +38,13 @@
 	for _, m := range snap.Engine.Models {
 		b := balance{model: m, target: float64(usable) * shares[m.Name] / float64(m.Size)}
 		for _, g := range p.groups {
-			if g.model.Name == m.Name && g.stage <= serving {
+			switch {
+			case g.model.Name != m.Name || g.stage > serving:
+			case g.spread:
+				b.slower += 1 / max(1, snap.Engine.Across) / p.pace(g)
+			case p.pace(g) >= slowPace:
+				b.slower += 1 / p.pace(g)
+			default:
 				b.groups++
 			}
 		}
--- a/groups/stage.go
+++ b/groups/stage.go
@@ -28,6 +28,7 @@
 	members []member
 	stage   stage
 	since   time.Duration // boot clock: when it entered its stage
+	spread  bool          // its members are in several fabric domains
 	cause   string        // why it was formed or adopted, or was last closed, ended or reopened, as logged
 }
 
@@ -87,7 +88,7 @@
 		}
 		return
 	}
-	if g.stage == forming && snap.Now-g.since > g.model.Load+joinSlack {
+	if g.stage == forming && snap.HadTraffic && snap.Now-g.since > g.model.Load+joinSlack {
 		p.setStage(g, ending, snap, "joining took too long")
 	}
 }
@@ -132,6 +133,12 @@
 		order := platform.Order{Verb: platform.Join, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Members: g.ids()}
 		orders = append(orders, p.issue(e, order, snap)...)
 	}
+	if ready == len(g.members) && g.spread && !snap.HadTraffic {
+		if p.warmedUp(g, snap) {
+			p.setStage(g, ending, snap, "members are ready for two models")
+		}
+		return orders
+	}
 	if ready == len(g.members) {
 		p.setStage(g, opening, snap, g.cause)
 		return p.open(g, snap)
--- a/groups/staging.go
+++ b/groups/staging.go
@@ -26,14 +26,13 @@
 // loads.
 const minLoadRatio = 0.2
 
-// chooseLoads returns the loads to begin, the most useful first. Loads are scarce when
-// many hosts are empty, as after a loss of power or while endpoints are replaced. Spread
-// over all fabric domains they would complete no group for a long time, so those come
-// first that complete a group with the fewest further loads. Then come loads that
-// prepare endpoints for repairs, first those of free endpoints.
-func (p *Planner) chooseLoads(snap Snapshot) []loadChoice {
+// chooseLoads returns the loads of free endpoints to begin, the most useful first. Loads
+// are scarce when many hosts are empty, as after a loss of power or while endpoints are
+// replaced. Spread over all fabric domains they would complete no group for a long
+// time, so those come first that complete a group with the fewest further loads. Then
+// come loads that prepare endpoints for repairs.
+func (p *Planner) chooseLoads(snap Snapshot, balances []balance) []loadChoice {
 	fabrics := p.fabricLoads(snap)
-	balances := p.balances(snap)
 	var choices []loadChoice
 	for {
 		completing := p.completingLoads(fabrics, balances)
@@ -45,7 +44,7 @@
 	for _, f := range fabrics {
 		choices = append(choices, p.spareLoads(f, balances)...)
 	}
-	return append(choices, p.memberLoads(snap, balances)...)
+	return choices
 }
 
 // fabricLoads returns the fabric domains by name.
@@ -53,7 +52,7 @@
 	free := p.freeEndpoints(snap)
 	groups := map[string]map[string]int{}
 	for _, g := range p.groups {
-		fabric := snap.Endpoints[g.leader()].State.Fabric
+		fabric := fabricOf(g, snap)
 		if groups[fabric] == nil {
 			groups[fabric] = map[string]int{}
 		}
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -34,6 +34,25 @@
 	return c
 }
 
+// slowFactor is the slowdown from which an endpoint is reported as slow. A group with
+// members in several fabric domains stays below it.
+const slowFactor = 2.5
+
+// isSlow reports whether events of this daemon's streams come from an endpoint much
+// further apart than expected.
+func (p *Placer) isSlow(v *watch.Snapshot, s *endpointState) bool {
+	e, listed := v.Endpoints[s.id]
+	if !listed || s.streams == 0 {
+		return false
+	}
+	service, ok := p.service(e.Service)
+	if !ok || service.Engine == nil {
+		return false
+	}
+	model, known := service.Engine.Model(p.announced[e.ID].Model)
+	return known && s.slowdown(*service.Engine, model, s.running+s.othersRunning) >= slowFactor
+}
+
 func (p *Placer) service(name string) (site.Service, bool) {
 	v := p.options.Snapshot()
 	if v.Config == nil {
--- a/site/config.go
+++ b/site/config.go
@@ -96,6 +96,7 @@
 	Loads      int           // concurrent loads that still run at full speed
 	Staged     int           // models that a host keeps staged
 	FormTime   time.Duration
+	Across     float64 // factor on all durations of a group with members in several fabric domains; 0 if there can be none
 	Models     []Model
 	Prompt     float64 // tokens, on average
 	Answer     float64 // tokens, on average
