watch: daemons follow two relays of their failure domain

Change: the first two ready daemons of a failure domain read the store; the others ask one of them for the changes after their revision and get them as soon as the relay has read any, with a proof of freshness that counts from the relay's read. Whether a daemon is a relay hangs on IDs and readiness only, so 6 daemons in 3 domains read the store as before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -79,7 +79,7 @@
 	client := newClient()
 	d.store = platform.NewStore(s.Store, client.Do)
 	d.watcher = watch.New(watch.Options{
-		Store: d.store, Boot: clock.Boot, Log: o.Log,
+		Store: d.store, Do: client.Do, Relays: d.relays, Boot: clock.Boot, Log: o.Log,
 		Pause: func() time.Duration { return d.settings().watchPause() },
 		Quick: func() bool { return d.keeper.IsKeeper() },
 	})
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -10,6 +10,7 @@
 
 	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/watch"
 )
 
 // Timeouts of connections other than those of callers.
@@ -30,6 +31,7 @@
 	s := d.options.Settings
 	all := []httpServer{
 		{"caller", s.Caller, callerServer},
+		{"peer", s.Peer, newServer("GET "+watch.RelayPath, http.HandlerFunc(d.watcher.Relay))},
 		{"ready", s.Ready, newServer("GET "+platform.ReadyPath, http.HandlerFunc(d.guide.Readiness))},
 		{"guide", s.Guide, newServer("GET "+platform.ResolvePath, http.HandlerFunc(d.guide.Resolve))},
 	}
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -30,6 +30,7 @@
 		}
 	}
 	next.Revision = listing.Revision
+	w.history.reset(listing)
 	w.publish(next)
 }
 
@@ -46,6 +47,7 @@
 	}
 	w.dropExpired(next, now)
 	next.Revision = max(next.Revision, listing.Revision)
+	w.history.add(listing)
 	w.publish(next)
 }
 
@@ -168,7 +170,7 @@
 func (w *Watcher) removeEndpoint(s *Snapshot, id string, item platform.Item) {
 	now := w.options.Boot()
 	endpoint, known := s.Endpoints[id]
-	lapsed := known && !endpoint.Draining && now-w.failedAt < outageWindow
+	lapsed := known && !endpoint.Draining && now-time.Duration(w.failedAt.Load()) < outageWindow
 	w.options.Log.Info("endpoint gone", "endpoint", id, "revision", item.Revision, "lapse", lapsed)
 	if lapsed {
 		s.Lapsed[id] = now + lapseGrace
--- /dev/null
+++ b/watch/relay.go
@@ -0,0 +1,125 @@
+package watch
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"clementinehead.example/chead/platform"
+)
+
+// RelayPath is the path at which a daemon passes the store's changes on to others.
+const RelayPath = "/watch"
+
+// Headers of a relay's response. Its body holds the items, as compressed JSON.
+const (
+	headerEra      = "Watch-Era"
+	headerRevision = "Watch-Revision"
+	headerFull     = "Watch-Full"   // 1 if the items are all keys rather than changes
+	headerAge      = "Watch-Age"    // age of the relay's snapshot, in microseconds
+	headerHeld     = "Watch-Held"   // time from the request to the response, in microseconds
+	headerFailed   = "Watch-Failed" // time since the relay's last failed call to the store, in microseconds
+)
+
+// maxHold is the longest time for which a relay holds a request while it has nothing
+// new. A relay that answers nothing for much longer is taken to have failed.
+const maxHold = 700 * time.Millisecond
+
+// Relay answers another daemon with the changes after the revision that it holds, as
+// soon as there are any or this daemon's snapshot is confirmed by another read of the
+// store, at the latest after maxHold.
+func (w *Watcher) Relay(out http.ResponseWriter, r *http.Request) {
+	received := w.options.Boot()
+	era, eraErr := strconv.ParseInt(r.URL.Query().Get("era"), 10, 64)
+	revision, revisionErr := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if eraErr != nil || revisionErr != nil {
+		http.Error(out, "era or revision is no number", http.StatusBadRequest)
+		return
+	}
+	if w.Age() > maxRelayedAge && !w.awaitRead(r, maxHold) || w.Snapshot().Revision == 0 {
+		http.Error(out, "snapshot too old", http.StatusServiceUnavailable)
+		return
+	}
+	if held := w.Snapshot(); held.Era == era && held.Revision <= revision {
+		w.awaitRead(r, maxHold)
+	}
+	listing, full := w.history.after(era, revision)
+	now := w.options.Boot()
+	h := out.Header()
+	h.Set(headerEra, strconv.FormatInt(listing.Era, 10))
+	h.Set(headerRevision, strconv.FormatInt(listing.Revision, 10))
+	h.Set(headerAge, microseconds(w.Age()))
+	h.Set(headerHeld, microseconds(now-received))
+	h.Set(headerFailed, microseconds(now-time.Duration(w.failedAt.Load())))
+	if full {
+		h.Set(headerFull, "1")
+	}
+	body, err := w.encoded.body(listing, full, revision)
+	if err != nil {
+		w.options.Log.Error(err, "changes not passed on", "revision", listing.Revision)
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = out.Write(body) // fails only if the other daemon has given up
+}
+
+// awaitRead waits for the next successful read of the store, and reports whether there
+// was one within the limit.
+func (w *Watcher) awaitRead(r *http.Request, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-w.nextRead():
+		return true
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+func microseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+
+// encodedItems keeps the last encoded body, since many daemons ask for the same
+// changes at the same time.
+type encodedItems struct {
+	mu    sync.Mutex
+	of    bodyKey
+	bytes []byte
+}
+
+// bodyKey identifies the items of a body: the changes of an era between two revisions,
+// or all keys.
+type bodyKey struct {
+	era, after, revision int64
+	full                 bool
+}
+
+func (e *encodedItems) body(listing platform.Listing, full bool, after int64) ([]byte, error) {
+	if len(listing.Items) == 0 {
+		return nil, nil
+	}
+	key := bodyKey{era: listing.Era, after: after, revision: listing.Revision, full: full}
+	if full {
+		key.after = 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.of == key {
+		return e.bytes, nil
+	}
+	var out bytes.Buffer
+	zip := gzip.NewWriter(&out)
+	if err := json.NewEncoder(zip).Encode(listing.Items); err != nil {
+		return nil, err
+	}
+	if err := zip.Close(); err != nil {
+		return nil, err
+	}
+	e.of = key
+	e.bytes = out.Bytes()
+	return e.bytes, nil
+}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,34 +26,42 @@
 
 // Options configures a Watcher.
 type Options struct {
-	Store *platform.Store
-	Boot  func() time.Duration // boot clock
-	Pause func() time.Duration // after a watch that returned changes, so that further changes arrive in batches
-	Quick func() bool          // whether a shorter pause is needed, as for the keeper
-	Log   logr.Logger
+	Store  *platform.Store
+	Do     func(*http.Request) (*http.Response, error) // sends a request to a relay
+	Relays func() []string                             // addresses of the relays to follow, in order of preference; none if this daemon is to read the store itself
+	Boot   func() time.Duration                        // boot clock
+	Pause  func() time.Duration                        // after a watch that returned changes, so that further changes arrive in batches
+	Quick  func() bool                                 // whether a shorter pause is needed, as for the keeper
+	Log    logr.Logger
 }
 
 // Watcher watches the store and maintains a snapshot of it. Create it with New.
 type Watcher struct {
 	options     Options
 	snapshot    atomic.Pointer[Snapshot]
-	freshAt     atomic.Int64  // boot clock when the last successful read was sent
-	failedAt    time.Duration // boot clock of the last failed call
-	unreachable bool          // the last call failed
-	listed      bool          // a listing was applied
+	freshAt     atomic.Int64 // boot clock when the last successful read was sent
+	failedAt    atomic.Int64 // boot clock of the last failed call
+	unreachable bool         // the last call failed
+	listed      bool         // a listing was applied
+	missed      bool         // changes were missed, so that a listing is needed
 	rewind      rewind
+	history     history
+	encoded     encodedItems
+	nextDirect  time.Duration            // boot clock: the store itself is not tried again until then if a relay answers
+	badUntil    map[string]time.Duration // boot clock: relays that are not asked until then, by address
 
 	mu        sync.Mutex
 	changed   chan struct{}    // closed at the next change
+	read      chan struct{}    // closed at the next successful read
 	revisions map[string]int64 // revision of each present key
 }
 
 // New returns a Watcher with an empty snapshot, aged at least an hour.
 func New(o Options) *Watcher {
-	w := &Watcher{options: o, changed: make(chan struct{}), revisions: map[string]int64{}, rewind: rewind{departed: map[string]departure{}}}
+	w := &Watcher{options: o, changed: make(chan struct{}), read: make(chan struct{}), badUntil: map[string]time.Duration{}, revisions: map[string]int64{}, rewind: rewind{departed: map[string]departure{}}}
 	w.snapshot.Store((&Snapshot{}).clone())
 	w.freshAt.Store(int64(-time.Hour))
-	w.failedAt = -time.Hour
+	w.failedAt.Store(int64(-time.Hour))
 	return w
 }
 
@@ -72,34 +81,36 @@
 	return w.changed
 }
 
-// Run lists and watches the store until the context ends, and returns the
-// context's error.
+// Run keeps the snapshot up to date until the context ends. It follows a relay, if
+// there is one, and otherwise reads the store.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := w.list(ctx); err != nil {
-			w.recordFailure(ctx, "list", err)
+		if address := w.relay(); address != "" && w.follow(ctx, address) {
 			continue
 		}
-		w.watchLoop(ctx)
+		w.readStore(ctx)
 	}
 	return ctx.Err()
 }
 
-// watchLoop watches until the store has compacted the revisions that the next
-// watch needs.
-func (w *Watcher) watchLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed, err := w.watch(ctx)
-		if platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound) {
-			w.options.Log.Info("history gone, listing anew", "revision", w.Snapshot().Revision, "error", err.Error())
-			return
-		}
-		if err != nil {
-			w.recordFailure(ctx, "watch", err)
-		}
-		if changed {
-			clock.Sleep(ctx, w.pause())
+// readStore reads the store once: all keys at first and when changes were missed, and
+// otherwise the changes. Changes are followed by a pause, and failures by another one.
+func (w *Watcher) readStore(ctx context.Context) {
+	if !w.listed || w.missed {
+		if err := w.list(ctx); err != nil {
+			w.recordFailure(ctx, "list", err)
 		}
+		return
+	}
+	changed, err := w.watch(ctx)
+	switch {
+	case platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound):
+		w.missed = true
+		w.options.Log.Info("history gone, listing anew", "revision", w.Snapshot().Revision, "error", err.Error())
+	case err != nil:
+		w.recordFailure(ctx, "watch", err)
+	case changed:
+		clock.Sleep(ctx, w.pause())
 	}
 }
 
@@ -109,17 +120,19 @@
 	if ctx.Err() != nil {
 		return
 	}
-	w.failedAt = w.options.Boot()
+	w.failedAt.Store(int64(w.options.Boot()))
 	if !w.unreachable {
 		w.unreachable = true
 		w.options.Log.Info("store lost", "op", op, "error", err.Error(), "age", w.Age().String())
 	}
+	w.nextDirect = w.options.Boot() + directPause
 	clock.Sleep(ctx, retryPause)
 }
 
 // recordSuccess records a successful read; sent is the boot clock when it was sent.
 func (w *Watcher) recordSuccess(sent time.Duration) {
 	w.freshAt.Store(int64(sent))
+	w.signalRead()
 	if w.unreachable {
 		w.unreachable = false
 		w.options.Log.Info("store regained", "revision", w.Snapshot().Revision)
@@ -136,6 +149,7 @@
 		return err
 	}
 	w.replace(listing)
+	w.missed = false
 	w.options.Log.Info("store listed", "era", listing.Era, "revision", listing.Revision, "keys", len(listing.Items))
 	w.recordSuccess(sent)
 	return nil
@@ -183,3 +197,17 @@
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
+
+// nextRead returns a channel that is closed at the next successful read.
+func (w *Watcher) nextRead() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.read
+}
+
+func (w *Watcher) signalRead() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.read)
+	w.read = make(chan struct{})
+}
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -36,7 +36,7 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	f.watcher = New(Options{
 		Store: platform.NewStore(server.Listener.Addr().String(), client.Do), Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true },
+		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true }, Relays: func() []string { return nil },
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -150,7 +150,7 @@
 	defer client.CloseIdleConnections()
 	watcher := New(Options{
 		Store: platform.NewStore(server.Listener.Addr().String(), client.Do), Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return time.Hour }, Quick: func() bool { return false },
+		Pause: func() time.Duration { return time.Hour }, Quick: func() bool { return false }, Relays: func() []string { return nil },
 	})
 	ctx, stop := context.WithTimeout(t.Context(), maxWait+answerMargin+time.Second)
 	defer stop()
