--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -1,6 +1,8 @@
 package pick
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"clementinehead.example/chead/site"
@@ -65,33 +67,67 @@
 // eligible returns the usable endpoints that serve the request's model or service,
 // except those that leave and those at which the request failed.
 func (p *Placer) eligible(request Request) []site.Endpoint {
-	v := p.options.Snapshot()
 	var endpoints []site.Endpoint
+	for _, e := range p.serving(request.Service, request.Model) {
+		if !p.isLeaving(e) && !request.Avoid[e.ID] {
+			endpoints = append(endpoints, e)
+		}
+	}
+	return endpoints
+}
+
+// servingCache holds the usable endpoints by what they serve, for one snapshot and the
+// present announcements. Working them out for each request takes too long with many
+// endpoints.
+type servingCache struct {
+	snapshot *watch.Snapshot
+	sizes    map[watch.GroupKey]int // nil until needed
+	serving  map[string][]site.Endpoint
+}
+
+// serving returns the usable endpoints that serve a model, or a plain service if the
+// model is empty, by ID.
+func (p *Placer) serving(service, model string) []site.Endpoint {
+	v := p.options.Snapshot()
+	if p.cache.snapshot != v || p.cache.serving == nil {
+		p.cache = servingCache{snapshot: v, serving: map[string][]site.Endpoint{}}
+	}
+	key := service + "/" + model
+	endpoints, known := p.cache.serving[key]
+	if known {
+		return endpoints
+	}
 	for _, e := range v.Endpoints {
-		if e.Service == request.Service && v.Usable(e) && !p.isLeaving(e) && !request.Avoid[e.ID] && (request.Model == "" || p.serves(v, e, request)) {
+		if e.Service == service && v.Usable(e) && (model == "" || p.serves(e, model)) {
 			endpoints = append(endpoints, e)
 		}
 	}
+	slices.SortFunc(endpoints, func(a, b site.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	p.cache.serving[key] = endpoints
 	return endpoints
 }
 
 // serves reports whether an endpoint leads a complete group that serves the model.
 // An announcement of the keeper takes precedence over the endpoint's own report,
 // unless the report has a higher epoch.
-func (p *Placer) serves(v *watch.Snapshot, e site.Endpoint, request Request) bool {
+func (p *Placer) serves(e site.Endpoint, name string) bool {
+	member := e.State.Member
 	announced, ok := p.announced[e.ID]
-	if ok && announced.Epoch >= e.State.Member.Epoch {
-		return announced.Open && announced.Model == request.Model
+	if ok && announced.Epoch >= member.Epoch {
+		return announced.Open && announced.Model == name
 	}
-	if !e.State.Serves(request.Model) {
+	service, known := p.service(e.Service)
+	if !e.State.Serves(name) || !known || service.Engine == nil {
 		return false
 	}
-	service, ok := p.service(request.Service)
-	if !ok || service.Engine == nil {
+	model, known := service.Engine.Model(name)
+	if !known {
 		return false
 	}
-	model, known := service.Engine.Model(request.Model)
-	return known && v.HasWholeGroup(e, model.Size)
+	if p.cache.sizes == nil {
+		p.cache.sizes = p.cache.snapshot.GroupSizes()
+	}
+	return p.cache.sizes[watch.GroupKey{Service: e.Service, Group: member.Group, Epoch: member.Epoch}] >= model.Size
 }
 
 // endpoint returns the state of an endpoint, which it makes on first use.
--- a/pick/notice_test.go
+++ b/pick/notice_test.go
@@ -9,6 +9,7 @@
 
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/site"
+	"clementinehead.example/chead/watch"
 )
 
 // Another daemon passes on that an endpoint leaves. It gets no request in the life
@@ -18,10 +19,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := newFixture("a")
-		v := p.options.Snapshot()
-		entry := v.Endpoints["a"]
+		first := p.options.Snapshot()
+		entry := first.Endpoints["a"]
+		publish := func(endpoints ...site.Endpoint) {
+			next := &watch.Snapshot{Config: first.Config, Endpoints: map[string]site.Endpoint{}}
+			for _, e := range endpoints {
+				next.Endpoints[e.ID] = e
+			}
+			p.options.Snapshot = func() *watch.Snapshot { return next }
+		}
 		entry.State.Started = 5
-		v.Endpoints["a"] = entry
+		publish(entry)
 		request := Request{Service: "s", Model: "m", MaxWait: 10 * time.Millisecond}
 		placed := func() bool {
 			slot, err := p.Acquire(t.Context(), request)
@@ -34,12 +42,12 @@
 		p.Update([]gossip.Message{{From: site.Daemon{ID: "d2"}, Endpoints: map[string]gossip.EndpointLoad{"a": {Leaving: 5}}}}, nil)
 		is.True(!placed())
 		is.Equal(p.Report().Endpoints["a"].Leaving, int64(5)) // passed on
-		delete(v.Endpoints, "a")
+		publish()
 		p.Update(nil, nil)
-		v.Endpoints["a"] = entry // an older copy of the store
+		publish(entry) // an older copy of the store
 		is.True(!placed())
 		entry.State.Started = 6
-		v.Endpoints["a"] = entry
+		publish(entry)
 		is.True(placed())
 		time.Sleep(leavingMemory)
 		p.Update(nil, nil)
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -31,7 +31,8 @@
 	endpoints map[string]*endpointState
 	queues    map[string]*queue
 	budgets   map[string]*Budget
-	leaving   map[string]leaving      // endpoints that stated that they leave
+	leaving   map[string]leaving // endpoints that stated that they leave
+	cache     servingCache
 	announced map[string]gossip.Group // groups that the keeper announced, by the endpoint that leads them
 }
 
@@ -286,6 +287,7 @@
 			continue
 		}
 		p.announced[id] = g
+		p.cache = servingCache{}
 		p.options.Log.Info("group told", "endpoint", id, "group", g.Name, "epoch", g.Epoch, "model", g.Model, "open", g.Open)
 	}
 }
@@ -298,6 +300,7 @@
 		if _, listed := v.Endpoints[id]; !listed && s.running == 0 {
 			delete(p.endpoints, id)
 			delete(p.announced, id)
+			p.cache = servingCache{}
 		}
 	}
 }
--- a/watch/snapshot.go
+++ b/watch/snapshot.go
@@ -33,17 +33,24 @@
 // failure domain is in service.
 func (s *Snapshot) Usable(e site.Endpoint) bool { return !e.Draining && !s.OutOfService[e.Domain] }
 
-// HasWholeGroup reports whether at least size members of the group that leader leads are
-// listed, neither broken nor draining.
-func (s *Snapshot) HasWholeGroup(leader site.Endpoint, size int) bool {
-	member := leader.State.Member
-	found := 0
+// GroupKey identifies a group of a service.
+type GroupKey struct {
+	Service string
+	Group   string
+	Epoch   int64
+}
+
+// GroupSizes returns the number of members of each group that neither drain nor are
+// broken, as their entries show them.
+func (s *Snapshot) GroupSizes() map[GroupKey]int {
+	sizes := map[GroupKey]int{}
 	for _, e := range s.Endpoints {
-		if e.Service == leader.Service && e.State.Member.In(member.Group, member.Epoch) && e.State.Member.Phase != site.Broken && !e.Draining {
-			found++
+		m := e.State.Member
+		if m.Phase != site.Outside && m.Phase != site.Broken && !e.Draining {
+			sizes[GroupKey{e.Service, m.Group, m.Epoch}]++
 		}
 	}
-	return found >= size
+	return sizes
 }
 
 // clone returns a copy whose maps can be changed.
