gossip: load goes over two relays of each failure domain

Cause: every daemon sent 160 messages a second to random peers and decoded as many. Change: followers send their load to a relay of their domain five times a second; relays exchange sums, and pass the sum of all on to their followers. A follower sends 5 messages a second, a relay at most 160, whatever the size of the fleet. Relays are the first two of each domain that the store lists, without those known to leave, to have lost the store or to be silent, so 6 daemons in 3 domains exchange as before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -79,13 +79,13 @@
 	client := newClient()
 	d.store = platform.NewStore(s.Store, client.Do)
 	d.watcher = watch.New(watch.Options{
-		Store: d.store, Do: client.Do, Relays: d.relays, Boot: clock.Boot, Log: o.Log,
+		Store: d.store, Do: client.Do, Relays: d.storeRelays, Boot: clock.Boot, Log: o.Log,
 		Pause: func() time.Duration { return d.settings().watchPause() },
 		Quick: func() bool { return d.keeper.IsKeeper() },
 	})
 	d.gossip = gossip.New(gossip.Options{
 		Self: d.self, Conn: conn, Boot: clock.Boot, Log: o.Log, Report: d.gossipMessage, Receive: func(gossip.Message) {},
-		Listed: func() map[string]site.Daemon { return d.watcher.Snapshot().Daemons },
+		Listed: func() map[string]site.Daemon { return d.watcher.Snapshot().Daemons }, Fresh: d.fresh,
 	})
 	d.placer = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, Snapshot: d.watcher.Snapshot, Alive: d.gossip.Alive,
@@ -121,7 +121,7 @@
 
 // ready reports whether this daemon accepts callers.
 func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.catchUp.done.Load() && d.watcher.Age() < maxReadyAge
+	return d.fresh() && d.catchUp.done.Load()
 }
 
 // maxKeyAge returns the greatest age of a snapshot by which keys are accepted, or 0 if
@@ -182,7 +182,7 @@
 	m := d.placer.Report()
 	m.Groups, m.Term = d.keeper.Announcement()
 	m.Ready = d.ready()
-	m.Fresh = !d.leaving.Load() && d.watcher.Age() < maxReadyAge
+	m.Fresh = d.fresh()
 	m.Revision = d.watcher.Snapshot().Revision
 	if c := d.watcher.Snapshot().Config; c != nil {
 		m.Version = c.Version
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -16,6 +16,8 @@
 	period             = 100 * time.Millisecond // between two rounds
 	silenceTimeout     = 800 * time.Millisecond // a peer not heard for this long, eight periods, is silent
 	silenceIntervals   = 5                      // mean intervals between the messages of a peer, used instead of silenceTimeout where they take longer
+	maxSilence         = 3 * time.Second        // longest time after which a peer that is not heard is silent
+	intervalWeight     = 0.2                    // of the newest interval in the mean interval between messages
 	fanout             = 16                     // peers that one round sends to
 	maxDatagram        = 60_000                 // size limit of a message, in bytes; a UDP datagram over IPv4 carries at most 65,507
 	discardLogInterval = 5 * time.Second        // least time between two log lines about discarded datagrams
@@ -29,6 +31,7 @@
 	Boot    func() time.Duration // boot clock
 	Log     logr.Logger
 	Listed  func() map[string]site.Daemon // daemons listed in the store
+	Fresh   func() bool                   // whether this daemon may be a relay, as Message.Fresh
 	Report  func() Message                // returns the message to send; Round sets From
 	Receive func(Message)                 // called for each message received
 }
@@ -38,33 +41,38 @@
 	options        Options
 	mu             sync.Mutex
 	peers          map[string]*peer
-	discarded      int           // datagrams and daemon records discarded
-	nextDiscardLog time.Duration // boot clock: until then, discarded datagrams are counted but not logged
+	discarded      int                      // datagrams and daemon records discarded
+	nextDiscardLog time.Duration            // boot clock: until then, discarded datagrams are counted but not logged
+	relay          string                   // ID of the relay that this daemon follows, empty if it is one
+	relaySince     time.Duration            // boot clock: when it began to follow it
+	unheard        map[string]time.Duration // relays that were not heard, by ID: the boot clock until which they are passed over
+	sent           Message                  // this daemon's latest message to its relay
+	alive          []Message                // latest result of Alive
+	aliveAt        time.Duration            // boot clock: when it was made
+
+	// Used by Round alone.
+	round        int
+	nextRelay    int                   // where the next round goes on among the relays
+	nextFollower int                   // the same among the followers
+	groups       map[string]groupState // groups passed on, by leader
 }
 
 // peer is another daemon that has been heard.
 type peer struct {
 	message      Message
 	lastHeard    time.Duration // boot clock
+	interval     time.Duration // mean time between its messages, smoothed
 	loggedSilent bool          // its silence has been logged
 }
 
-// New returns a Gossip that has received no message.
-func New(o Options) *Gossip { return &Gossip{options: o, peers: map[string]*peer{}} }
+// silenceLimit returns how long the peer may be silent and still count as alive.
+func (p *peer) silenceLimit() time.Duration {
+	return min(maxSilence, max(silenceTimeout, silenceIntervals*p.interval))
+}
 
-// Alive returns the newest message of each daemon that has been heard within the
-// silence limit, in no particular order.
-func (g *Gossip) Alive() []Message {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.options.Boot()
-	var alive []Message
-	for _, p := range g.peers {
-		if now-p.lastHeard < g.silenceLimit() {
-			alive = append(alive, p.message)
-		}
-	}
-	return alive
+// New returns a Gossip that has received no message.
+func New(o Options) *Gossip {
+	return &Gossip{options: o, peers: map[string]*peer{}, groups: map[string]groupState{}, unheard: map[string]time.Duration{}}
 }
 
 // IsAlive reports whether a daemon has been heard within the silence limit.
@@ -72,27 +80,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, known := g.peers[id]
-	return known && g.options.Boot()-p.lastHeard < g.silenceLimit()
-}
-
-// silenceLimit returns how long a peer may be silent and still count as alive. A
-// round reaches only fanout peers, so the interval between messages of a peer grows
-// with the number of daemons.
-func (g *Gossip) silenceLimit() time.Duration {
-	interval := period * time.Duration(len(g.peers)) / fanout
-	return max(silenceTimeout, silenceIntervals*interval)
+	return known && g.options.Boot()-p.lastHeard < p.silenceLimit()
 }
 
 // Run sends and receives messages until the context ends. It closes the socket.
 func (g *Gossip) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = g.options.Conn.Close() })
 	defer stop()
-	go g.send(ctx)
+	go g.runRounds(ctx)
 	return g.receive(ctx)
 }
 
-// send starts a round each period until the context ends.
-func (g *Gossip) send(ctx context.Context) {
+// runRounds starts a round each period until the context ends.
+func (g *Gossip) runRounds(ctx context.Context) {
 	tick := time.NewTicker(period)
 	defer tick.Stop()
 	for {
@@ -105,16 +105,36 @@
 	}
 }
 
-// Round sends one message to at most fanout peers.
+// Round sends the messages of one period. A follower sends its own message to its relay
+// in some rounds; a relay sends to at most fanout other relays and followers.
 func (g *Gossip) Round() {
+	g.round++
+	g.forgetSilent()
+	if relays := g.Relays(); len(relays) > 0 {
+		g.roundFollower(relays)
+		return
+	}
+	g.roundRelay()
+}
+
+// ownMessage returns the message that holds this daemon's own load.
+func (g *Gossip) ownMessage() Message {
 	message := g.options.Report()
 	message.From = g.options.Self
+	return message
+}
+
+// send sends a message to the given addresses.
+func (g *Gossip) send(message Message, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
 	data, err := encode(message)
 	if err != nil || len(data) > maxDatagram {
 		g.options.Log.Info("message not sent", "bytes", len(data))
 		return
 	}
-	for _, address := range g.targets() {
+	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			g.logDiscarded("resolve peer", err) // the address in its record is invalid
@@ -124,17 +144,11 @@
 	}
 }
 
-// targets returns the addresses for the next round, out of the daemons that the
-// store lists and those that have been heard. It removes peers that have been
+// forgetSilent logs the peers that have become silent and removes those that have been
 // silent for longer than forgetAfter.
-func (g *Gossip) targets() []string {
-	addresses := map[string]bool{}
-	for id, d := range g.options.Listed() {
-		if id != g.options.Self.ID && d.Peer != "" {
-			addresses[d.Peer] = true
-		}
-	}
+func (g *Gossip) forgetSilent() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := g.options.Boot()
 	for id, p := range g.peers {
 		if now-p.lastHeard > forgetAfter {
@@ -142,33 +156,19 @@
 			continue
 		}
 		g.logSilent(p, now)
-		addresses[p.message.From.Peer] = true
 	}
-	g.mu.Unlock()
-	return g.limitFanout(addresses)
 }
 
 // logSilent logs once that a peer has become silent.
 func (g *Gossip) logSilent(p *peer, now time.Duration) {
-	if p.loggedSilent || now-p.lastHeard < g.silenceLimit() {
+	if p.loggedSilent || now-p.lastHeard < p.silenceLimit() {
 		return
 	}
 	p.loggedSilent = true
-	g.options.Log.Info("daemon silent", "peer", p.message.From.ID, "domain", p.message.From.Domain, "silent_ms", (now - p.lastHeard).Milliseconds())
-}
-
-// limitFanout returns at most fanout of the addresses.
-func (g *Gossip) limitFanout(addresses map[string]bool) []string {
-	var all []string
-	for a := range addresses {
-		all = append(all, a)
-	}
-	if len(all) <= fanout {
-		return all
+	if !g.counts(p.message) {
+		return
 	}
-	// The order of iteration over a map differs from round to round, and so do the
-	// addresses that are left out.
-	return all[:fanout]
+	g.options.Log.Info("daemon silent", "peer", p.message.From.ID, "domain", p.message.From.Domain, "silent_ms", (now - p.lastHeard).Milliseconds())
 }
 
 // receive handles messages until the context ends. It discards invalid datagrams.
@@ -226,14 +226,17 @@
 	}
 	appeared := !known || p.loggedSilent
 	silent := g.options.Boot() - p.lastHeard
-	p.message = message
+	if known && !appeared {
+		p.interval += time.Duration(intervalWeight * float64(silent-p.interval))
+	}
+	p.message = message.merge(p.message)
 	p.lastHeard += silent
 	p.loggedSilent = false
 	g.mu.Unlock()
 	if !known {
 		silent = 0
 	}
-	if appeared {
+	if appeared && g.counts(message) {
 		g.options.Log.Info("daemon heard", "peer", message.From.ID, "domain", message.From.Domain, "silent_ms", silent.Milliseconds())
 	}
 	g.options.Receive(message)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -25,7 +25,7 @@
 	}
 	self := site.Daemon{ID: id, Peer: conn.LocalAddr().String()}
 	g := New(Options{
-		Self: self, Conn: conn, Boot: clock.Boot, Log: logr.Discard(), Listed: listed, Receive: func(Message) {},
+		Self: self, Conn: conn, Boot: clock.Boot, Log: logr.Discard(), Listed: listed, Receive: func(Message) {}, Fresh: func() bool { return true },
 		Report: func() Message { return Message{Ready: true, Endpoints: map[string]EndpointLoad{"e": {Running: 2}}} },
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -90,7 +90,7 @@
 	g.handle(b)
 	now += silenceTimeout
 	for range 3 {
-		g.targets()
+		g.forgetSilent()
 	}
 	is.Equal(len(g.Alive()), 0)
 	g.handle(b)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -2,9 +2,24 @@
 
 import "clementinehead.example/chead/site"
 
-// Message is what a daemon reports to the others.
+// Scope tells whose load a message holds.
+type Scope int
+
+// The values of Scope.
+const (
+	Own  Scope = iota // of the sender alone
+	Part              // of a relay and the daemons that follow it
+	All               // of all daemons that a relay knows of
+)
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=Scope -output=scope_string.go
+
+// Message is what a daemon reports to the others. In a relay's message the loads,
+// demands, queues and crashes are sums over the daemons of its scope.
 type Message struct {
 	From      site.Daemon             `json:"from"`
+	Scope     Scope                   `json:"scope,omitempty"`
+	Relay     string                  `json:"relay,omitempty"`   // ID of the relay that the sender follows; empty if it is one
 	Ready     bool                    `json:"ready"`             // accepts callers: it is Fresh and has a configuration
 	Fresh     bool                    `json:"fresh"`             // is not shutting down, and its copy of the store is recent
 	Revision  int64                   `json:"revision"`          // of its copy of the store
@@ -14,10 +29,19 @@
 	Demand    map[string]int          `json:"demand,omitempty"`  // slots that its requests would take if each was served on arrival, by "service/model"
 	Queues    map[string]Queue        `json:"lines,omitempty"`   // waiting requests, by "service/model"
 	Crashes   map[string]int          `json:"strikes,omitempty"` // crashes of endpoints, by digest of the request
-	Groups    map[string]Group        `json:"groups,omitempty"`  // from the keeper only: its groups, by leader
+	Groups    map[string]Group        `json:"groups,omitempty"`  // the keeper's groups, by leader; only those that changed lately unless Full or of Scope Own
+	Members   []Member                `json:"members,omitempty"` // daemons of the scope, if Full
+	Full      bool                    `json:"full,omitempty"`    // a relay's message that has Members and all Groups
+}
+
+// Member is a daemon of a relay's scope.
+type Member struct {
+	ID    string `json:"id"`
+	Ready bool   `json:"ready,omitempty"`
+	Fresh bool   `json:"fresh,omitempty"`
 }
 
-// EndpointLoad is the load that one daemon causes at an endpoint, and what it observes
+// EndpointLoad is the load that daemons cause at an endpoint, and what they observe
 // there.
 type EndpointLoad struct {
 	Running      int   `json:"running"`           // requests in progress
@@ -27,7 +51,7 @@
 	Stalled      bool  `json:"stuck,omitempty"`   // it observed no progress there, or could not reach it
 }
 
-// Queue describes the requests that wait at one daemon for a model or a plain service.
+// Queue describes the requests that wait at daemons for a model or a plain service.
 type Queue struct {
 	InTime      int     `json:"soon,omitempty"`  // requests that can still be answered within their latency target
 	Late        int     `json:"late,omitempty"`  // requests that can't
--- /dev/null
+++ b/gossip/relay.go
@@ -0,0 +1,359 @@
+package gossip
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"clementinehead.example/chead/site"
+)
+
+const (
+	relaysPerDomain = 2                       // relays of each failure domain
+	unheardMemory   = 5 * time.Second         // for which a relay that was not heard is passed over; the store's record of a dead daemon lapses soon after
+	rebalanceTime   = 10 * time.Second        // after which a follower returns to the relay that it prefers
+	followerRounds  = 2                       // a follower reports in each of so many rounds
+	fullRounds      = 3                       // a relay's message is Full in each of so many rounds
+	groupNews       = 1500 * time.Millisecond // for which a changed group is in every message of a relay
+)
+
+// groupState is a group as this relay last passed it on.
+type groupState struct {
+	group     Group
+	changedAt time.Duration // boot clock
+}
+
+// roundFollower sends this daemon's own message to its relay.
+func (g *Gossip) roundFollower(relays []site.Daemon) {
+	relay := g.chooseRelay(relays)
+	if g.round%followerRounds != 0 {
+		return
+	}
+	own := g.ownMessage()
+	own.Relay = relay.ID
+	g.mu.Lock()
+	g.sent = own
+	g.mu.Unlock()
+	g.send(own, []string{relay.Peer})
+}
+
+// Relays returns the relays of this daemon's failure domain, or none if it is one of
+// them: the first relaysPerDomain daemons by ID among those that the store lists, are not
+// known to leave or to have lost the store, and were heard when they were last
+// followed. The one that this daemon prefers comes first; the preference differs
+// between daemons, to share the load.
+func (g *Gossip) Relays() []site.Daemon {
+	self := g.options.Self
+	unfit := map[string]bool{self.ID: true}
+	for _, m := range g.Alive() {
+		unfit[m.From.ID] = !m.Fresh
+	}
+	var candidates []site.Daemon
+	if g.options.Fresh() {
+		candidates = append(candidates, self)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Boot()
+	for id, d := range g.options.Listed() {
+		if d.Domain == self.Domain && !unfit[id] && now >= g.unheard[id] {
+			candidates = append(candidates, d)
+		}
+	}
+	relays := firstByID(candidates)
+	if slices.Contains(relays, self) || len(relays) == 0 {
+		return nil
+	}
+	first := int(hashID(self.ID) % uint32(len(relays)))
+	return append(slices.Clone(relays[first:]), relays[:first]...)
+}
+
+// firstByID returns the first relaysPerDomain daemons by ID.
+func firstByID(daemons []site.Daemon) []site.Daemon {
+	slices.SortFunc(daemons, func(a, b site.Daemon) int { return strings.Compare(a.ID, b.ID) })
+	return daemons[:min(relaysPerDomain, len(daemons))]
+}
+
+func hashID(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // writing to a hash does not fail
+	return h.Sum32()
+}
+
+// chooseRelay returns the relay to follow: the present one as long as it is among the
+// relays and is heard, and otherwise the first one. A relay that is not heard is passed
+// over for unheardMemory. After rebalanceTime it returns to the preferred one, so that
+// the others that take over from a relay for a moment don't keep all its followers.
+func (g *Gossip) chooseRelay(relays []site.Daemon) site.Daemon {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Boot()
+	i := slices.IndexFunc(relays, func(d site.Daemon) bool { return d.ID == g.relay })
+	heard := g.followedSum(now) != nil
+	preferred := i == 0 || now-g.relaySince < rebalanceTime
+	if i >= 0 && (heard && preferred || now-g.relaySince < silenceTimeout) {
+		return relays[i]
+	}
+	if i >= 0 && !heard {
+		g.unheard[g.relay] = now + unheardMemory
+		relays = slices.Concat(relays[i+1:], relays[:i+1])
+	}
+	g.options.Log.Info("relay chosen", "peer", relays[0].ID, "before", g.relay)
+	g.relay = relays[0].ID
+	g.relaySince = now
+	return relays[0]
+}
+
+// roundRelay sends the load of this daemon and its followers to the other relays, and
+// that of all daemons to its followers. Relays are those that send messages of a relay.
+// While it knows few, it sends to other daemons that are listed as well.
+func (g *Gossip) roundRelay() {
+	own := g.ownMessage()
+	g.mu.Lock()
+	g.relay = ""
+	g.sent = Message{}
+	part, all := g.sums(own)
+	relays, followers := g.audience()
+	g.mu.Unlock()
+	relays = g.withListed(relays, followers)
+	full := g.round%fullRounds == 0
+	g.send(g.reduce(part, full), g.rotate(relays, &g.nextRelay))
+	g.send(g.reduce(all, full), g.rotate(followers, &g.nextFollower))
+}
+
+// sums returns the load of this daemon and its followers, and that of all daemons. The
+// lock must be held.
+func (g *Gossip) sums(own Message) (part, all Message) {
+	now := g.options.Boot()
+	part = emptySum(own)
+	part.Scope = Part
+	part.add(own)
+	part.Members = []Member{{own.From.ID, own.Ready, own.Fresh}}
+	for _, id := range sortedPeers(g.peers) {
+		p := g.peers[id]
+		if p.message.Scope != Own || p.message.Relay != own.From.ID || now-p.lastHeard >= p.silenceLimit() {
+			continue
+		}
+		part.add(p.message)
+		part.Members = append(part.Members, Member{id, p.message.Ready, p.message.Fresh})
+	}
+	all = emptySum(own)
+	all.Scope = All
+	all.add(part)
+	all.Members = slices.Clone(part.Members)
+	for _, id := range sortedPeers(g.peers) {
+		p := g.peers[id]
+		if p.message.Scope != Part || now-p.lastHeard >= p.silenceLimit() {
+			continue
+		}
+		all.add(p.message)
+		all.Members = append(all.Members, p.message.Members...)
+	}
+	return part, all
+}
+
+// audience returns the addresses of the other relays and of the followers of this one.
+// The lock must be held.
+func (g *Gossip) audience() (relays, followers []string) {
+	now := g.options.Boot()
+	for _, id := range sortedPeers(g.peers) {
+		p := g.peers[id]
+		switch {
+		case now-p.lastHeard >= p.silenceLimit():
+		case p.message.Scope != Own:
+			relays = append(relays, p.message.From.Peer)
+		case p.message.Relay == g.options.Self.ID:
+			followers = append(followers, p.message.From.Peer)
+		}
+	}
+	return relays, followers
+}
+
+// withListed adds the first listed daemons of each failure domain, which are the likely
+// relays, and another one at random, so that parts of a fleet that lost each other find
+// each other.
+func (g *Gossip) withListed(relays, followers []string) []string {
+	known := map[string]bool{g.options.Self.Peer: true, "": true}
+	for _, address := range append(slices.Clone(relays), followers...) {
+		known[address] = true
+	}
+	domains := map[string][]site.Daemon{}
+	var likely []site.Daemon
+	for _, d := range g.options.Listed() { // in random order
+		if len(likely) == 0 {
+			likely = append(likely, d)
+		}
+		domains[d.Domain] = append(domains[d.Domain], d)
+	}
+	for _, daemons := range domains {
+		likely = append(likely, firstByID(daemons)...)
+	}
+	for _, d := range likely {
+		if !known[d.Peer] {
+			known[d.Peer] = true
+			relays = append(relays, d.Peer)
+		}
+	}
+	slices.Sort(relays)
+	return relays
+}
+
+// rotate returns up to half of fanout of the addresses, in turn.
+func (g *Gossip) rotate(addresses []string, next *int) []string {
+	const most = fanout / 2
+	if len(addresses) <= most {
+		return addresses
+	}
+	chosen := make([]string, most)
+	for i := range chosen {
+		chosen[i] = addresses[(*next+i)%len(addresses)]
+	}
+	*next = (*next + most) % len(addresses)
+	return chosen
+}
+
+// reduce returns a relay's message without what need not be in each round: members, and
+// groups that have not changed lately.
+func (g *Gossip) reduce(m Message, full bool) Message {
+	now := g.options.Boot()
+	recent := map[string]Group{}
+	for leader, group := range m.Groups {
+		if known, ok := g.groups[leader]; !ok || known.group != group {
+			g.groups[leader] = groupState{group, now}
+		}
+		if full || now-g.groups[leader].changedAt < groupNews {
+			recent[leader] = group
+		}
+	}
+	if m.Scope == All {
+		g.forgetGroups(m.Groups)
+	}
+	m.Groups = recent
+	m.Full = full
+	if !full {
+		m.Members = nil
+	}
+	return m
+}
+
+// forgetGroups forgets the groups that are gone.
+func (g *Gossip) forgetGroups(present map[string]Group) {
+	for leader := range g.groups {
+		if _, ok := present[leader]; !ok {
+			delete(g.groups, leader)
+		}
+	}
+}
+
+// merge completes a relay's message by what the one before had and this one leaves
+// out.
+func (m Message) merge(before Message) Message {
+	if m.Scope == Own || m.Full || before.Scope != m.Scope {
+		return m
+	}
+	m.Members = before.Members
+	groups := map[string]Group{}
+	for leader, group := range before.Groups {
+		groups[leader] = group
+	}
+	for leader, group := range m.Groups {
+		groups[leader] = group
+	}
+	m.Groups = groups
+	return m
+}
+
+// aliveMemory is the time for which the result of Alive is used again.
+const aliveMemory = 50 * time.Millisecond
+
+// Alive returns what this daemon knows of the others: messages whose loads add up to
+// those of all other daemons, and for each daemon whose load is in another one's
+// message a message without load. It may be aliveMemory old. Its messages must not be
+// changed.
+func (g *Gossip) Alive() []Message {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Boot()
+	if g.alive == nil || now-g.aliveAt >= aliveMemory {
+		g.alive = g.view(now)
+		g.aliveAt = now
+	}
+	return slices.Clip(g.alive)
+}
+
+// view returns the messages that Alive returns. The lock must be held.
+func (g *Gossip) view(now time.Duration) []Message {
+	loads := []Message{}
+	members := map[string]Member{}
+	following := g.followedSum(now)
+	if following != nil {
+		loads = append(loads, following.without(g.sent))
+	}
+	for _, id := range sortedPeers(g.peers) {
+		p := g.peers[id]
+		if now-p.lastHeard >= p.silenceLimit() {
+			continue
+		}
+		for _, member := range p.message.Members {
+			members[member.ID] = member
+		}
+		if following == nil && g.counts(p.message) {
+			loads = append(loads, p.message)
+		}
+	}
+	return append(loads, g.stubs(loads, members, now)...)
+}
+
+// counts reports whether the load of a message is in no other one's.
+func (g *Gossip) counts(m Message) bool {
+	return m.Scope == Part || m.Scope == Own && (m.Relay == "" || m.Relay == g.options.Self.ID)
+}
+
+// followedSum returns the newest message of the relay that this daemon follows, or nil.
+// The lock must be held.
+func (g *Gossip) followedSum(now time.Duration) *Message {
+	p, known := g.peers[g.relay]
+	if !known || p.message.Scope != All || now-p.lastHeard >= p.silenceLimit() {
+		return nil
+	}
+	return &p.message
+}
+
+// stubs returns a message without load for each daemon that is alive and whose own
+// message is not in loads. The lock must be held.
+func (g *Gossip) stubs(loads []Message, members map[string]Member, now time.Duration) []Message {
+	known := map[string]bool{g.options.Self.ID: true}
+	for _, m := range loads {
+		known[m.From.ID] = true
+	}
+	listed := g.options.Listed()
+	var stubs []Message
+	for _, id := range sortedPeers(g.peers) {
+		p := g.peers[id]
+		if known[id] || now-p.lastHeard >= p.silenceLimit() {
+			continue
+		}
+		known[id] = true
+		stubs = append(stubs, Message{From: p.message.From, Ready: p.message.Ready, Fresh: p.message.Fresh})
+	}
+	for id, member := range members {
+		from, ok := listed[id]
+		if !ok || known[id] {
+			continue
+		}
+		known[id] = true
+		stubs = append(stubs, Message{From: from, Ready: member.Ready, Fresh: member.Fresh})
+	}
+	slices.SortFunc(stubs, func(a, b Message) int { return strings.Compare(a.From.ID, b.From.ID) })
+	return stubs
+}
+
+func sortedPeers(peers map[string]*peer) []string {
+	ids := make([]string, 0, len(peers))
+	for id := range peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/gossip/sum.go
@@ -0,0 +1,80 @@
+package gossip
+
+// add adds the loads of a message to a sum.
+func (m *Message) add(other Message) {
+	m.Term = max(m.Term, other.Term)
+	m.Version = max(m.Version, other.Version)
+	for id, load := range other.Endpoints {
+		m.Endpoints[id] = m.Endpoints[id].plus(load)
+	}
+	for key, n := range other.Demand {
+		m.Demand[key] += n
+	}
+	for key, q := range other.Queues {
+		m.Queues[key] = m.Queues[key].plus(q, 1)
+	}
+	for digest, n := range other.Crashes {
+		m.Crashes[digest] += n
+	}
+	for leader, g := range other.Groups {
+		if known, ok := m.Groups[leader]; !ok || g.Epoch >= known.Epoch {
+			m.Groups[leader] = g
+		}
+	}
+}
+
+// without returns a sum less the loads of one of its messages. That message may have
+// changed since the sum was made, so counts don't go below 0.
+func (m Message) without(own Message) Message {
+	rest := emptySum(m)
+	rest.add(m)
+	for id, load := range own.Endpoints {
+		l, ok := rest.Endpoints[id]
+		if !ok {
+			continue
+		}
+		l.Running = max(0, l.Running-load.Running)
+		l.UnreadTokens = max(0, l.UnreadTokens-load.UnreadTokens)
+		rest.Endpoints[id] = l
+	}
+	for key, n := range own.Demand {
+		rest.Demand[key] = max(0, rest.Demand[key]-n)
+	}
+	for key, q := range own.Queues {
+		rest.Queues[key] = rest.Queues[key].plus(q, -1)
+	}
+	for digest, n := range own.Crashes {
+		rest.Crashes[digest] = max(0, rest.Crashes[digest]-n)
+	}
+	return rest
+}
+
+// emptySum returns a message without loads, with the other fields of m.
+func emptySum(m Message) Message {
+	m.Endpoints = map[string]EndpointLoad{}
+	m.Demand = map[string]int{}
+	m.Queues = map[string]Queue{}
+	m.Crashes = map[string]int{}
+	m.Groups = map[string]Group{}
+	return m
+}
+
+func (l EndpointLoad) plus(other EndpointLoad) EndpointLoad {
+	return EndpointLoad{
+		Running:      l.Running + other.Running,
+		UnreadTokens: l.UnreadTokens + other.UnreadTokens,
+		Leaving:      max(l.Leaving, other.Leaving),
+		Slow:         l.Slow || other.Slow,
+		Stalled:      l.Stalled || other.Stalled,
+	}
+}
+
+// plus returns the sum of two queues, the second one times a sign. Nothing goes below 0.
+func (q Queue) plus(other Queue, sign int) Queue {
+	return Queue{
+		InTime:      max(0, q.InTime+sign*other.InTime),
+		Late:        max(0, q.Late+sign*other.Late),
+		FreeRate:    max(0, q.FreeRate+float64(sign)*other.FreeRate),
+		ArrivalRate: max(0, q.ArrivalRate+float64(sign)*other.ArrivalRate),
+	}
+}
