--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -179,6 +179,19 @@
 	return response.StatusCode, string(body)
 }
 
+// awaitRefused waits until all daemons refuse a key.
+func (c *cluster) awaitRefused(t *testing.T, key string) {
+	t.Helper()
+	await(t, "the key is refused everywhere", 5*time.Second, func() bool {
+		for _, d := range c.daemons {
+			if status, _ := c.call(d.Caller, "/file/", c.nextID(), key); status != http.StatusUnauthorized {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func streamBody(events int) string {
 	var b strings.Builder
 	for i := 1; i <= events; i++ {
@@ -244,14 +257,7 @@
 
 	t.Run("key is revoked", func(t *testing.T) {
 		c.configure(2, "other-key")
-		await(t, "the key is refused everywhere", 5*time.Second, func() bool {
-			for _, d := range c.daemons {
-				if status, _ := c.call(d.Caller, "/file/", c.nextID(), "good-key"); status != http.StatusUnauthorized {
-					return false
-				}
-			}
-			return true
-		})
+		c.awaitRefused(t, "good-key")
 	})
 
 	t.Run("store is unavailable", func(t *testing.T) {
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -42,14 +42,7 @@
 	older := c.store.Copy()
 	c.startDaemon(t, 1)
 	c.configure(2, "other-key")
-	await(t, "the key is refused everywhere", 5*time.Second, func() bool {
-		for _, d := range c.daemons {
-			if status, _ := c.call(d.Caller, "/file/", c.nextID(), "good-key"); status != http.StatusUnauthorized {
-				return false
-			}
-		}
-		return true
-	})
+	c.awaitRefused(t, "good-key")
 	before := c.keeperTerm(t)
 	c.store.Restore(older)
 	c.startDaemon(t, 2) // it hears of the newer configuration from the others
--- a/edge/record_test.go
+++ b/edge/record_test.go
@@ -44,18 +44,26 @@
 	return n
 }
 
+// newStoreClients starts a simulated store and returns it with a function that returns
+// clients of it.
+func newStoreClients(t *testing.T) (*simul.Store, func() *platform.Store) {
+	t.Helper()
+	store := simul.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(client.CloseIdleConnections)
+	return store, func() *platform.Store { return platform.NewStore(server.Listener.Addr().String(), client.Do) }
+}
+
 // During an outage of the store, the log says once that the daemon's record is not
 // renewed, and once that it is renewed again.
 func TestFailedRenewalIsLoggedOnce(t *testing.T) {
 	is := is.New(t)
-	store := simul.NewStore()
-	server := httptest.NewServer(store)
-	defer server.Close()
-	client := &http.Client{Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
+	store, newClient := newStoreClients(t)
 	logs := &logBuffer{}
 	r := &registration{
-		instance: "d", self: site.Daemon{ID: "d"}, store: platform.NewStore(server.Listener.Addr().String(), client.Do),
+		instance: "d", self: site.Daemon{ID: "d"}, store: newClient(),
 		log: funcr.NewJSON(logs.write, funcr.Options{}),
 	}
 	store.SetDown(true)
@@ -93,14 +101,10 @@
 // other daemon's lease neither renewed nor ended.
 func TestLeaseOfAnotherEraIsNotUsed(t *testing.T) {
 	is := is.New(t)
-	store := simul.NewStore()
-	server := httptest.NewServer(store)
-	defer server.Close()
-	client := &http.Client{Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
+	store, newClient := newStoreClients(t)
 	older := store.Copy()
 	newRegistration := func(id string) *registration {
-		return &registration{instance: id, self: site.Daemon{ID: id}, store: platform.NewStore(server.Listener.Addr().String(), client.Do), log: logr.Discard()}
+		return &registration{instance: id, self: site.Daemon{ID: id}, store: newClient(), log: logr.Discard()}
 	}
 	first, second := newRegistration("d1"), newRegistration("d2")
 	is.NoErr(first.renew(t.Context()))
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -68,7 +68,7 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	w := New(Options{
 		Store: platform.NewStore(store, client.Do), Do: client.Do, Relays: func() []string { return relays }, Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return 200 * time.Millisecond }, Quick: func() bool { return false },
+		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true },
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -32,35 +32,13 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{store: simul.NewStore()}
-	server := httptest.NewServer(f.store)
-	client := &http.Client{Transport: &http.Transport{}}
-	f.watcher = New(Options{
-		Store: platform.NewStore(server.Listener.Addr().String(), client.Do), Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true }, Relays: func() []string { return nil },
-	})
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = f.watcher.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-done
-		client.CloseIdleConnections()
-		server.Close()
-	})
+	f.watcher = runWatcher(t, serveTest(t, f.store.ServeHTTP), nil)
 	return f
 }
 
 func (f *fixture) await(t *testing.T, what string, condition func(*Snapshot) bool) {
 	t.Helper()
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if condition(f.watcher.Snapshot()) {
-			return
-		}
-	}
-	t.Fatal("snapshot never showed: " + what)
+	awaitSnapshot(t, f.watcher, what, condition)
 }
 
 // Changes of the configuration, of endpoints and of failure domains appear in the
