--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -145,11 +146,12 @@
 }
 
 // forgetSilent logs the peers that have become silent and removes those that have been
-// silent for longer than forgetAfter.
+// silent for longer than forgetAfter, and relays that are no longer passed over.
 func (g *Gossip) forgetSilent() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Boot()
+	maps.DeleteFunc(g.unheard, func(_ string, until time.Duration) bool { return now >= until })
 	for id, p := range g.peers {
 		if now-p.lastHeard > forgetAfter {
 			delete(g.peers, id)
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -11,7 +11,7 @@
 
 const (
 	relaysPerDomain = 2                       // relays of each failure domain
-	unheardMemory   = 5 * time.Second         // for which a relay that was not heard is passed over; the store's record of a dead daemon lapses soon after
+	unheardMemory   = 20 * time.Second        // for which a relay that was not heard is passed over; the store's record of a dead daemon lapses sooner
 	rebalanceTime   = 10 * time.Second        // after which a follower returns to the relay that it prefers
 	followerRounds  = 2                       // a follower reports in each of so many rounds
 	fullRounds      = 3                       // a relay's message is Full in each of so many rounds
