watch: a relay's proof of freshness counts from before its changes; pauses outlast a lapse

Cause (read): a relay took the changes first and its age after; a read of the store in between made older changes look as recent as the read. A paused endpoint whose entry was missing for a moment lost its pause. TestPauseOutlastsALapse; the order has no test of its own.

--- a/pick/notice_test.go
+++ b/pick/notice_test.go
@@ -68,3 +68,26 @@
 	q.Resumed = true
 	is.Equal(Admit(q), Decision{Wait: true})
 }
+
+// A pause holds though the endpoint's entry is missing for a moment, as during an outage
+// of the store.
+func TestPauseOutlastsALapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		listed := p.options.Snapshot()
+		request := Request{Service: "s", Model: "m", MaxWait: 10 * time.Millisecond}
+		slot, err := p.Acquire(t.Context(), request)
+		is.NoErr(err)
+		slot.Pause(2 * time.Second)
+		slot.Done(true)
+		p.options.Snapshot = func() *watch.Snapshot { return &watch.Snapshot{Config: listed.Config} }
+		p.Update(nil, nil)
+		p.options.Snapshot = func() *watch.Snapshot { return listed }
+		_, err = p.Acquire(t.Context(), request)
+		is.True(err != nil)
+		time.Sleep(2 * time.Second)
+		_, err = p.Acquire(t.Context(), request)
+		is.NoErr(err)
+	})
+}
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -273,7 +273,7 @@
 			}
 		}
 	}
-	p.dropUnlisted()
+	p.dropUnlisted(now)
 	p.dropLeaving(now)
 	p.dispatch(now)
 }
@@ -292,12 +292,13 @@
 	}
 }
 
-// dropUnlisted removes the state of endpoints that the platform lists no more and
-// at which no request of this daemon is in progress.
-func (p *Placer) dropUnlisted() {
+// dropUnlisted removes the state of endpoints that the platform lists no more, at which
+// no request of this daemon is in progress, and whose pause is over. An entry may be
+// missing for a moment.
+func (p *Placer) dropUnlisted(now time.Time) {
 	v := p.options.Snapshot()
 	for id, s := range p.endpoints {
-		if _, listed := v.Endpoints[id]; !listed && s.running == 0 {
+		if _, listed := v.Endpoints[id]; !listed && s.running == 0 && !now.Before(s.pausedUntil) {
 			delete(p.endpoints, id)
 			delete(p.announced, id)
 			p.cache = servingCache{}
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -49,12 +49,13 @@
 	if held := w.Snapshot(); held.Era == era && held.Revision <= revision {
 		w.awaitRead(r, min(maxHold, maxRelayedAge-w.Age()))
 	}
+	freshAt := time.Duration(w.freshAt.Load()) // before the changes are taken: they may be newer than it, but not older
 	listing, full := w.history.after(era, revision)
 	now := w.options.Boot()
 	h := out.Header()
 	h.Set(headerEra, strconv.FormatInt(listing.Era, 10))
 	h.Set(headerRevision, strconv.FormatInt(listing.Revision, 10))
-	h.Set(headerAge, microseconds(w.Age()))
+	h.Set(headerAge, microseconds(now-freshAt))
 	h.Set(headerHeld, microseconds(now-received))
 	h.Set(headerFailed, microseconds(now-time.Duration(w.failedAt.Load())))
 	if full {
