gossip: a relay with many followers is not taken for silent

A relay sent to 8 followers in a round; with 57, as while the other relay of the domain is gone, each heard it every 0.8 s, which is when a relay counts as silent. Change: each follower is served in one of four rounds at least, and a relay that has just been chosen has 1.2 s to answer.

--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -13,7 +13,9 @@
 	relaysPerDomain = 2                       // relays of each failure domain
 	unheardMemory   = 20 * time.Second        // for which a relay that was not heard is passed over; the store's record of a dead daemon lapses sooner
 	rebalanceTime   = 10 * time.Second        // after which a follower returns to the relay that it prefers
+	relayGrace      = 1200 * time.Millisecond // for a relay to answer a new follower
 	followerRounds  = 2                       // a follower reports in each of so many rounds
+	followerCycle   = 4                       // a relay sends to each follower in one of so many rounds at least
 	fullRounds      = 3                       // a relay's message is Full in each of so many rounds
 	groupNews       = 1500 * time.Millisecond // for which a changed group is in every message of a relay
 )
@@ -92,7 +94,7 @@
 	i := slices.IndexFunc(relays, func(d site.Daemon) bool { return d.ID == g.relay })
 	heard := g.followedSum(now) != nil
 	preferred := i == 0 || now-g.relaySince < rebalanceTime
-	if i >= 0 && (heard && preferred || now-g.relaySince < silenceTimeout) {
+	if i >= 0 && (heard && preferred || now-g.relaySince < relayGrace) {
 		return relays[i]
 	}
 	if i >= 0 && !heard {
@@ -107,7 +109,8 @@
 
 // roundRelay sends the load of this daemon and its followers to the other relays, and
 // that of all daemons to its followers. Relays are those that send messages of a relay.
-// While it knows few, it sends to other daemons that are listed as well.
+// One that is alone in its failure domain sends to more followers in a round, so that
+// none takes it for silent.
 func (g *Gossip) roundRelay() {
 	own := g.ownMessage()
 	g.mu.Lock()
@@ -118,8 +121,9 @@
 	g.mu.Unlock()
 	relays = g.withListed(relays, followers)
 	full := g.round%fullRounds == 0
-	g.send(g.reduce(part, full), g.rotate(relays, &g.nextRelay))
-	g.send(g.reduce(all, full), g.rotate(followers, &g.nextFollower))
+	g.send(g.reduce(part, full), rotate(relays, fanout/2, &g.nextRelay))
+	most := max(fanout/2, (len(followers)+followerCycle-1)/followerCycle)
+	g.send(g.reduce(all, full), rotate(followers, most, &g.nextFollower))
 }
 
 // sums returns the load of this daemon and its followers, and that of all daemons. The
@@ -199,9 +203,8 @@
 	return relays
 }
 
-// rotate returns up to half of fanout of the addresses, in turn.
-func (g *Gossip) rotate(addresses []string, next *int) []string {
-	const most = fanout / 2
+// rotate returns at most so many of the addresses, in turn.
+func rotate(addresses []string, most int, next *int) []string {
 	if len(addresses) <= most {
 		return addresses
 	}
--- a/gossip/relay_test.go
+++ b/gossip/relay_test.go
@@ -171,6 +171,26 @@
 	is.True(followed["d001"] >= 20 && followed["d002"] >= 20)
 }
 
+// One relay is left of a domain with 60 daemons. Its followers must hear it often enough
+// not to take it for silent, and to become relays themselves.
+func TestLastRelayIsHeard(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(60, 1)
+	f.run(3 * time.Second)
+	f.dead[f.listed["d000"].Peer] = true
+	delete(f.listed, "d000") // its record has lapsed
+	f.stale["d001"] = true
+	f.run(6 * time.Second)
+	f.check(t)
+	relays := 0
+	for address, g := range f.daemons {
+		if g.relay == "" && !f.dead[address] {
+			relays++
+		}
+	}
+	is.Equal(relays, relaysPerDomain)
+}
+
 // A relay dies. Its followers turn to the other one and the load is known again within
 // three seconds.
 func TestRelayDies(t *testing.T) {
