--- a/edge/serve.go
+++ b/edge/serve.go
@@ -66,10 +66,12 @@
 	d.options.Log.Info("daemon leaves", "active", d.front.Active())
 	d.leaving.Store(true)
 	d.front.Leave()
+	d.front.LogProgress("daemon leaves")
 	clock.Sleep(ctx, acceptPeriod)
 	ctx, cancel := context.WithTimeout(ctx, d.settings().grace()-acceptPeriod-killMargin)
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
 		d.options.Log.Info("requests cut off", "active", d.front.Active(), "error", err.Error())
+		d.front.LogProgress("daemon stops")
 	}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -45,7 +45,7 @@
 type Front struct {
 	options   Options
 	leaving   atomic.Bool
-	active    atomic.Int64
+	jobs      jobs
 	deadlines deadlines
 }
 
@@ -56,9 +56,6 @@
 // connect to another daemon.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
-// Active returns the number of requests in progress.
-func (f *Front) Active() int64 { return f.active.Load() }
-
 // job is the state of one request in progress.
 type job struct {
 	w         http.ResponseWriter
@@ -89,6 +86,7 @@
 	waited    time.Duration      // for slots, in all tries
 	retry     pick.RetryDecision // what the retry budget answered to the last retry
 	stream    stream
+	progress  progress
 }
 
 // remaining returns the time until the deadline of a request.
@@ -96,12 +94,12 @@
 
 // ServeHTTP forwards one request, or refuses it.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.active.Add(1)
-	defer f.active.Add(-1)
+	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now(), avoid: map[string]bool{}}
+	f.jobs.add(j)
+	defer f.jobs.remove(j)
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now(), avoid: map[string]bool{}}
 	if refusal := f.admit(j); refusal != nil {
 		f.refuse(j, refusal)
 		return
@@ -144,6 +142,7 @@
 	}
 	deadline := platform.Deadline(j.r.Header, timeout)
 	j.deadline = j.arrived.Add(min(timeout, deadline))
+	j.progress.deadline.Store(int64(min(timeout, deadline)))
 	j.priorTime = f.deadlines.priorTime(route.Name, deadline)
 	j.header = platform.Outgoing(j.r.Header)
 	if j.account != "" {
--- a/front/send.go
+++ b/front/send.go
@@ -103,6 +103,7 @@
 	}
 	f.options.Metrics.observeWait(j.model, "placed", waited)
 	j.tried = append(j.tried, slot.Endpoint.ID)
+	j.progress.endpoint.Store(&slot.Endpoint.ID)
 	j.load = slot.Load
 	j.prefill = slot.ReadTime
 	j.setCause("", nil)
@@ -143,6 +144,7 @@
 		return f.orDisconnected(j, notRun)
 	}
 	j.sends++
+	j.progress.sends.Add(1)
 	monitor := f.watchStall(j, slot, conn)
 	defer monitor.Stop()
 	resp, err := f.options.Pool.Send(ctx, conn, f.request(j, slot.Endpoint))
--- a/front/stream.go
+++ b/front/stream.go
@@ -156,6 +156,7 @@
 	h.Del("Content-Length")
 	j.w.WriteHeader(resp.StatusCode)
 	j.stream.headSent = true
+	j.progress.headSent.Store(true)
 	f.options.Metrics.firstEvent.Observe(time.Since(j.arrived).Seconds())
 }
 
@@ -172,6 +173,7 @@
 		return false
 	}
 	j.stream.record(j.arrived, time.Now())
+	j.progress.events.Add(1)
 	if e.id != "" {
 		j.stream.lastID = e.id
 		j.stream.nextID = e.number + 1
