--- /dev/null
+++ b/edge/leave_test.go
@@ -0,0 +1,291 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/simul"
+)
+
+// The route of a stop test has a timeout longer than any grace period here.
+const stopConfig = `{"version":1,"routes":[
+ {"name":"once","host":"front.example","path_prefix":"/once/","type":"non_idempotent","timeout_ms":20000,"target_latency_ms":500,"service":"plain","max_attempts":1}],
+ "services":[{"name":"plain","health_path":"/healthz","max_connections":500}],
+ "limits":{"max_body_bytes":100000},"tenants":[{"name":"guild","api_keys":["good-key"]}]}`
+
+// stopRig is a daemon that is stopped, with a store and one endpoint of a plain service.
+type stopRig struct {
+	daemon  *Daemon
+	caller  string // its address for callers
+	grace   time.Duration
+	logs    *logBuffer
+	hang    chan struct{} // closed when the store is to answer nothing more
+	stop    context.CancelFunc
+	stopped time.Time     // when stop was called
+	ended   chan struct{} // closed when Run has returned
+	mu      sync.Mutex
+	ran     map[string]bool // requests that ran, by id
+	conns   []net.Conn      // callers' connections
+}
+
+// deliveryTime is how long callers may take to read what was written before the end.
+const deliveryTime = 100 * time.Millisecond
+
+// newStopRig starts a daemon in front of an endpoint that works on each request for
+// the given time.
+func newStopRig(t *testing.T, grace, work time.Duration) *stopRig {
+	t.Helper()
+	is := is.New(t)
+	r := &stopRig{logs: &logBuffer{}, grace: grace, hang: make(chan struct{}), ended: make(chan struct{}), ran: map[string]bool{}}
+	store := simul.NewStore()
+	store.Put("op/config", []byte(stopConfig))
+	storeServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		select {
+		case <-r.hang:
+			<-q.Context().Done()
+		default:
+			store.ServeHTTP(w, q)
+		}
+	}))
+	var runner *simul.Runner
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { runner.ServeHTTP(w, q) }))
+	runner = simul.NewRunner(simul.RunnerOptions{
+		ID: "p0", Service: "plain", Address: endpoint.Listener.Addr().String(), Domain: "north", Slots: 500, Event: work, PutEntry: store.Put,
+		OnRun: func(id string) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.ran[id] = true
+		},
+	})
+	runner.Publish()
+	s := Settings{
+		ID: "d", Domain: "north", Region: "r", Caller: simul.Address(), Ready: simul.Address(), Guide: simul.Address(), Peer: simul.Address(),
+		Store: storeServer.Listener.Addr().String(), Revoke: 15000, Apply: 2000, Grace: grace.Seconds(), Ratio: 0.2, Extra: 100, Window: 10,
+	}
+	r.caller = s.Caller
+	var err error
+	r.daemon, err = New(Options{Settings: s, Log: funcr.NewJSON(r.logs.write, funcr.Options{}), Registry: prometheus.NewRegistry()})
+	is.NoErr(err)
+	var ctx context.Context
+	ctx, r.stop = context.WithCancel(context.Background())
+	go func() {
+		defer close(r.ended)
+		if err := r.daemon.Run(ctx); err != nil {
+			t.Error(err)
+		}
+		time.AfterFunc(deliveryTime, r.closeConns) // as the end of the process does
+	}()
+	t.Cleanup(func() {
+		r.stop()
+		<-r.ended
+		storeServer.CloseClientConnections()
+		storeServer.Close()
+		endpoint.CloseClientConnections()
+	})
+	await(t, "the daemon is ready", 5*time.Second, r.daemon.ready)
+	return r
+}
+
+// closeConns closes the callers' connections.
+func (r *stopRig) closeConns() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// sendStop stops the daemon.
+func (r *stopRig) sendStop() {
+	r.stopped = time.Now()
+	r.stop()
+}
+
+// sleepUntil waits until a part of the grace period has passed since the stop.
+func (r *stopRig) sleepUntil(part float64) {
+	time.Sleep(time.Until(r.stopped.Add(time.Duration(part * float64(r.grace)))))
+}
+
+// hasRun reports whether a request ran.
+func (r *stopRig) hasRun(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ran[id]
+}
+
+// line returns the log line that says how a request ended, or an empty string.
+func (r *stopRig) line(id string) string {
+	r.logs.mu.Lock()
+	defer r.logs.mu.Unlock()
+	for _, line := range r.logs.lines {
+		if strings.Contains(line, `"id":"`+id+`"`) && strings.Contains(line, `"took_ms"`) {
+			return line
+		}
+	}
+	return ""
+}
+
+// callerConn is a caller's connection.
+type callerConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// connect connects to the daemon.
+func (r *stopRig) connect() (callerConn, error) {
+	c, err := net.Dial("tcp", r.caller)
+	if err != nil {
+		return callerConn{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = append(r.conns, c)
+	return callerConn{c, bufio.NewReader(c)}, nil
+}
+
+// mustConnect connects to the daemon, or ends the test.
+func (r *stopRig) mustConnect(t *testing.T) callerConn {
+	t.Helper()
+	c, err := r.connect()
+	is.New(t).NoErr(err)
+	return c
+}
+
+// send sends the head of a request, which announces a body of one byte, and the
+// given body.
+func (c callerConn) send(id, body string) error {
+	_, err := fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: front.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 20000\r\nAuthorization: Bearer good-key\r\nContent-Length: 1\r\n\r\n%s", id, body)
+	return err
+}
+
+// receive returns the status of a whole answer, or 0 if there is none, and whether
+// the answer closes the connection.
+func (c callerConn) receive() (status int, closes bool) {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, true
+	}
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return 0, true
+	}
+	return response.StatusCode, response.Close
+}
+
+// A request that comes too late to end within the grace period must not be passed on
+// and cut: it is refused at once, as not run.
+func TestRequestLateInAStopIsRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newStopRig(t, 4*time.Second, 2600*time.Millisecond)
+	kept, unused := r.mustConnect(t), r.mustConnect(t)
+	r.sendStop()
+	for i, c := range []callerConn{kept, unused} {
+		r.sleepUntil(3.01/8 + 0.01*float64(i))
+		id := fmt.Sprint("late-", i)
+		is.NoErr(c.send(id, "x"))
+		sent := time.Now()
+		status, closes := c.receive()
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(closes)
+		is.True(!r.hasRun(id))
+		is.True(time.Since(sent) < 200*time.Millisecond)
+		is.True(r.line(id) != "")
+	}
+}
+
+// What is in progress at the end gets a whole and truthful answer, and its line is in
+// the log: a request that an endpoint has, and one whose body never comes.
+func TestRequestInProgressAtTheEndIsAnswered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newStopRig(t, 2*time.Second, time.Minute)
+	passed, partial := r.mustConnect(t), r.mustConnect(t)
+	is.NoErr(passed.send("passed", "x"))
+	is.NoErr(partial.send("partial", ""))
+	await(t, "the request runs", time.Second, func() bool { return r.hasRun("passed") })
+	r.sendStop()
+	status, closes := passed.receive()
+	is.Equal(status, http.StatusBadGateway)
+	is.True(closes)
+	status, _ = partial.receive()
+	is.Equal(status, http.StatusServiceUnavailable)
+	<-r.ended
+	is.True(time.Since(r.stopped) < r.grace)
+	is.True(r.line("passed") != "")
+	is.True(r.line("partial") != "")
+	is.Equal(r.logs.count("request in progress"), 4) // both, as the daemon leaves and as it answers them
+}
+
+// An answer that comes while there is time is delivered: settings that are read during
+// the stop shorten nothing.
+func TestSettingsReadInAStopCutNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newStopRig(t, 6*time.Second, 4500*time.Millisecond)
+	c := r.mustConnect(t)
+	is.NoErr(c.send("slow", "x"))
+	await(t, "the request runs", time.Second, func() bool { return r.hasRun("slow") })
+	r.sendStop()
+	await(t, "the stop has begun", time.Second, func() bool { return r.daemon.leaving.Load() })
+	next := r.daemon.settings()
+	next.Grace = 1
+	r.daemon.Reload(next)
+	status, closes := c.receive()
+	is.Equal(status, http.StatusOK)
+	is.True(closes)
+	<-r.ended
+	is.True(time.Since(r.stopped) < r.grace-500*time.Millisecond) // it ends once nothing is left to do
+}
+
+// A store that doesn't answer must not delay the end beyond the grace period.
+func TestStopWithoutTheStoreEndsInTime(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newStopRig(t, 2*time.Second, time.Minute)
+	c := r.mustConnect(t)
+	is.NoErr(c.send("passed", "x"))
+	await(t, "the request runs", time.Second, func() bool { return r.hasRun("passed") })
+	close(r.hang)
+	r.sendStop()
+	<-r.ended
+	is.True(time.Since(r.stopped) < r.grace)
+}
+
+// A connection that was opened shortly before is not closed in place of an answer,
+// whatever the phase of the stop.
+func TestStopAnswersOnNewConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newStopRig(t, 8*time.Second, 10*time.Millisecond)
+	r.sendStop()
+	statuses := make([]int, 100)
+	var callers sync.WaitGroup
+	for i := range statuses {
+		r.sleepUntil(3.0/8 + 0.0003*float64(i))
+		c := r.mustConnect(t)
+		callers.Go(func() {
+			time.Sleep(400 * time.Millisecond)
+			if c.send(fmt.Sprint("new-", i), "x") == nil {
+				statuses[i], _ = c.receive()
+			}
+		})
+	}
+	callers.Wait()
+	for _, status := range statuses {
+		is.True(status == http.StatusOK || status == http.StatusServiceUnavailable)
+	}
+	<-r.ended
+}
--- a/logbuf/logbuf_test.go
+++ b/logbuf/logbuf_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,3 +53,29 @@
 	l.Flush()
 	is.Equal(out.String(), "") // reported only once
 }
+
+// slowWriter is an output whose writes take a while.
+type slowWriter struct {
+	began chan struct{} // receives a value as a write begins
+	done  atomic.Int64  // bytes written
+}
+
+func (s *slowWriter) Write(b []byte) (int, error) {
+	s.began <- struct{}{}
+	time.Sleep(flushTimeout / 4)
+	s.done.Add(int64(len(b)))
+	return len(b), nil
+}
+
+// Flush, after which the process ends, waits for lines that Run is writing.
+func TestFlushWaitsForTheWriteInProgress(t *testing.T) {
+	is := is.New(t)
+	out := &slowWriter{began: make(chan struct{}, 10)}
+	l := New(out)
+	go l.Run(t.Context())
+	_, err := l.Write([]byte("line\n"))
+	is.NoErr(err)
+	<-out.began
+	l.Flush()
+	is.Equal(out.done.Load(), int64(len("line\n")))
+}
