logbuf: Flush waits for the lines that Run is writing

The log of a process that ended could lack its last lines, those of the requests that the stop cut. Run takes the buffered lines and then writes them; a Flush meanwhile found an empty buffer and returned, and the process ended before the write did. TestFlushWaitsForTheWriteInProgress failed with 0 of 5 bytes written. A lock is now held from taking the lines until they are written, which also keeps their order; Flush is still bounded by flushTimeout.

--- a/logbuf/logbuf.go
+++ b/logbuf/logbuf.go
@@ -26,6 +26,7 @@
 // is safe for concurrent use. Use New to create one.
 type Writer struct {
 	out      io.Writer
+	writing  sync.Mutex // held from taking the buffered lines until they are written
 	mu       sync.Mutex
 	pending  []byte
 	quota    int // bytes accepted until the next refill
@@ -74,6 +75,8 @@
 // dropped since the last report. It blocks while out blocks; no other method
 // writes to out.
 func (w *Writer) writePending() {
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	w.mu.Lock()
 	data := w.pending
 	w.pending = nil
@@ -96,8 +99,8 @@
 	w.written.Add(uint64(len(data)))
 }
 
-// Flush writes the buffered lines. It returns after flushTimeout even if the
-// write is still blocked.
+// Flush writes the buffered lines, after those that Run is writing. It returns after
+// flushTimeout even if a write is still blocked.
 func (w *Writer) Flush() {
 	done := make(chan struct{})
 	go func() {
