edge: a stop takes no request that it would have to cut, and answers what it has

Cause: the process ended 7.3 s after the signal without waiting for its handlers, while requests were taken until 3.5 s, however long they could last. What waited for an endpoint that had lost the answer was cut as well. The end of the listener dropped requests on open connections (http.Server.Shutdown closes connections that it holds idle, and answers none that it reads later), but passed none of these on. The removal of the record could hold up the end by 1 s, beyond SIGKILL. The class: something ends before what needs it.

Now the times derive from the grace period: requests are taken for 2.8 s of 8, then refused at once as not run, on any connection until the process ends. The listener stays half a second longer, so that a connection that crosses gets the refusal; after that a refused connection makes callers try another address, sooner than a 503 would. Idle connections are closed only after a second without use, by front.Callers; http.Server.Shutdown isn't used any more. Requests of whose response the caller has nothing get a whole answer before the cut, 503 if no endpoint had them, else 502, with their line. The process waits for its handlers, a bounded time, and ends as soon as none is left. The record is removed once nothing needs it, in a bounded time. A shutdown keeps the grace period with which it began.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -29,8 +29,6 @@
 	revokeMargin   = 1400 * time.Millisecond // taken off Settings.Revoke, since a watch may miss a change for about a second
 	maxReadyAge    = 2600 * time.Millisecond // a daemon with an older snapshot accepts no callers
 	budgetFraction = 0.88                    // fraction of the configured retry budget that the daemons use, all together
-	acceptPeriod   = 3500 * time.Millisecond // connections are accepted for so long after SIGTERM
-	killMargin     = 700 * time.Millisecond  // between the end of the shutdown and SIGKILL
 	sweepInterval  = time.Second             // between two sweeps of the connection pool
 	minDaemons     = 6                       // least number of daemons that the budget is divided among
 )
@@ -224,32 +222,37 @@
 	return nil
 }
 
-// Run serves until the context ends, then shuts down without cutting off requests in
-// progress, unless they outlast the grace period.
+// Run serves until the context ends, then shuts down within the grace period: requests
+// in progress are answered, and only streams that outlast it are cut off.
 func (d *Daemon) Run(ctx context.Context) error {
 	s := d.options.Settings
 	d.options.Log.Info("daemon starts", "self", d.self.ID, "domain", s.Domain, "caller", s.Caller)
 	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, partsCtx := errgroup.WithContext(partsCtx)
-	callerServer := &http.Server{Handler: d.front}
-	front.NewCallers(d.limits).Attach(callerServer)
-	for _, server := range d.servers(callerServer) {
+	side := callerSide{server: &http.Server{Handler: d.front}, conns: front.NewCallers(d.limits)}
+	side.conns.Attach(side.server)
+	for _, server := range d.servers(side.server) {
 		listener, err := net.Listen("tcp4", server.address)
 		if err != nil {
 			return &Error{Op: "listen " + server.name, Kind: Address, Err: err}
 		}
+		if server.server == side.server {
+			side.listener = listener
+		}
 		group.Go(func() error { return server.run(partsCtx, listener) })
 	}
-	reg := &registration{instance: s.ID, self: d.self, store: d.store, log: d.options.Log}
-	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.applyGossip, d.sweepConns, reg.run} {
+	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.applyGossip, d.sweepConns} {
 		group.Go(func() error { return partError(partsCtx, run(partsCtx)) })
 	}
+	reg := &registration{instance: s.ID, self: d.self, store: d.store, log: d.options.Log, removeTimeout: d.removeTimeout}
+	recordCtx, endRecord := context.WithCancel(partsCtx)
+	group.Go(func() error { return reg.run(recordCtx) })
 	group.Go(func() error {
 		defer cancel()
 		select {
 		case <-ctx.Done():
-			d.leave(partsCtx, callerServer)
+			d.leave(partsCtx, side, endRecord)
 		case <-partsCtx.Done():
 		}
 		return nil
--- a/edge/record.go
+++ b/edge/record.go
@@ -28,6 +28,8 @@
 	log      logr.Logger
 	lease    platform.Lease
 	failing  bool // the last renewal failed
+
+	removeTimeout func() time.Duration // for the removal, after which the process ends
 }
 
 // run writes and renews the record until the context ends, then removes it.
@@ -43,7 +45,7 @@
 		}
 		r.sleep(ctx, pause)
 	}
-	r.remove()
+	r.remove(r.removeTimeout())
 	return nil
 }
 
@@ -100,12 +102,12 @@
 	return err
 }
 
-// remove ends the lease, and with it the record.
-func (r *registration) remove() {
+// remove ends the lease, and with it the record. It gives up after a time.
+func (r *registration) remove(timeout time.Duration) {
 	if r.lease.ID == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := r.store.Revoke(ctx, r.lease); err != nil {
 		r.log.Info("record left to lapse", "error", err.Error())
--- a/edge/record_test.go
+++ b/edge/record_test.go
@@ -64,7 +64,7 @@
 	logs := &logBuffer{}
 	r := &registration{
 		instance: "d", self: site.Daemon{ID: "d"}, store: newClient(),
-		log: funcr.NewJSON(logs.write, funcr.Options{}),
+		log: funcr.NewJSON(logs.write, funcr.Options{}), removeTimeout: func() time.Duration { return callTimeout },
 	}
 	store.SetDown(true)
 	ctx, stop := context.WithCancel(t.Context())
@@ -115,7 +115,7 @@
 	is.NoErr(first.renew(t.Context()))
 	is.True(first.lease != lost)
 	first.lease = lost
-	first.remove()
+	first.remove(callTimeout)
 	is.NoErr(second.renew(t.Context()))
 	_, err := second.store.Get(t.Context(), platform.DaemonRecordKey("d2"))
 	is.NoErr(err)
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -8,9 +8,13 @@
 
 // Reload applies the settings that can change while the daemon runs: revoke, apply,
 // grace, ratio, extra and window. If other settings differ, they take effect at the
-// next start only, and the log names them.
+// next start only, and the log names them. A shutdown goes on by the grace period with
+// which it began.
 func (d *Daemon) Reload(s Settings) {
 	old := d.settings()
+	if d.leaving.Load() {
+		s.Grace = old.Grace
+	}
 	d.current.Store(&s)
 	d.options.Log.Info("settings in force", "revoke", s.Revoke, "apply", s.Apply, "grace", s.Grace,
 		"ratio", s.Ratio, "extra", s.Extra, "window", s.Window, "later", strings.Join(restartOnly(old, s), ","))
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/watch"
 )
@@ -53,25 +53,13 @@
 func (s httpServer) run(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
-	if err := s.server.Serve(listener); err != http.ErrServerClosed {
+	err := s.server.Serve(listener)
+	if errors.Is(err, net.ErrClosed) {
+		<-ctx.Done() // the daemon leaves and closed the listener; open connections are still served
+		return nil
+	}
+	if err != http.ErrServerClosed {
 		return &Error{Op: "serve " + s.name, Kind: Part, Err: err}
 	}
 	return nil
 }
-
-// leave reports this daemon as not ready, goes on accepting connections for
-// acceptPeriod, within which callers with an older answer of the guide request a new
-// one, then waits for requests in progress until killMargin before SIGKILL.
-func (d *Daemon) leave(ctx context.Context, callerServer *http.Server) {
-	d.options.Log.Info("daemon leaves", "active", d.front.Active())
-	d.leaving.Store(true)
-	d.front.Leave()
-	d.front.LogProgress("daemon leaves")
-	clock.Sleep(ctx, acceptPeriod)
-	ctx, cancel := context.WithTimeout(ctx, d.settings().grace()-acceptPeriod-killMargin)
-	defer cancel()
-	if err := callerServer.Shutdown(ctx); err != nil {
-		d.options.Log.Info("requests cut off", "active", d.front.Active(), "error", err.Error())
-		d.front.LogProgress("daemon stops")
-	}
-}
--- a/front/finish.go
+++ b/front/finish.go
@@ -14,6 +14,7 @@
 		h[name] = values
 	}
 	h.Del("Content-Length")
+	f.markLast(h)
 	j.w.WriteHeader(resp.status)
 	if _, err := j.w.Write(resp.body); err != nil {
 		f.logEnd(j, "cut", resp.status, "caller left")
@@ -27,6 +28,9 @@
 // answer it. It aborts a stream of which the caller has a part.
 func (f *Front) finish(j *job, last *response, err error) {
 	switch {
+	case j.stream.headSent && f.reached(ending):
+		f.logEnd(j, "cut", http.StatusOK, stopReason)
+		panic(http.ErrAbortHandler)
 	case j.stream.headSent:
 		f.logEnd(j, "cut", http.StatusOK, "stream not finished")
 		panic(http.ErrAbortHandler) // the caller must see that the stream is incomplete
@@ -34,6 +38,10 @@
 		f.deliver(j, last)
 	case j.r.Context().Err() != nil:
 		f.logEnd(j, "left", 0, "caller left")
+	case f.reached(ending) && j.ran > 0:
+		f.refuse(j, &refusal{status: http.StatusBadGateway, reason: stopReason})
+	case f.reached(ending):
+		f.refuse(j, &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter})
 	case j.ran > 0 && j.remaining() <= minRemaining:
 		f.refuse(j, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"})
 	case j.ran > 0:
--- a/front/front.go
+++ b/front/front.go
@@ -44,7 +44,7 @@
 // create one.
 type Front struct {
 	options   Options
-	leaving   atomic.Bool
+	phase     atomic.Int32
 	jobs      jobs
 	deadlines deadlines
 }
@@ -52,10 +52,6 @@
 // New returns a Front.
 func New(o Options) *Front { return &Front{options: o} }
 
-// Leave makes every further response close its connection, so that callers
-// connect to another daemon.
-func (f *Front) Leave() { f.leaving.Store(true) }
-
 // job is the state of one request in progress.
 type job struct {
 	w         http.ResponseWriter
@@ -97,10 +93,7 @@
 	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now(), avoid: map[string]bool{}}
 	f.jobs.add(j)
 	defer f.jobs.remove(j)
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	if refusal := f.admit(j); refusal != nil {
+	if refusal := f.admitUnlessStopped(j); refusal != nil {
 		f.refuse(j, refusal)
 		return
 	}
@@ -251,6 +244,7 @@
 // refuse sends a refusal to the caller and logs it.
 func (f *Front) refuse(j *job, r *refusal) {
 	h := j.w.Header()
+	f.markLast(h)
 	h.Set("Content-Type", "application/json")
 	if j.id != "" {
 		h.Set(platform.HeaderRequest, j.id)
@@ -291,12 +285,16 @@
 // round rounds a rate to one decimal for the log.
 func round(v float64) float64 { return math.Round(v*10) / 10 }
 
-// context returns the context of a request's sends, which ends at its deadline. A
-// request that may run only once is not cancelled when its caller disconnects.
+// context returns the context of a request's sends, which ends at its deadline, or as
+// end is called. A request that may run only once is not cancelled when its caller
+// disconnects.
 func (j *job) context() (context.Context, context.CancelFunc) {
 	parent := j.r.Context()
 	if j.route.Repeat == site.Once {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, j.deadline)
+	ctx, cancel := context.WithDeadline(parent, j.deadline)
+	end := func() { cancel() }
+	j.progress.cancel.Store(&end)
+	return ctx, cancel
 }
--- a/front/hurdle_string.go
+++ b/front/hurdle_string.go
@@ -15,11 +15,12 @@
 	_ = x[notRepeatable-4]
 	_ = x[noAttempts-5]
 	_ = x[noBudget-6]
+	_ = x[stopping-7]
 }
 
-const _hurdle_name = "allowedcaller lefttoo little time lefttoo many endpoints triedmay not be repeatedroute's attempts used upbudget of repeats used up"
+const _hurdle_name = "allowedcaller lefttoo little time lefttoo many endpoints triedmay not be repeatedroute's attempts used upbudget of repeats used updaemon stops"
 
-var _hurdle_index = [...]uint8{0, 7, 18, 38, 62, 81, 105, 130}
+var _hurdle_index = [...]uint8{0, 7, 18, 38, 62, 81, 105, 130, 142}
 
 func (i hurdle) String() string {
 	idx := int(i) - 0
--- a/front/progress.go
+++ b/front/progress.go
@@ -17,6 +17,7 @@
 	events   atomic.Int64           // events sent to the caller
 	headSent atomic.Bool            // the head of a stream's response was sent to the caller
 	deadline atomic.Int64           // in nanoseconds after the arrival, 0 while it isn't known
+	cancel   atomic.Pointer[func()] // cancels the sends, nil until the request was read
 }
 
 // jobs holds the requests in progress. The zero value is ready to use.
--- a/front/retry.go
+++ b/front/retry.go
@@ -12,6 +12,7 @@
 	notRepeatable               // may not be repeated
 	noAttempts                  // route's attempts used up
 	noBudget                    // budget of repeats used up
+	stopping                    // daemon stops
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=hurdle -linecomment -output=hurdle_string.go
@@ -22,6 +23,8 @@
 	switch {
 	case got == disconnected:
 		return callerGone
+	case f.reached(ending):
+		return stopping
 	case j.remaining() < minRemaining:
 		return noTime
 	case len(j.tried) >= maxTries:
--- a/front/send.go
+++ b/front/send.go
@@ -209,10 +209,10 @@
 // checkCrash probes in the background an endpoint that broke off a request, and
 // records a crash if it accepts no connections. An endpoint that does has not
 // crashed: the path to it was cut, or it lost a single response. There is no probe
-// if this daemon broke off the request itself, when the caller disconnected or the
-// deadline passed.
+// if this daemon broke off the request itself, when the caller disconnected, the
+// deadline passed or the daemon stops.
 func (f *Front) checkCrash(j *job, slot *pick.Slot) {
-	if j.r.Context().Err() != nil || j.remaining() <= 0 {
+	if j.r.Context().Err() != nil || j.remaining() <= 0 || f.reached(ending) {
 		return
 	}
 	id, digest, endpoint := j.id, j.digest, slot.Endpoint
--- a/front/stream.go
+++ b/front/stream.go
@@ -154,6 +154,7 @@
 		h[name] = values
 	}
 	h.Del("Content-Length")
+	f.markLast(h)
 	j.w.WriteHeader(resp.StatusCode)
 	j.stream.headSent = true
 	j.progress.headSent.Store(true)
