chead edge: a stop goes by the grace period that the settings file states

A changed settings file is noticed at SIGHUP or within 2 s. A SIGTERM sooner than that went by the former grace period: if it was longer, the process was killed in the midst of the stop, with what was in progress and its log lines. TestStopKeepsTheGracePeriodOfTheFile failed with 'signal: killed'; it sends SIGHUP, another file and a second SIGTERM during the stop as well. The file is now read once more, if it has changed, before the stop begins, which a file that can't be read delays by 0.1 s at most.

--- a/cmd/chead/edge.go
+++ b/cmd/chead/edge.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -18,6 +19,9 @@
 // is below Go's default of 100, as memory is scarcer than processor time.
 const gcPercent = 50
 
+// lastReadTimeout limits how long the settings file, if it can't be read, delays a stop.
+const lastReadTimeout = 100 * time.Millisecond
+
 // edgeCommand holds the flags of "chead edge".
 type edgeCommand struct {
 	Settings string `required:"" type:"existingfile" env:"${settings}" help:"Settings of this daemon, a JSON file."`
@@ -32,8 +36,8 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, ignore := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer ignore() // only once the stop is over: signals that follow change nothing
 	out := logbuf.New(os.Stdout)
 	go out.Run(ctx)
 	log := newLog(out).WithValues("daemon", settings.ID)
@@ -44,8 +48,13 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, file, log, d)
-	err = d.Run(ctx)
+	runCtx, stopRun := context.WithCancel(context.Background())
+	go func() {
+		defer stopRun() // after the last settings
+		reload(ctx, file, log, d)
+	}()
+	context.AfterFunc(ctx, func() { time.AfterFunc(lastReadTimeout, stopRun) })
+	err = d.Run(runCtx)
 	out.Flush()
 	return err
 }
--- a/cmd/chead/reload.go
+++ b/cmd/chead/reload.go
@@ -15,8 +15,8 @@
 const pollInterval = 2 * time.Second
 
 // reload applies the settings file when SIGHUP arrives or the file changes, until
-// the context ends. Invalid settings are logged, and the previous ones stay in
-// force.
+// the context ends, and a last time then, so that a stop goes by the grace period that
+// is in the file. Invalid settings are logged, and the previous ones stay in force.
 func reload(ctx context.Context, file *settingsFile, log logr.Logger, d *edge.Daemon) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
@@ -24,6 +24,9 @@
 		cause := "signal"
 		select {
 		case <-ctx.Done():
+			if file.changed() {
+				apply(file, "file", log, d)
+			}
 			return
 		case <-hangups:
 		case <-ticker.C:
@@ -32,14 +35,19 @@
 			}
 			cause = "file"
 		}
-		settings, err := file.read()
-		if err != nil {
-			log.Info("settings refused, the old ones stay", "cause", cause, "error", err.Error())
-			continue
-		}
-		log.Info("settings read anew", "cause", cause)
-		d.Reload(settings)
+		apply(file, cause, log, d)
+	}
+}
+
+// apply reads the settings file and applies it to the daemon.
+func apply(file *settingsFile, cause string, log logr.Logger, d *edge.Daemon) {
+	settings, err := file.read()
+	if err != nil {
+		log.Info("settings refused, the old ones stay", "cause", cause, "error", err.Error())
+		return
 	}
+	log.Info("settings read anew", "cause", cause)
+	d.Reload(settings)
 }
 
 // settingsFile is a settings file and the version of it that was read last.
