--- /dev/null
+++ b/front/stop_test.go
@@ -0,0 +1,130 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// await waits until a condition holds, and fails the test after 2 s.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatal("not seen: " + what)
+}
+
+// A stream that its caller has begun to get goes on as other requests are answered, and
+// may end; it looks incomplete if it is cut off.
+func TestStreamOutlastsTheAnswersOfAStop(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		is := is.New(t)
+		last := make(chan struct{})
+		b := newStub(t, "a", func(w io.Writer, r *http.Request) bool {
+			_ = events(2, true)(cutTail{w}, r)
+			<-last
+			_, _ = io.WriteString(w, "0\r\n\r\n")
+			return true
+		})
+		f := newFixture(t, "engines", b)
+		answers := make(chan reply, 1)
+		go func() { answers <- f.call(t, "POST", "/talk/", nil) }()
+		await(t, "the events", func() bool {
+			list := f.front.jobs.list()
+			return len(list) == 1 && list[0].progress.events.Load() == 2
+		})
+		f.front.Answer()
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(f.front.Active(), 1)
+		if cut {
+			f.front.Cut()
+		} else {
+			close(last)
+		}
+		got := <-answers
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.truncated, cut)
+		is.Equal(b.count(), 1) // not sent again
+		if cut {
+			close(last)
+		}
+	}
+}
+
+// cutTail leaves out the end of a chunked body.
+type cutTail struct{ io.Writer }
+
+func (c cutTail) Write(b []byte) (int, error) {
+	if string(b) == "0\r\n\r\n" {
+		return len(b), nil
+	}
+	return c.Writer.Write(b)
+}
+
+// A repeatable request that waits for its only endpoint's answer is not sent again as
+// the daemon stops, and one that waits for a slot is refused as not run.
+func TestQueuedRequestIsRefusedAtTheEndOfAStop(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	b := newStub(t, "a", func(io.Writer, *http.Request) bool {
+		<-release
+		return false
+	})
+	f := newFixture(t, "engines", b)
+	const all = 12
+	answers := make(chan reply, all)
+	for range all {
+		go func() { answers <- f.call(t, "POST", "/talk/", nil) }()
+	}
+	await(t, "a request waits for a slot", func() bool {
+		time.Sleep(50 * time.Millisecond)
+		return b.count() > 0 && f.front.Active() > b.count()
+	})
+	passed := b.count()
+	waiting := f.front.Active() - passed
+	f.front.Leave()
+	f.front.Refuse()
+	f.front.Answer()
+	statuses := map[int]int{}
+	for range all {
+		if got := <-answers; strings.Contains(got.body, stopReason) {
+			statuses[got.status]++
+		}
+	}
+	is.Equal(statuses, map[int]int{http.StatusBadGateway: passed, http.StatusServiceUnavailable: waiting})
+	is.Equal(b.count(), passed)
+}
+
+// A request that is not whole when the daemon begins to refuse requests is refused, and
+// not passed on.
+func TestRequestWholeAfterTheRefusalsBegan(t *testing.T) {
+	is := is.New(t)
+	b := newStub(t, "a", signed(200, "x"))
+	f := newFixture(t, "plain", b)
+	c, err := net.Dial("tcp", f.http.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /read/ HTTP/1.1\r\nHost: front.example\r\nX-Request-Id: a\r\nAuthorization: Bearer good-key\r\nContent-Length: 2\r\n\r\nx")
+	is.NoErr(err)
+	await(t, "the request", func() bool { return f.front.Active() == 1 })
+	f.front.Leave()
+	f.front.Refuse()
+	_, err = io.WriteString(c, "x")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.True(response.Close)
+	is.Equal(b.count(), 0)
+}
