groups: the keeper asks only engines for reports

Cause: each daemon reports an endpoint as stalled when its requests there make no progress for 700 ms, or when it could not be reached, of whatever service. The keeper checks each endpoint that is reported as stalled for 3 s, every 200 ms, and did so for endpoints of plain services too. They have no report; they answer 400 to a request without an id. Each poll uses a connection and may use a slot of an endpoint that is slow already, so that a slow one stays slow.

The one function through which all polls go now passes over endpoints that are not of the keeper's service.

--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -97,3 +97,34 @@
 	is.Equal(len(lines), 1)
 	is.True(strings.Contains(lines[0], `"msg"="report not taken" "endpoint"="e" "error"="platform: decode report: Malformed`))
 }
+
+// A plain endpoint that another daemon reports as stalled has no report: a request for
+// one would take one of its few slots.
+func TestPlainEndpointIsNotPolled(t *testing.T) {
+	is := is.New(t)
+	polled := make(chan string, 8)
+	k := newKeeper()
+	k.planner = NewPlanner(1, nil)
+	k.options.Engines = &platform.Engines{Do: func(r *http.Request) (*http.Response, error) {
+		polled <- r.Header.Get(platform.HeaderExpectInstance)
+		return &http.Response{StatusCode: http.StatusBadRequest, Body: http.NoBody}, nil
+	}}
+	k.options.Alive = func() []gossip.Message {
+		return []gossip.Message{{Endpoints: map[string]gossip.EndpointLoad{"plain": {Stalled: true}, "engine": {Stalled: true}}}}
+	}
+	stored := &watch.Snapshot{
+		Config: &site.Config{Services: map[string]site.Service{"p": {Name: "p"}, "s": {Name: "s", Engine: &testEngine}}},
+		Endpoints: map[string]site.Endpoint{
+			"plain":  {ID: "plain", Service: "p", Address: "127.0.0.1:1"},
+			"engine": {ID: "engine", Service: "s", Address: "127.0.0.1:2"},
+		},
+	}
+	k.noteStalled()
+	k.poll(t.Context(), stored, nil)
+	is.Equal(<-polled, "engine")
+	select {
+	case id := <-polled:
+		t.Errorf("%s was polled", id)
+	case <-time.After(2 * secondRequestAfter):
+	}
+}
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -93,12 +93,12 @@
 	}
 }
 
-// requestReport requests an endpoint's report in the background, unless a request is in
-// flight or the last was made within the interval.
+// requestReport requests an endpoint's report in the background, unless it has none, a
+// request is in flight or the last was made within the interval.
 func (k *Keeper) requestReport(ctx context.Context, stored *watch.Snapshot, id string, now, interval time.Duration) {
 	e, listed := stored.Endpoints[id]
 	r := k.reports[id]
-	if !listed || r.inFlight || now-r.lastRequestAt < interval {
+	if !listed || !hasReport(stored, e) || r.inFlight || now-r.lastRequestAt < interval {
 		return
 	}
 	r.inFlight = true
@@ -107,6 +107,13 @@
 	go k.fetch(ctx, e)
 }
 
+// hasReport reports whether an endpoint is one of those that a keeper manages. Others
+// are reported as stalled too, but have no report: a request would only use a slot.
+func hasReport(stored *watch.Snapshot, e site.Endpoint) bool {
+	service, found := stored.Config.EngineService()
+	return found && e.Service == service.Name
+}
+
 // fetch requests an endpoint's report once and records the result. An endpoint that
 // does not answer is checked for checkDuration.
 func (k *Keeper) fetch(ctx context.Context, e site.Endpoint) {
