groups: an unusable report is logged when its error changes

What users saw: the line "report not taken" every 100 to 300 ms for one endpoint, which pushes other lines out of a record that is cut to length.

Each poll wrote it. Now it is written when the error changes, or when a usable report came in between. TestUnusableReportIsLoggedOnce failed before: 20 lines after 20 polls.

--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -128,3 +128,29 @@
 	case <-time.After(2 * secondRequestAfter):
 	}
 }
+
+// An endpoint whose reports can't be used is polled every 200 ms. Its log line must be
+// written when that begins and when the error changes, not with each poll.
+func TestUnusableReportIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var lines []string
+	status, body := http.StatusBadRequest, ""
+	k := newKeeper()
+	k.options.Log = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	k.options.Engines = &platform.Engines{Do: func(*http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader(body))}, nil
+	}}
+	fetch := func(times int) int {
+		for range times {
+			k.fetch(t.Context(), site.Endpoint{ID: "e", Address: "127.0.0.1:1"})
+		}
+		return len(lines)
+	}
+	is.Equal(fetch(20), 1)
+	status = http.StatusNotFound
+	is.Equal(fetch(20), 2)
+	status, body = http.StatusOK, `{"phase":"both","models":[]}`
+	is.Equal(fetch(20), 2)
+	status = http.StatusNotFound
+	is.Equal(fetch(20), 3)
+}
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -18,6 +18,7 @@
 	misses           int           // consecutive requests without an answer
 	inFlight         bool
 	hasState         bool
+	unusable         string // error of the latest answer if it could not be used, as logged
 }
 
 // noteStalled schedules checks of the groups that other daemons report as stalled or slow,
@@ -127,15 +128,16 @@
 	r.inFlight = false
 	switch {
 	case err == nil:
-		r.state, r.stateRequestedAt, r.hasState, r.misses = state, requestedAt, true, 0
+		r.state, r.stateRequestedAt, r.hasState, r.misses, r.unusable = state, requestedAt, true, 0, ""
 	case platform.Is(err, platform.Lost) || platform.Is(err, platform.WrongEndpoint):
 		r.misses++
 		k.checks[e.ID] = now + checkDuration
 		if r.misses == 1 {
 			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error())
 		}
-	default:
-		k.options.Log.Info("report not taken", "endpoint", e.ID, "error", err.Error())
+	case r.unusable != err.Error():
+		r.unusable = err.Error()
+		k.options.Log.Info("report not taken", "endpoint", e.ID, "error", r.unusable)
 	}
 	k.reports[e.ID] = r
 }
