--- a/groups/poll.go
+++ b/groups/poll.go
@@ -18,6 +18,7 @@
 	misses           int           // consecutive requests without an answer
 	inFlight         bool
 	hasState         bool
+	unusable         string // error of the latest answer if it could not be used, as logged
 }
 
 // noteStalled schedules checks of the groups that other daemons report as stalled or slow,
@@ -93,12 +94,12 @@
 	}
 }
 
-// requestReport requests an endpoint's report in the background, unless a request is in
-// flight or the last was made within the interval.
+// requestReport requests an endpoint's report in the background, unless it has none, a
+// request is in flight or the last was made within the interval.
 func (k *Keeper) requestReport(ctx context.Context, stored *watch.Snapshot, id string, now, interval time.Duration) {
 	e, listed := stored.Endpoints[id]
 	r := k.reports[id]
-	if !listed || r.inFlight || now-r.lastRequestAt < interval {
+	if !listed || !hasReport(stored, e) || r.inFlight || now-r.lastRequestAt < interval {
 		return
 	}
 	r.inFlight = true
@@ -107,6 +108,13 @@
 	go k.fetch(ctx, e)
 }
 
+// hasReport reports whether an endpoint is one of those that a keeper manages. Others
+// are reported as stalled too, but have no report: a request would only use a slot.
+func hasReport(stored *watch.Snapshot, e site.Endpoint) bool {
+	service, found := stored.Config.EngineService()
+	return found && e.Service == service.Name
+}
+
 // fetch requests an endpoint's report once and records the result. An endpoint that
 // does not answer is checked for checkDuration.
 func (k *Keeper) fetch(ctx context.Context, e site.Endpoint) {
@@ -120,15 +128,16 @@
 	r.inFlight = false
 	switch {
 	case err == nil:
-		r.state, r.stateRequestedAt, r.hasState, r.misses = state, requestedAt, true, 0
+		r.state, r.stateRequestedAt, r.hasState, r.misses, r.unusable = state, requestedAt, true, 0, ""
 	case platform.Is(err, platform.Lost) || platform.Is(err, platform.WrongEndpoint):
 		r.misses++
 		k.checks[e.ID] = now + checkDuration
 		if r.misses == 1 {
 			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error())
 		}
-	default:
-		k.options.Log.Info("report not taken", "endpoint", e.ID, "error", err.Error())
+	case r.unusable != err.Error():
+		r.unusable = err.Error()
+		k.options.Log.Info("report not taken", "endpoint", e.ID, "error", r.unusable)
 	}
 	k.reports[e.ID] = r
 }
