front: the log says whose request an answer named, and how often its connection served before

send ended could not tell a late answer of an earlier request on a kept connection from one of the endpoint's own making, and an answer of 400 and above that named another request was not seen at all.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -59,9 +59,9 @@
 type Conn struct {
 	net.Conn
 	Address string
+	Served  int // requests that the connection carried before
 	reader  *bufio.Reader
 	expires time.Time // no reuse after this time
-	used    bool
 }
 
 // Get returns an idle connection to an address, or opens one if there is none or
@@ -119,7 +119,7 @@
 		_ = c.Close()
 		return
 	}
-	c.used = true
+	c.Served++
 	c.expires = time.Now().Add(idleTimeout(header) - idleMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/front/front.go
+++ b/front/front.go
@@ -76,14 +76,15 @@
 	priority  int           // 0 is the most urgent
 	header    http.Header   // of the request to endpoints
 	body      []byte
-	avoid     map[string]bool    // endpoints that failed it
-	sends     int                // tries that got a connection to an endpoint
-	ran       int                // tries that may have run
-	tried     []string           // endpoints, by try
-	cause     string             // why the last try failed, or its status
-	errText   string             // text of the error that cause stands for, if any
-	queue     pick.QueueState    // state of the queue, if the last try got no slot
-	eligible  int                // endpoints that serve its model or service, if the last try got no slot
+	avoid     map[string]bool // endpoints that failed it
+	sends     int             // tries that got a connection to an endpoint
+	ran       int             // tries that may have run
+	tried     []string        // endpoints, by try
+	cause     string          // why the last try failed, or its status
+	errText   string          // text of the error that cause stands for, if any
+	queue     pick.QueueState // state of the queue, if the last try got no slot
+	eligible  int             // endpoints that serve its model or service, if the last try got no slot
+	lastSend  sendRecord
 	load      int                // requests in progress at the last endpoint it was sent to
 	prefill   time.Duration      // expected time until that endpoint has processed the prompt
 	waited    time.Duration      // for slots, in all tries
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -10,13 +10,14 @@
 
 // Metrics are the metrics of a Front. Use NewMetrics to create them.
 type Metrics struct {
-	requests   *prometheus.CounterVec
-	retries    *prometheus.CounterVec
-	accounts   *prometheus.CounterVec
-	sends      *prometheus.CounterVec
-	firstEvent prometheus.Histogram
-	duration   *prometheus.HistogramVec
-	wait       *prometheus.HistogramVec
+	requests     *prometheus.CounterVec
+	retries      *prometheus.CounterVec
+	accounts     *prometheus.CounterVec
+	sends        *prometheus.CounterVec
+	otherAnswers *prometheus.CounterVec
+	firstEvent   prometheus.Histogram
+	duration     *prometheus.HistogramVec
+	wait         *prometheus.HistogramVec
 
 	mu       sync.Mutex
 	labelled map[string]bool // client accounts with a label of their own
@@ -30,19 +31,20 @@
 // NewMetrics returns the metrics of a Front, registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		labelled: map[string]bool{},
-		requests: counter("requests_total", "Requests by their end.", "outcome", "status"),
-		accounts: counter("account_requests_total", "Requests of a client account by their end.", "account", "outcome"),
-		sends:    counter("sends_total", "Sends by model, the endpoint's failure domain and what came of them.", "model", "domain", "result"),
-		retries:  counter("retries_total", "Sends beyond the first, by what ended the one before.", "cause"),
-		wait:     histogram("wait_seconds", "In the line for a place, by how it ended.", 9, "model", "end"),
-		duration: histogram("seconds", "From arrival to the end.", 12, "outcome"),
+		labelled:     map[string]bool{},
+		requests:     counter("requests_total", "Requests by their end.", "outcome", "status"),
+		accounts:     counter("account_requests_total", "Requests of a client account by their end.", "account", "outcome"),
+		sends:        counter("sends_total", "Sends by model, the endpoint's failure domain and what came of them.", "model", "domain", "result"),
+		otherAnswers: counter("other_answers_total", "Answers that named another request than the one sent, by connection and status.", "connection", "status"),
+		retries:      counter("retries_total", "Sends beyond the first, by what ended the one before.", "cause"),
+		wait:         histogram("wait_seconds", "In the line for a place, by how it ended.", 9, "model", "end"),
+		duration:     histogram("seconds", "From arrival to the end.", 12, "outcome"),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_event_seconds", Help: "From arrival to the first event of a stream.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12),
 		}),
 	}
-	r.MustRegister(m.requests, m.accounts, m.sends, m.retries, m.firstEvent, m.duration, m.wait)
+	r.MustRegister(m.requests, m.accounts, m.sends, m.retries, m.otherAnswers, m.firstEvent, m.duration, m.wait)
 	return m
 }
 
--- a/front/metrics_test.go
+++ b/front/metrics_test.go
@@ -44,11 +44,12 @@
 	m.observeWait("m", "placed", 0)
 	m.sends.WithLabelValues("m", "north", "settled").Inc()
 	m.retries.WithLabelValues("failed").Inc()
+	m.otherAnswers.WithLabelValues("reused", "504").Inc()
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	is.NoErr(err)
 	found, err := registry.Gather()
 	is.NoErr(err)
-	is.Equal(len(found), 7)
+	is.Equal(len(found), 8)
 	for _, metric := range found {
 		is.True(strings.Contains(string(page), "`"+metric.GetName()+"`"))
 	}
--- a/front/send.go
+++ b/front/send.go
@@ -112,7 +112,8 @@
 	if got != answered {
 		j.avoid[slot.Endpoint.ID] = true
 		f.options.Log.Info("send ended", "id", j.id, "endpoint", slot.Endpoint.ID, "result", got.String(),
-			"group", slot.Endpoint.State.Member.Group, "cause", j.cause, "error", j.errText, "sends", j.sends, "left_ms", j.remaining().Milliseconds())
+			"group", slot.Endpoint.State.Member.Group, "cause", j.cause, "error", j.errText, "sends", j.sends, "left_ms", j.remaining().Milliseconds(),
+			"served", j.lastSend.served, "answer_id", j.lastSend.answerID)
 	}
 	return got, nil
 }
@@ -139,10 +140,12 @@
 		if ctx.Err() == nil {
 			slot.Suspect()
 		}
+		j.lastSend = sendRecord{}
 		j.setCause("no connection", err)
 		return f.orDisconnected(j, notRun)
 	}
 	j.sends++
+	j.lastSend = sendRecord{served: conn.Served}
 	monitor := f.watchStall(j, slot, conn)
 	defer monitor.Stop()
 	resp, err := f.options.Pool.Send(ctx, conn, f.request(j, slot.Endpoint))
@@ -153,6 +156,7 @@
 		return f.orDisconnected(j, unknown)
 	}
 	defer resp.Close()
+	f.noteAnswer(j, slot, resp)
 	recordNotices(slot, resp)
 	j.cause = strconv.Itoa(resp.StatusCode)
 	if resp.Header.Get(platform.HeaderRequest) != j.id && j.id != "" && resp.StatusCode < 400 {
