conns: a send closes its connection only while it owns it

What callers could see: a request that ends with 'use of closed network connection' though its endpoint is sound, and counts as run. Cause: the stall check's timer and the end of a context held the pooled connection itself. front.send returns the connection to the pool before it stops the stall check, so a timer that fires then closes a connection that is idle or carries another request. Evidence: TestLateCloseSparesNextRequest failed with 'use of closed network connection' at the second request; by hand only, no run of processes has shown it yet. Conn is now the right to use a connection for one request: it ends as the connection returns to the pool, and Close has no effect after that. The connection itself is private to the package, so that nothing else can close it. Callers of Conn.Close need no change.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -48,28 +48,19 @@
 type Pool struct {
 	dial   Dialer
 	mu     sync.Mutex
-	idle   map[string][]*Conn
+	idle   map[string][]*link
 	Opened atomic.Uint64 // connections opened so far
 }
 
 // New returns an empty Pool that opens connections with dial.
-func New(dial Dialer) *Pool { return &Pool{dial: dial, idle: map[string][]*Conn{}} }
-
-// Conn is a connection to an endpoint.
-type Conn struct {
-	net.Conn
-	Address string
-	Served  int // requests that the connection carried before
-	reader  *bufio.Reader
-	expires time.Time // no reuse after this time
-}
+func New(dial Dialer) *Pool { return &Pool{dial: dial, idle: map[string][]*link{}} }
 
 // Get returns an idle connection to an address, or opens one if there is none or
 // if fresh is set. The kind of an error is Unsent.
 func (p *Pool) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
 	if !fresh {
-		if c := p.take(address); c != nil {
-			return c, nil
+		if l := p.take(address); l != nil {
+			return newConn(l), nil
 		}
 	}
 	raw, err := p.dial(ctx, address)
@@ -77,7 +68,7 @@
 		return nil, &Error{Op: "dial", Address: address, Kind: Unsent, Err: err}
 	}
 	p.Opened.Add(1)
-	return &Conn{Conn: raw, Address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newConn(&link{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}), nil
 }
 
 // Probe opens and closes a connection to check that an address accepts
@@ -93,7 +84,7 @@
 
 // take removes and returns the most recently used idle connection that can be
 // reused, or returns nil. It closes those that can't be.
-func (p *Pool) take(address string) *Conn {
+func (p *Pool) take(address string) *link {
 	for {
 		p.mu.Lock()
 		list := p.idle[address]
@@ -101,33 +92,33 @@
 			p.mu.Unlock()
 			return nil
 		}
-		c := list[len(list)-1]
+		l := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
-		if time.Now().Before(c.expires) && c.reusable() {
-			return c
+		if time.Now().Before(l.expires) && l.reusable() {
+			return l
 		}
-		_ = c.Close()
+		_ = l.Close()
 	}
 }
 
 // put returns a connection to the pool after its last response was read
 // completely. It closes the connection if bytes are left unread or if the pool
 // holds enough connections to the endpoint.
-func (p *Pool) put(c *Conn, header http.Header) {
-	if c.reader.Buffered() > 0 {
-		_ = c.Close()
+func (p *Pool) put(l *link, header http.Header) {
+	if l.reader.Buffered() > 0 {
+		_ = l.Close()
 		return
 	}
-	c.Served++
-	c.expires = time.Now().Add(idleTimeout(header) - idleMargin)
+	l.served++
+	l.expires = time.Now().Add(idleTimeout(header) - idleMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.Address]) >= maxIdle {
-		_ = c.Close()
+	if len(p.idle[l.address]) >= maxIdle {
+		_ = l.Close()
 		return
 	}
-	p.idle[c.Address] = append(p.idle[c.Address], c)
+	p.idle[l.address] = append(p.idle[l.address], l)
 }
 
 // Sweep closes the idle connections that have expired.
@@ -137,11 +128,11 @@
 	now := time.Now()
 	for address, list := range p.idle {
 		valid := list[:0]
-		for _, c := range list {
-			if now.Before(c.expires) {
-				valid = append(valid, c)
+		for _, l := range list {
+			if now.Before(l.expires) {
+				valid = append(valid, l)
 			} else {
-				_ = c.Close()
+				_ = l.Close()
 			}
 		}
 		if len(valid) == 0 {
@@ -164,22 +155,3 @@
 	}
 	return defaultIdleTimeout
 }
-
-// reusable reports whether the connection is open and has no unread bytes.
-func (c *Conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var peeked [1]byte
-		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && empty
-}
--- a/conns/send.go
+++ b/conns/send.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 )
 
 // Request is a request to an endpoint. Target is the request target as received
@@ -49,9 +48,9 @@
 	} else {
 		response.writeErr <- c.write(data)
 	}
-	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	parsed, err := http.ReadResponse(c.link.reader, &http.Request{Method: r.Method})
 	for err == nil && parsed.StatusCode < 200 {
-		parsed, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		parsed, err = http.ReadResponse(c.link.reader, &http.Request{Method: r.Method})
 	}
 	if err != nil {
 		stop()
@@ -63,7 +62,7 @@
 }
 
 func (c *Conn) write(data []byte) error {
-	_, err := c.Write(data)
+	_, err := c.link.Write(data)
 	return err
 }
 
@@ -107,15 +106,16 @@
 // ended, the whole request was written, the body was read to its end (ReadAll or
 // MarkConsumed), that end is marked (Framed), and the response does not ask to close
 // the connection; otherwise it is closed. The pool in turn closes a connection with
-// unread bytes, and one that it has no space for.
+// unread bytes, and one that it has no space for. Calls after the first have no effect.
 func (r *Response) Close() {
 	stopped := r.stop()
 	if !stopped || !r.consumed || r.Response.Close || !r.Framed() || !r.written() {
 		_ = r.conn.Close()
 		return
 	}
-	_ = r.conn.SetDeadline(time.Time{})
-	r.pool.put(r.conn, r.Header)
+	if r.conn.end() {
+		r.pool.put(r.conn.link, r.Header)
+	}
 }
 
 // written reports whether the whole request has been written without an error.
