--- a/front/front.go
+++ b/front/front.go
@@ -89,6 +89,8 @@
 	waited    time.Duration      // for slots, in all tries
 	retry     pick.RetryDecision // what the retry budget answered to the last retry
 	stream    stream
+	watch     *watchdog  // of the present send, if any
+	successor *pick.Slot // held for the next try, since the last send was broken off for it
 }
 
 // remaining returns the time until the deadline of a request.
--- a/front/hurdle_string.go
+++ b/front/hurdle_string.go
@@ -15,11 +15,13 @@
 	_ = x[notRepeatable-4]
 	_ = x[noAttempts-5]
 	_ = x[noBudget-6]
+	_ = x[noSlot-7]
+	_ = x[viewTooOld-8]
 }
 
-const _hurdle_name = "allowedcaller lefttoo little time lefttoo many endpoints triedmay not be repeatedroute's attempts used upbudget of repeats used up"
+const _hurdle_name = "allowedcaller lefttoo little time lefttoo many endpoints triedmay not be repeatedroute's attempts used upbudget of repeats used upno free slot elsewhereview too old"
 
-var _hurdle_index = [...]uint8{0, 7, 18, 38, 62, 81, 105, 130}
+var _hurdle_index = [...]uint8{0, 7, 18, 38, 62, 81, 105, 130, 152, 164}
 
 func (i hurdle) String() string {
 	idx := int(i) - 0
--- a/front/retry.go
+++ b/front/retry.go
@@ -12,6 +12,8 @@
 	notRepeatable               // may not be repeated
 	noAttempts                  // route's attempts used up
 	noBudget                    // budget of repeats used up
+	noSlot                      // no free slot elsewhere
+	viewTooOld                  // view too old
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=hurdle -linecomment -output=hurdle_string.go
@@ -30,6 +32,8 @@
 		return notRepeatable
 	case got != notRun && j.ran >= j.route.Attempts:
 		return noAttempts
+	case j.successor != nil: // permitted and counted when the send was broken off
+		return allowed
 	case j.sends == 0: // a retry uses the budget only after a send that got a connection
 		return allowed
 	}
--- a/front/send.go
+++ b/front/send.go
@@ -51,6 +51,7 @@
 	}
 	ctx, cancel := j.context()
 	defer cancel()
+	defer j.releaseSuccessor()
 	last := &response{}
 	for {
 		got, err := f.try(ctx, j, last)
@@ -83,10 +84,7 @@
 // there was no slot, or if the snapshot became too old while the request waited.
 func (f *Front) try(ctx context.Context, j *job, last *response) (result, error) {
 	start := time.Now()
-	slot, err := f.options.Placer.Acquire(ctx, pick.Request{
-		Service: j.service, Model: j.model, PromptTokens: j.size.Prompt, Priority: j.priority, Avoid: j.avoid, MaxWait: min(maxWait, j.remaining()/waitDivisor),
-		Remaining: j.route.TargetLatency - j.priorTime - time.Since(j.arrived), Retried: j.priorTime > 0, Resumed: j.stream.headSent,
-	})
+	slot, err := f.place(ctx, j)
 	waited := time.Since(start)
 	j.waited += waited
 	if err != nil {
@@ -97,8 +95,8 @@
 		}
 		return notRun, err
 	}
-	if !j.route.Public && j.account != "" && f.options.SnapshotAge() > f.options.MaxKeyAge() {
-		slot.Done(false)
+	if f.isStaleFor(j) {
+		slot.Cancel()
 		return notRun, errStale
 	}
 	f.options.Metrics.observeWait(j.model, "placed", waited)
@@ -107,6 +105,10 @@
 	j.prefill = slot.ReadTime
 	j.setCause("", nil)
 	got := f.send(ctx, j, slot, last)
+	if j.successor = j.watch.take(); j.successor != nil && got != answered {
+		j.setCause("left for another endpoint", nil)
+	}
+	j.watch = nil
 	f.options.Metrics.sends.WithLabelValues(j.model, slot.Endpoint.Domain, got.String()).Inc()
 	slot.Done(got == unknown || got == notRun || got == failed && last.status >= http.StatusInternalServerError)
 	if got != answered {
@@ -153,6 +155,7 @@
 		return f.orDisconnected(j, unknown)
 	}
 	defer resp.Close()
+	defer monitor.Stop() // before the connection can be reused
 	recordNotices(slot, resp)
 	j.cause = strconv.Itoa(resp.StatusCode)
 	if resp.Header.Get(platform.HeaderRequest) != j.id && j.id != "" && resp.StatusCode < 400 {
--- a/front/silence_test.go
+++ b/front/silence_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,12 +51,13 @@
 		endpoints  int
 		first, gap time.Duration
 		budget     pick.Budget
-		sends      int // at most
+		sends      int    // at most
+		reason     string // in the log, why the last send went on
 	}{
-		{"events 600 ms apart", 2, 0, 600 * time.Millisecond, ample, 2},
-		{"first event after 1.4 s", 2, 1400 * time.Millisecond, 200 * time.Millisecond, ample, 2},
-		{"no other endpoint", 1, 0, 600 * time.Millisecond, ample, 1},
-		{"no budget", 2, 0, 600 * time.Millisecond, pick.Budget{Window: time.Second}, 1},
+		{"events 600 ms apart", 2, 0, 600 * time.Millisecond, ample, 2, "route's attempts used up"},
+		{"first event after 1.4 s", 2, 1400 * time.Millisecond, 200 * time.Millisecond, ample, 2, "route's attempts used up"},
+		{"no other endpoint", 1, 0, 600 * time.Millisecond, ample, 1, "no free slot elsewhere"},
+		{"no budget", 2, 0, 600 * time.Millisecond, pick.Budget{Window: time.Second}, 1, "budget of repeats used up"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -64,6 +67,7 @@
 			}
 			f := newFixture(t, "engines", stubs...)
 			f.front.options.Placer = newPlacer(f.front.options.Snapshot, c.budget)
+			lines := f.captureLog()
 			got := f.call(t, "POST", "/talk/", func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "3000") })
 			is.Equal(got.status, 200)
 			is.True(!got.truncated)
@@ -73,6 +77,10 @@
 				sends += b.count()
 			}
 			is.True(sends <= c.sends)
+			is.Equal(len(lines("endpoint stands still")), sends-1)
+			goesOn := lines("silent send goes on")
+			is.Equal(len(goesOn), 1) // not one for each check
+			is.True(strings.Contains(goesOn[0], `"reason":"`+c.reason+`"`))
 		})
 	}
 }
@@ -83,8 +91,11 @@
 	a, b := newStub(t, "a", paced(4, 0, 600*time.Millisecond)), newStub(t, "b", paced(4, 0, 600*time.Millisecond))
 	f := newFixture(t, "engines", a, b)
 	deadline := func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "3000") }
-	f.call(t, "POST", "/talk/", deadline) // both may learn from it
-	f.call(t, "POST", "/talk/", deadline)
+	var first sync.WaitGroup
+	for range 2 { // one at each endpoint
+		first.Go(func() { f.call(t, "POST", "/talk/", deadline) })
+	}
+	first.Wait()
 	before := a.count() + b.count()
 	is.True(before <= 4)
 	is.Equal(f.call(t, "POST", "/talk/", deadline).body, simul.StreamBody(4))
--- a/front/stream.go
+++ b/front/stream.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"clementinehead.example/chead/conns"
@@ -29,82 +28,10 @@
 }
 
 const (
-	stallAfter      = 500 * time.Millisecond // silence after which the endpoint is checked
-	stallRecheck    = 100 * time.Millisecond // time between further checks
-	eventLimit      = 1 << 20                // bytes of one event
-	eventBufferSize = 2 << 10                // bytes of the buffer for reading events
+	eventLimit      = 1 << 20 // bytes of one event
+	eventBufferSize = 2 << 10 // bytes of the buffer for reading events
 )
 
-// watchdog aborts a send whose endpoint has stalled. While no event arrives, it
-// checks whether the endpoint makes progress with any request. The aborted request
-// can then be retried at another endpoint by this daemon or by the caller.
-type watchdog struct {
-	timer     atomic.Pointer[time.Timer]
-	stopped   atomic.Bool
-	lastEvent atomic.Int64 // time of the last event, in nanoseconds after start
-	start     time.Time    // when the watchdog began
-}
-
-// watchStall starts the watchdog of a send over conn. It does nothing if the
-// request is not repeatable or is not for a model.
-func (f *Front) watchStall(j *job, slot *pick.Slot, conn *conns.Conn) *watchdog {
-	w := &watchdog{start: time.Now()}
-	if !j.route.Repeatable() || j.model == "" {
-		return w
-	}
-	final := j.ran+1 >= j.route.Attempts
-	w.timer.Store(time.AfterFunc(stallAfter, func() {
-		if w.stopped.Load() {
-			return
-		}
-		if w.expired(slot, final) {
-			f.options.Log.Info("endpoint stands still", "id", j.id, "endpoint", slot.Endpoint.ID,
-				"group", slot.Endpoint.State.Member.Group, "silent_ms", w.silent().Milliseconds())
-			_ = conn.Close()
-			return
-		}
-		w.reset(stallRecheck)
-	}))
-	return w
-}
-
-// expired reports whether a silent send is to be aborted. This handles an endpoint
-// that has stalled, and one that loses a single response while it goes on with
-// others. The argument final marks the last try that the route allows. That one is
-// aborted only in the middle of a stream, which the caller can resume.
-func (w *watchdog) expired(slot *pick.Slot, final bool) bool {
-	if final {
-		return slot.Stalled() && w.lastEvent.Load() > 0
-	}
-	return slot.Stalled() || w.silent() >= slot.Patience()
-}
-
-// reset schedules the next check.
-func (w *watchdog) reset(d time.Duration) {
-	if timer := w.timer.Load(); timer != nil {
-		timer.Reset(d)
-	}
-}
-
-// silent returns the time since the last event, or since the start.
-func (w *watchdog) silent() time.Duration {
-	return time.Since(w.start) - time.Duration(w.lastEvent.Load())
-}
-
-// Stop ends the checks.
-func (w *watchdog) Stop() {
-	w.stopped.Store(true)
-	if timer := w.timer.Load(); timer != nil {
-		timer.Stop()
-	}
-}
-
-// Touch records the arrival of an event, and postpones the next check.
-func (w *watchdog) Touch() {
-	w.lastEvent.Store(int64(time.Since(w.start)))
-	w.reset(stallAfter)
-}
-
 // forwardStream forwards a stream to the caller, event by event. An incomplete
 // event is not forwarded, so that the stream can be resumed after the last one.
 func (f *Front) forwardStream(ctx context.Context, j *job, slot *pick.Slot, resp *conns.Response, monitor *watchdog) result {
--- a/pick/budget.go
+++ b/pick/budget.go
@@ -1,6 +1,9 @@
 package pick
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Budget limits the retries that a daemon sends to one service, over a sliding
 // window. A retry is each send of a request after its first. The zero value
@@ -27,21 +30,34 @@
 	Limit   float64 // limit of retries in the window
 }
 
-// AllowRetry allows a retry and counts it, or refuses it. In the first window after
-// Since, Extra is reduced to the part of the window that has passed, because the
-// retries before Since are unknown.
+// AllowRetry allows a retry and counts it, or refuses it.
 func (b *Budget) AllowRetry(now time.Time) RetryDecision {
+	decision := b.decide(now)
+	if decision.Allowed {
+		b.retries = append(b.retries, now)
+	}
+	return decision
+}
+
+// decide says whether a retry is allowed now, without counting it. In the first window
+// after Since, Extra is reduced to the part of the window that has passed, because the
+// retries before Since are unknown.
+func (b *Budget) decide(now time.Time) RetryDecision {
 	b.requests = trim(b.requests, now.Add(-b.Window))
 	b.retries = trim(b.retries, now.Add(-b.Window))
 	extra := b.Extra * min(1, float64(now.Sub(b.Since))/float64(b.Window))
 	decision := RetryDecision{Used: len(b.retries), Limit: b.Ratio*float64(len(b.requests)) + extra}
 	decision.Allowed = float64(decision.Used+1) <= decision.Limit
-	if decision.Allowed {
-		b.retries = append(b.retries, now)
-	}
 	return decision
 }
 
+// giveBack removes a retry that was counted at the given time and not sent.
+func (b *Budget) giveBack(counted time.Time) {
+	if i := slices.IndexFunc(b.retries, counted.Equal); i >= 0 {
+		b.retries = slices.Delete(b.retries, i, i+1)
+	}
+}
+
 // trim removes the times that are not after the given one, in place.
 func trim(times []time.Time, after time.Time) []time.Time {
 	i := 0
--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -23,6 +23,9 @@
 	wasCold              bool      // whether it was cold at the latest check
 	coldNotBefore        time.Time // while it is cold, this daemon sends it no request before this time
 	othersRunning        int       // requests of the other daemons in progress
+	paces                          // as this daemon's requests show them
+	queue                *queue    // that of the latest request
+	unanswered           []*Slot   // of this daemon's requests that have had no event and no answer, by age
 	unread               int       // prompt tokens of this daemon's requests whose responses have had no event yet
 	othersUnread         int       // the same of the other daemons
 }
@@ -31,7 +34,7 @@
 	gapWeight         = 0.05                    // weight of the newest interval in gapSeconds
 	failureWeight     = 0.15                    // weight of the newest result in failureRate
 	failureMemory     = 3 * time.Second         // time after the last failure from which failureRate is ignored
-	stallTimeout      = 450 * time.Millisecond  // time without progress from which an endpoint is stalled, if a stream there has sent an event
+	stallTimeout      = 450 * time.Millisecond  // least time without progress from which an endpoint is stalled, if a stream there has sent an event
 	firstEventTimeout = 700 * time.Millisecond  // the same if no stream there has sent an event
 	suspectPause      = 1500 * time.Millisecond // time for which Suspect skips an endpoint
 	gapTolerance      = 1.6                     // factor up to which an interval between events counts as expected
@@ -39,15 +42,13 @@
 
 // noProgress reports whether requests of this daemon are in progress and none makes progress.
 func (s *endpointState) noProgress(now time.Time) bool {
-	limit := firstEventTimeout
-	if s.streams > 0 {
-		limit = stallTimeout
-	}
-	return s.running > 0 && now.Sub(s.lastProgress) > limit
+	return s.running > 0 && now.Sub(s.lastProgress) > s.usualSilence()
 }
 
+// stalled reports whether the endpoint is stalled as this daemon observes it, or by a
+// report of another one that this daemon's own streams don't refute.
 func (s *endpointState) stalled(now time.Time) bool {
-	return s.locallyStalled(now) || s.reportedStalled(now)
+	return s.locallyStalled(now) || s.reportedStalled(now) && !s.progressing(now)
 }
 
 // reportedStalled reports whether another daemon has reported the endpoint as
@@ -78,6 +79,8 @@
 	if gap <= 0 {
 		return
 	}
+	s.gaps.add(gap)
+	s.queue.gaps.add(gap)
 	if s.gapSeconds == 0 {
 		s.gapSeconds = gap.Seconds()
 		return
--- a/pick/pace_test.go
+++ b/pick/pace_test.go
@@ -111,3 +111,23 @@
 		is.True(err != nil) // without own streams the report counts
 	})
 }
+
+// An endpoint whose sends are always left before their first event is judged by the
+// other endpoints of its model: it was left for ever.
+func TestPaceOfOtherEndpointsCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a", "b")
+		request := engineRequest
+		request.Avoid = map[string]bool{"b": true}
+		known, err := p.Acquire(t.Context(), request)
+		is.NoErr(err)
+		time.Sleep(1400 * time.Millisecond)
+		known.Progress(true)
+		request.Avoid = map[string]bool{"a": true}
+		other, err := p.Acquire(t.Context(), request)
+		is.NoErr(err)
+		time.Sleep(1400 * time.Millisecond)
+		is.True(!other.Stalled())
+	})
+}
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -125,37 +125,6 @@
 	return nil, &Error{Op: "acquire", Kind: kind, RetryAfter: maxRetryAfter / 2, State: state, Eligible: eligible, Waited: time.Since(began)}
 }
 
-// AllowRetry asks the budget of a service for a retry, which is counted if allowed.
-// Extra is divided among the daemons.
-func (p *Placer) AllowRetry(service string) RetryDecision {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	b := p.budget(service)
-	inForce := p.options.Budget()
-	b.Ratio = inForce.Ratio
-	b.Window = inForce.Window
-	b.Extra = inForce.Extra / float64(max(1, p.options.Daemons()))
-	return b.AllowRetry(time.Now())
-}
-
-// CountRequest adds a caller's request to the budget of a service.
-func (p *Placer) CountRequest(service string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.budget(service).CountRequest(time.Now())
-}
-
-// budget returns the budget of a service, which it makes on first use.
-func (p *Placer) budget(service string) *Budget {
-	b, ok := p.budgets[service]
-	if !ok {
-		copied := p.options.Budget()
-		b = &copied
-		p.budgets[service] = b
-	}
-	return b
-}
-
 // Dispatch assigns free slots to waiting requests, and refuses late ones that won't
 // get a slot. It is to be called after a change that may have freed slots.
 func (p *Placer) Dispatch() {
@@ -203,10 +172,13 @@
 	s.begin(now)
 	s.unread += request.PromptTokens
 	q.active++
-	return &Slot{
+	slot := &Slot{
 		Endpoint: eligible[i], Load: candidates[i].Load, ReadTime: candidates[i].ReadTime,
 		placer: p, state: s, queue: q, lastProgress: now, acquired: now, unread: request.PromptTokens,
 	}
+	s.queue = q
+	s.unanswered = append(s.unanswered, slot)
+	return slot
 }
 
 // Report returns the part of the gossip message that describes the requests of
--- a/pick/queue.go
+++ b/pick/queue.go
@@ -16,6 +16,7 @@
 	firstEventSeconds float64      // mean time from a slot's acquisition to the first event, smoothed
 	holdSeconds       float64      // mean time that a request keeps its slot, smoothed
 	active            int          // requests with a slot
+	paces                          // of all endpoints that its requests run at
 	others            gossip.Queue // sum over the other daemons
 }
 
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -20,6 +20,7 @@
 	streaming    bool // whether an event has arrived
 	unread       int  // tokens of its prompt; 0 once an event has arrived
 	done         bool
+	retry        time.Time // when Successor counted it in the budget
 }
 
 // timeWeight is the weight of the newest request in the mean times of a queue.
@@ -43,6 +44,7 @@
 		s.queue.firstEventSeconds += timeWeight * (now.Sub(s.lastProgress).Seconds() - s.queue.firstEventSeconds)
 	}
 	s.lastProgress = now
+	s.state.answered(s, now)
 	s.state.event(now, gap)
 }
 
@@ -55,8 +57,9 @@
 
 // Patience returns how long a request may receive nothing from an endpoint that
 // makes progress with others before it is sent to another one: several times the
-// mean time to the first event. While requests wait and arrive about as fast as
-// slots are freed it is unlimited, because a retry would only add to the load.
+// mean time to the first event, and longer than is usual at the endpoint. While
+// requests wait and arrive about as fast as slots are freed it is unlimited, because a
+// retry would only add to the load.
 func (s *Slot) Patience() time.Duration {
 	s.placer.mu.Lock()
 	defer s.placer.mu.Unlock()
@@ -64,7 +67,19 @@
 	if len(s.queue.waiting) > 0 && saturated(s.queue.arrivals.rate(now), s.queue.freed.rate(now)) {
 		return math.MaxInt64
 	}
-	return max(minPatience, time.Duration(patienceFactor*s.queue.firstEventSeconds*float64(time.Second)))
+	patience := max(minPatience, time.Duration(patienceFactor*s.queue.firstEventSeconds*float64(time.Second)))
+	if s.streaming {
+		return max(patience, s.state.gaps.limit(), s.queue.gaps.limit())
+	}
+	return max(patience, s.state.firsts.limit(), s.queue.firsts.limit()) + s.ReadTime
+}
+
+// UsualSilence returns the time without progress beyond which the endpoint counts as
+// stalled.
+func (s *Slot) UsualSilence() time.Duration {
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	return s.state.usualSilence()
 }
 
 const (
@@ -112,6 +127,7 @@
 		s.state.streams--
 	}
 	s.state.unread -= s.unread
+	s.state.drop(s)
 	s.done = true
 	s.queue.active--
 	s.placer.dispatchQueue(s.queue, now)
