--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -55,6 +55,14 @@
 	return known && s.slowdown(*service.Engine, model, s.running+s.othersRunning) >= slowFactor
 }
 
+// isPlain reports whether an endpoint is known to be of a plain service, which has no
+// events that would show that it is stalled, and no group.
+func (p *Placer) isPlain(v *watch.Snapshot, id string) bool {
+	e, listed := v.Endpoints[id]
+	service, known := p.service(e.Service)
+	return listed && known && service.Engine == nil
+}
+
 func (p *Placer) service(name string) (site.Service, bool) {
 	v := p.options.Snapshot()
 	if v.Config == nil {
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -190,7 +190,7 @@
 	m := gossip.Message{Endpoints: map[string]gossip.EndpointLoad{}, Demand: map[string]int{}, Queues: map[string]gossip.Queue{}}
 	v := p.options.Snapshot()
 	for id, s := range p.endpoints {
-		load := gossip.EndpointLoad{Running: s.running, UnreadTokens: s.unread, Stalled: s.locallyStalled(now), Leaving: p.reportLeaving(v, id), Slow: p.isSlow(v, s)}
+		load := gossip.EndpointLoad{Running: s.running, UnreadTokens: s.unread, Stalled: s.locallyStalled(now) && !p.isPlain(v, id), Leaving: p.reportLeaving(v, id), Slow: p.isSlow(v, s)}
 		if load != (gossip.EndpointLoad{}) {
 			m.Endpoints[id] = load
 		}
--- /dev/null
+++ b/pick/report_test.go
@@ -0,0 +1,28 @@
+package pick
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/site"
+)
+
+// An endpoint of a plain service is not reported as stalled because of a slow answer.
+// The keeper asked it for a report then, which it can't give ("report not taken").
+func TestSlowPlainEndpointIsNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture()
+		p.options.Snapshot().Config.Services["plain"] = site.Service{Name: "plain"}
+		p.options.Snapshot().Endpoints["p"] = site.Endpoint{ID: "p", Service: "plain", Slots: 6}
+		slow, err := p.Acquire(t.Context(), Request{Service: "plain", Remaining: time.Second})
+		is.NoErr(err)
+		time.Sleep(2 * firstEventTimeout)
+		is.True(!p.Report().Endpoints["p"].Stalled)
+		slow.Suspect()
+		is.True(!p.Report().Endpoints["p"].Stalled)
+	})
+}
