--- a/front/send.go
+++ b/front/send.go
@@ -110,7 +110,11 @@
 	}
 	j.watch = nil
 	f.options.Metrics.sends.WithLabelValues(j.model, slot.Endpoint.Domain, got.String()).Inc()
-	slot.Done(got == unknown || got == notRun || got == failed && last.status >= http.StatusInternalServerError)
+	if got == disconnected {
+		slot.Left()
+	} else {
+		slot.Done(got == unknown || got == notRun || got == failed && last.status >= http.StatusInternalServerError)
+	}
 	if got != answered {
 		j.avoid[slot.Endpoint.ID] = true
 		f.options.Log.Info("send ended", "id", j.id, "endpoint", slot.Endpoint.ID, "result", got.String(),
--- a/pick/report_test.go
+++ b/pick/report_test.go
@@ -26,3 +26,20 @@
 		is.True(!p.Report().Endpoints["p"].Stalled)
 	})
 }
+
+// A caller that leaves is no sign that the endpoint makes progress.
+func TestLeavingCallerIsNoProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		stays, err := p.Acquire(t.Context(), engineRequest)
+		is.NoErr(err)
+		leaves, err := p.Acquire(t.Context(), engineRequest)
+		is.NoErr(err)
+		stays.Progress(true)
+		time.Sleep(400 * time.Millisecond)
+		leaves.Left()
+		time.Sleep(100 * time.Millisecond)
+		is.True(stays.Stalled())
+	})
+}
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -106,14 +106,31 @@
 	now := time.Now()
 	s.state.end(now, failed)
 	if !failed {
-		s.queue.holdSeconds += timeWeight * (now.Sub(s.acquired).Seconds() - s.queue.holdSeconds)
+		s.countFreed(now)
 	}
-	if !failed {
-		s.queue.freed.add(now)
+	s.finish(now)
+}
+
+// Left releases the slot of a request whose caller left, which says nothing of the
+// endpoint.
+func (s *Slot) Left() {
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	if s.done {
+		return
 	}
+	now := time.Now()
+	s.state.running--
+	s.countFreed(now)
 	s.finish(now)
 }
 
+// countFreed records the end of a request in the figures of its queue.
+func (s *Slot) countFreed(now time.Time) {
+	s.queue.holdSeconds += timeWeight * (now.Sub(s.acquired).Seconds() - s.queue.holdSeconds)
+	s.queue.freed.add(now)
+}
+
 // release returns a slot that was granted to a request that no longer needs it. It
 // counts neither a result nor a freed slot.
 func (p *Placer) release(s *Slot, now time.Time) {
