--- a/front/silence.go
+++ b/front/silence.go
@@ -32,10 +32,11 @@
 	lastEvent atomic.Int64 // time of the last event, in nanoseconds after start
 	timer     atomic.Pointer[time.Timer]
 
-	mu        sync.Mutex
-	stopped   bool
-	denied    hurdle     // why there was no successor at the last check
-	successor *pick.Slot // set once the send has been broken off
+	mu          sync.Mutex
+	stopped     bool
+	denied      hurdle            // why there was no successor at the last check
+	reservation *pick.Reservation // for a slot elsewhere, while there is none
+	successor   *pick.Slot        // set once the send has been broken off
 }
 
 // watchStall starts the watchdog of a send over conn. It does nothing if the
@@ -54,7 +55,7 @@
 }
 
 // check breaks the send off if the endpoint is silent for too long and a successor
-// is held, or schedules the next check.
+// is held. Without one it queues for a slot elsewhere, and schedules the next check.
 func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -63,20 +64,70 @@
 	}
 	cause := w.overdue()
 	if cause == "" {
+		w.cancelReservation()
 		w.reset(stallRecheck)
 		return
 	}
 	successor, decision, reason := w.takeOver()
-	if reason != allowed {
-		w.logDenied(cause, reason, decision)
-		w.reset(stallRecheck)
+	if reason == allowed {
+		w.leave(cause, successor)
 		return
 	}
+	w.logDenied(cause, reason, decision)
+	if reason != noSlot {
+		w.cancelReservation()
+	} else if w.reservation == nil {
+		w.reserve()
+	}
+	w.reset(stallRecheck)
+}
+
+// reserve queues for a slot elsewhere. The lock must be held.
+func (w *watchdog) reserve() {
+	var reservation *pick.Reservation
+	reservation = w.front.options.Placer.Reserve(w.successorRequest(), func(slot *pick.Slot) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.reservation == reservation {
+			w.reservation = nil
+		}
+		w.granted(slot)
+	})
+	w.reservation = reservation
+}
+
+// granted takes a slot that was queued for, if it is still needed and the retry is
+// still permitted. The lock must be held.
+func (w *watchdog) granted(slot *pick.Slot) {
+	cause := w.overdue()
+	if w.stopped || w.successor != nil || cause == "" || w.permitted() != allowed {
+		slot.Cancel()
+		return
+	}
+	if decision := slot.CountRetry(); !decision.Allowed {
+		slot.Cancel()
+		w.logDenied(cause, noBudget, decision)
+		return
+	}
+	w.leave(cause, slot)
+}
+
+// leave breaks the send off for a successor. The lock must be held.
+func (w *watchdog) leave(cause string, successor *pick.Slot) {
+	w.cancelReservation()
 	w.successor = successor
 	w.front.options.Log.Info("endpoint stands still", append(w.fields(cause), "successor", successor.Endpoint.ID)...)
 	_ = w.conn.Close()
 }
 
+// cancelReservation leaves the queue for a slot elsewhere. The lock must be held.
+func (w *watchdog) cancelReservation() {
+	if w.reservation != nil {
+		w.reservation.Cancel()
+		w.reservation = nil
+	}
+}
+
 // overdue returns why the send should be taken over, or an empty text. This covers an
 // endpoint that has stalled, and one that loses a single response while it goes on
 // with others.
@@ -93,22 +144,27 @@
 	return ""
 }
 
-// takeOver returns a slot for a retry at another endpoint, or why there is none.
-func (w *watchdog) takeOver() (*pick.Slot, pick.RetryDecision, hurdle) {
-	j := w.job
-	switch {
+// permitted returns allowed if a retry is permitted now, but for the budget and a slot.
+func (w *watchdog) permitted() hurdle {
+	switch j := w.job; {
 	case w.ran >= j.route.Attempts:
-		return nil, pick.RetryDecision{}, noAttempts
+		return noAttempts
 	case w.tries >= maxTries:
-		return nil, pick.RetryDecision{}, noTries
+		return noTries
 	case j.remaining() < minTakeover:
-		return nil, pick.RetryDecision{}, noTime
+		return noTime
 	case w.front.isStaleFor(j):
-		return nil, pick.RetryDecision{}, viewTooOld
+		return viewTooOld
 	}
-	request := w.request
-	request.Resumed = request.Resumed || w.lastEvent.Load() > 0
-	slot, decision := w.front.options.Placer.Successor(request)
+	return allowed
+}
+
+// takeOver returns a slot for a retry at another endpoint, or why there is none.
+func (w *watchdog) takeOver() (*pick.Slot, pick.RetryDecision, hurdle) {
+	if reason := w.permitted(); reason != allowed {
+		return nil, pick.RetryDecision{}, reason
+	}
+	slot, decision := w.front.options.Placer.Successor(w.successorRequest())
 	switch {
 	case slot != nil:
 		return slot, decision, allowed
@@ -118,6 +174,13 @@
 	return nil, decision, noSlot
 }
 
+// successorRequest returns what the retry needs.
+func (w *watchdog) successorRequest() pick.Request {
+	request := w.request
+	request.Resumed = request.Resumed || w.lastEvent.Load() > 0
+	return request
+}
+
 // logDenied logs why a silent send goes on, once for each reason in a row.
 func (w *watchdog) logDenied(cause string, reason hurdle, decision pick.RetryDecision) {
 	if reason == w.denied {
@@ -153,6 +216,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
+	w.cancelReservation()
 	if timer := w.timer.Load(); timer != nil {
 		timer.Stop()
 	}
--- a/pick/queue.go
+++ b/pick/queue.go
@@ -134,11 +134,13 @@
 	return max(q.active+len(q.waiting), int(wanted+0.5))
 }
 
-func (q *queue) remove(w *waiter) {
+// remove takes a waiting request out of the queue, and reports whether it was there.
+func (q *queue) remove(w *waiter) bool {
 	for i, other := range q.waiting {
 		if other == w {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return
+			return true
 		}
 	}
+	return false
 }
