--- /dev/null
+++ b/front/late_test.go
@@ -0,0 +1,103 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+// wholeAnswer returns a complete answer to the request with an id. Its body, an event,
+// names the request.
+func wholeAnswer(status int, extra, id string) string {
+	body := "id: 1\ndata: " + id + "\n\n"
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Server-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, extra, len(body), body)
+}
+
+// stutter returns a script that answers each request with 200. Before the answer to the
+// second request on a connection it writes late, with %s replaced by the id of the first.
+func stutter(late string) script {
+	var earlier sync.Map // id of the first request, by connection
+	return func(w io.Writer, r *http.Request) bool {
+		id := r.Header.Get("X-Request-Id")
+		text := wholeAnswer(200, "", id)
+		if first, again := earlier.LoadOrStore(w, id); again && id == "own" {
+			text = strings.ReplaceAll(late, "%s", first.(string)) + text
+		}
+		_, _ = io.WriteString(w, text)
+		return true
+	}
+}
+
+// A late second answer to an earlier request on a kept connection must not be taken for
+// the answer to the next one, whatever its status: neither its body nor what it says of
+// its endpoint or of whether it ran.
+func TestLateAnswerIsNotTheNextOnes(t *testing.T) {
+	late := map[string]string{
+		"200":          wholeAnswer(200, "", "%s"),
+		"404":          wholeAnswer(404, "", "%s"),
+		"500":          wholeAnswer(500, "", "%s"),
+		"504":          wholeAnswer(504, "", "%s"),
+		"503 not run":  wholeAnswer(503, "X-Not-Executed: 1\r\nRetry-After: 30\r\n", "%s"),
+		"421":          wholeAnswer(421, "", "%s"),
+		"leaving":      wholeAnswer(200, "Server-Leaving: 1\r\n", "%s"),
+		"continue":     "HTTP/1.1 100 Continue\r\nX-Request-Id: %s\r\n\r\n",
+		"no body":      "HTTP/1.1 204 No Content\r\nX-Request-Id: %s\r\n\r\n",
+		"two":          wholeAnswer(504, "", "%s") + wholeAnswer(200, "", "before"),
+		"chunked":      "HTTP/1.1 500 X\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"long":         "HTTP/1.1 200 X\r\nX-Request-Id: %s\r\nX-Server-Signature: s\r\nContent-Length: 60000\r\n\r\n" + strings.Repeat("x", 60000),
+		"no late one":  "",
+		"its own then": wholeAnswer(200, "", "own"),
+	}
+	for name, text := range late {
+		for _, path := range []string{"/read/", "/file/", "/talk/", "/tell/"} {
+			t.Run(path+name, func(t *testing.T) {
+				is := is.New(t)
+				service := "plain"
+				if path == "/talk/" || path == "/tell/" {
+					service = "engines"
+				}
+				a := newStub(t, "a", stutter(text))
+				f := newFixture(t, service, a)
+				for _, id := range []string{"first", "own", "next"} {
+					got := f.call(t, "POST", path, func(r *http.Request) { r.Header.Set("X-Request-Id", id) })
+					is.Equal(got.status, 200)
+					is.Equal(got.header.Get("X-Request-Id"), id)
+					is.Equal(got.body, "id: 1\ndata: "+id+"\n\n")
+				}
+				is.Equal(a.count(), 3)
+			})
+		}
+	}
+}
+
+// An answer without an id on a kept connection may be anyone's, so that it proves
+// neither that the request ran nor that it did not.
+func TestAnswerWithoutIDOnKeptConnection(t *testing.T) {
+	for _, late := range []string{
+		"HTTP/1.1 200 X\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 504 X\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(late[9:12], func(t *testing.T) {
+			is := is.New(t)
+			a := newStub(t, "a", stutter(late))
+			f := newFixture(t, "plain", a)
+			for _, c := range []struct {
+				id     string
+				status int
+			}{{"first", 200}, {"own", 502}, {"next", 200}} {
+				got := f.call(t, "POST", "/read/", func(r *http.Request) { r.Header.Set("X-Request-Id", c.id) })
+				is.Equal(got.status, c.status)
+				is.True(got.body != "no")
+			}
+			is.Equal(testutil.ToFloat64(f.front.options.Metrics.otherAnswers.WithLabelValues("reused", late[9:12])), 1.0)
+		})
+	}
+}
