front: an answer counts only if its id shows that it is the request's own

What callers saw: another request's 404, 500 or 504, with its body and signature; a 503 'not run' or 502 though the request runs at the endpoint. A late 503, 421 or 'leaving' also paused or took out its endpoint, and let a stream that may not be resumed run twice. Cause: the id of an answer was compared only below status 400, and after its notices had been taken. Every answer's id is compared before anything is believed. On a connection that served before, an answer with another id is a late one: it is read to its end and the next is awaited, so that the caller still gets its own. The connection isn't kept after that. One without an id can't be told there: the request may have run. On a new connection there is no earlier request, so another id there fails the send, as before, and a failure without an id is the request's own. The late answers of TestLateAnswerIsNotTheNextOnes had the wrong length for the id that they name, which made them no answers; they are whole now, and the expectations unchanged.

--- a/conns/send.go
+++ b/conns/send.go
@@ -26,9 +26,11 @@
 	*http.Response
 	pool     *Pool
 	conn     *Conn
+	method   string      // of the request
 	stop     func() bool // cancels the closing of conn at the context's end; false if that has come
 	writeErr chan error
 	consumed bool
+	strayed  bool // a response to another request came before
 }
 
 // asyncWriteSize is the size in bytes above which a request is written in the
@@ -41,26 +43,36 @@
 // if the context ends before Response.Close. The kind of an error is Sent.
 func (p *Pool) Send(ctx context.Context, c *Conn, r Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	response := &Response{pool: p, conn: c, stop: stop, writeErr: make(chan error, 1)}
+	response := &Response{pool: p, conn: c, method: r.Method, stop: stop, writeErr: make(chan error, 1)}
 	data := r.encode()
 	if len(data) > asyncWriteSize {
 		go func() { response.writeErr <- c.write(data) }()
 	} else {
 		response.writeErr <- c.write(data)
 	}
-	parsed, err := http.ReadResponse(c.link.reader, &http.Request{Method: r.Method})
-	for err == nil && parsed.StatusCode < 200 {
-		parsed, err = http.ReadResponse(c.link.reader, &http.Request{Method: r.Method})
-	}
-	if err != nil {
+	if err := response.readHead(); err != nil {
 		stop()
 		_ = c.Close()
 		return nil, &Error{Op: "send", Address: c.Address, Kind: Sent, Err: err}
 	}
-	response.Response = parsed
 	return response, nil
 }
 
+// readHead reads the next response on the connection up to its body, skipping
+// informational ones. On an error r is as before.
+func (r *Response) readHead() error {
+	for {
+		parsed, err := http.ReadResponse(r.conn.link.reader, &http.Request{Method: r.method})
+		if err != nil {
+			return err
+		}
+		if parsed.StatusCode >= http.StatusOK {
+			r.Response = parsed
+			return nil
+		}
+	}
+}
+
 func (c *Conn) write(data []byte) error {
 	_, err := c.link.Write(data)
 	return err
@@ -104,12 +116,13 @@
 
 // Close releases the connection. It returns to the pool if the context has not
 // ended, the whole request was written, the body was read to its end (ReadAll or
-// MarkConsumed), that end is marked (Framed), and the response does not ask to close
-// the connection; otherwise it is closed. The pool in turn closes a connection with
+// MarkConsumed), that end is marked (Framed), no response to another request came
+// before (Next), and the response does not ask to close the connection; otherwise it
+// is closed. The pool in turn closes a connection with
 // unread bytes, and one that it has no space for. Calls after the first have no effect.
 func (r *Response) Close() {
 	stopped := r.stop()
-	if !stopped || !r.consumed || r.Response.Close || !r.Framed() || !r.written() {
+	if !stopped || !r.consumed || r.strayed || r.Response.Close || !r.Framed() || !r.written() {
 		_ = r.conn.Close()
 		return
 	}
--- a/front/answer.go
+++ b/front/answer.go
@@ -1,32 +1,73 @@
 package front
 
 import (
+	"errors"
 	"strconv"
+	"strings"
 
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/platform"
 )
 
+// maxLateAnswers is the number of answers to other requests that are passed over.
+const maxLateAnswers = 8
+
+// errOtherAnswer is the error of a send whose answer is, or may be, to another request.
+var errOtherAnswer = errors.New("another request's answer")
+
 // sendRecord is what the log says of a request's last send.
 type sendRecord struct {
 	served   int    // requests that the connection carried before
 	answerID string // the request that the answer names, if that is another one
 }
 
-// noteAnswer logs and counts an answer that names another request than the one that
-// was sent.
-func (f *Front) noteAnswer(j *job, slot *pick.Slot, resp *conns.Response) {
-	id := resp.Header.Get(platform.HeaderRequest)
-	if id == j.id {
-		return
+// ownAnswer makes resp the answer to the request that was sent, by its id. It passes
+// over late answers to requests that the connection carried before. The error is
+// errOtherAnswer, or that of the connection.
+func (f *Front) ownAnswer(j *job, slot *pick.Slot, resp *conns.Response) error {
+	for range maxLateAnswers {
+		named := strings.Join(resp.Header.Values(platform.HeaderRequest), ",")
+		if named == j.id || j.lastSend.served == 0 && mayBeOwn(j.id, named, resp.StatusCode) {
+			return nil
+		}
+		f.noteOther(j, slot, named, resp.StatusCode)
+		if j.lastSend.served == 0 || named == "" {
+			return errOtherAnswer
+		}
+		if err := resp.Next(responseLimit); err != nil {
+			return err
+		}
 	}
-	j.lastSend.answerID = id
+	return errOtherAnswer
+}
+
+// mayBeOwn reports whether the first answer on a new connection, which names another
+// request or none, is accepted: where the caller gave no id, and a failure without one,
+// as endpoints refuse a request before they have read it.
+func mayBeOwn(id, named string, status int) bool {
+	return id == "" || named == "" && status >= 400
+}
+
+// noteOther logs and counts an answer that names another request, or none.
+func (f *Front) noteOther(j *job, slot *pick.Slot, named string, status int) {
+	j.lastSend.answerID = named
 	connection := "new"
 	if j.lastSend.served > 0 {
 		connection = "reused"
 	}
-	f.options.Metrics.otherAnswers.WithLabelValues(connection, strconv.Itoa(resp.StatusCode)).Inc()
+	f.options.Metrics.otherAnswers.WithLabelValues(connection, strconv.Itoa(status)).Inc()
 	f.options.Log.Info("answer names another request", "id", j.id, "endpoint", slot.Endpoint.ID,
-		"answer_id", id, "status", resp.StatusCode, "served", j.lastSend.served)
+		"answer_id", named, "status", status, "served", j.lastSend.served)
+}
+
+// unanswered records why a send got no answer of its own, and returns its result.
+func (f *Front) unanswered(j *job, slot *pick.Slot, err error) result {
+	if errors.Is(err, errOtherAnswer) {
+		j.setCause(errOtherAnswer.Error(), nil)
+		return f.orDisconnected(j, unknown)
+	}
+	j.setCause("no answer", err)
+	f.checkCrash(j, slot)
+	return f.orDisconnected(j, unknown)
 }
--- a/front/late_test.go
+++ b/front/late_test.go
@@ -20,14 +20,14 @@
 }
 
 // stutter returns a script that answers each request with 200. Before the answer to the
-// second request on a connection it writes late, with %s replaced by the id of the first.
-func stutter(late string) script {
+// second request on a connection it writes late, which is given the id of the first.
+func stutter(late func(id string) string) script {
 	var earlier sync.Map // id of the first request, by connection
 	return func(w io.Writer, r *http.Request) bool {
 		id := r.Header.Get("X-Request-Id")
 		text := wholeAnswer(200, "", id)
 		if first, again := earlier.LoadOrStore(w, id); again && id == "own" {
-			text = strings.ReplaceAll(late, "%s", first.(string)) + text
+			text = late(first.(string)) + text
 		}
 		_, _ = io.WriteString(w, text)
 		return true
@@ -38,21 +38,25 @@
 // the answer to the next one, whatever its status: neither its body nor what it says of
 // its endpoint or of whether it ran.
 func TestLateAnswerIsNotTheNextOnes(t *testing.T) {
-	late := map[string]string{
-		"200":          wholeAnswer(200, "", "%s"),
-		"404":          wholeAnswer(404, "", "%s"),
-		"500":          wholeAnswer(500, "", "%s"),
-		"504":          wholeAnswer(504, "", "%s"),
-		"503 not run":  wholeAnswer(503, "X-Not-Executed: 1\r\nRetry-After: 30\r\n", "%s"),
-		"421":          wholeAnswer(421, "", "%s"),
-		"leaving":      wholeAnswer(200, "Server-Leaving: 1\r\n", "%s"),
-		"continue":     "HTTP/1.1 100 Continue\r\nX-Request-Id: %s\r\n\r\n",
-		"no body":      "HTTP/1.1 204 No Content\r\nX-Request-Id: %s\r\n\r\n",
-		"two":          wholeAnswer(504, "", "%s") + wholeAnswer(200, "", "before"),
-		"chunked":      "HTTP/1.1 500 X\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-		"long":         "HTTP/1.1 200 X\r\nX-Request-Id: %s\r\nX-Server-Signature: s\r\nContent-Length: 60000\r\n\r\n" + strings.Repeat("x", 60000),
-		"no late one":  "",
-		"its own then": wholeAnswer(200, "", "own"),
+	late := map[string]func(id string) string{
+		"200":         func(id string) string { return wholeAnswer(200, "", id) },
+		"404":         func(id string) string { return wholeAnswer(404, "", id) },
+		"500":         func(id string) string { return wholeAnswer(500, "", id) },
+		"504":         func(id string) string { return wholeAnswer(504, "", id) },
+		"503 not run": func(id string) string { return wholeAnswer(503, "X-Not-Executed: 1\r\nRetry-After: 30\r\n", id) },
+		"421":         func(id string) string { return wholeAnswer(421, "", id) },
+		"leaving":     func(id string) string { return wholeAnswer(200, "Server-Leaving: 1\r\n", id) },
+		"continue":    func(id string) string { return "HTTP/1.1 100 Continue\r\nX-Request-Id: " + id + "\r\n\r\n" },
+		"no body":     func(id string) string { return "HTTP/1.1 204 X\r\nX-Request-Id: " + id + "\r\n\r\n" },
+		"two":         func(id string) string { return wholeAnswer(504, "", id) + wholeAnswer(200, "", "before") },
+		"chunked": func(id string) string {
+			return "HTTP/1.1 500 X\r\nX-Request-Id: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
+		},
+		"long": func(id string) string {
+			return "HTTP/1.1 200 X\r\nX-Request-Id: " + id + "\r\nContent-Length: 60000\r\n\r\n" + strings.Repeat("x", 60000)
+		},
+		"no late one":  func(string) string { return "" },
+		"its own then": func(string) string { return wholeAnswer(200, "", "own") },
 	}
 	for name, text := range late {
 		for _, path := range []string{"/read/", "/file/", "/talk/", "/tell/"} {
@@ -87,7 +91,7 @@
 	} {
 		t.Run(late[9:12], func(t *testing.T) {
 			is := is.New(t)
-			a := newStub(t, "a", stutter(late))
+			a := newStub(t, "a", stutter(func(string) string { return late }))
 			f := newFixture(t, "plain", a)
 			for _, c := range []struct {
 				id     string
--- a/front/send.go
+++ b/front/send.go
@@ -149,21 +149,16 @@
 	monitor := f.watchStall(j, slot, conn)
 	defer monitor.Stop()
 	resp, err := f.options.Pool.Send(ctx, conn, f.request(j, slot.Endpoint))
+	if err == nil {
+		defer resp.Close()
+		err = f.ownAnswer(j, slot, resp)
+	}
 	if err != nil {
 		j.ran++
-		j.setCause("no answer", err)
-		f.checkCrash(j, slot)
-		return f.orDisconnected(j, unknown)
+		return f.unanswered(j, slot, err)
 	}
-	defer resp.Close()
-	f.noteAnswer(j, slot, resp)
 	recordNotices(slot, resp)
 	j.cause = strconv.Itoa(resp.StatusCode)
-	if resp.Header.Get(platform.HeaderRequest) != j.id && j.id != "" && resp.StatusCode < 400 {
-		j.ran++
-		j.cause = "another request's answer"
-		return f.orDisconnected(j, unknown)
-	}
 	if platform.NotRun(resp.StatusCode, resp.Header) {
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			slot.Suspect()
