front: no request that may not be repeated goes over a kept connection

What callers saw: a stream that may not be resumed ended with 502 though its endpoint was sound and had closed an idle connection; and an answer without an id could be taken for that of a request without one. Cause: only routes of kind Once got a new connection, not streams that may not be resumed. Evidence: TestKeptConnectionIsNotForEveryRequest failed for /tell/ and for a request without an id, with 502. The price is a new connection for each such stream, as for other requests that run once.

--- a/front/answer.go
+++ b/front/answer.go
@@ -22,6 +22,11 @@
 	answerID string // the request that the answer names, if that is another one
 }
 
+// needsNewConnection reports whether a request may not use a kept connection: one that
+// can't be repeated, since such a connection may fail without telling whether the
+// request ran, and one without an id, since an answer on it may be an earlier request's.
+func (j *job) needsNewConnection() bool { return !j.route.Repeatable() || j.id == "" }
+
 // ownAnswer makes resp the answer to the request that was sent, by its id. It passes
 // over late answers to requests that the connection carried before. The error is
 // errOtherAnswer, or that of the connection.
--- a/front/late_test.go
+++ b/front/late_test.go
@@ -105,3 +105,27 @@
 		})
 	}
 }
+
+// An endpoint may close a kept connection as a request comes, which does not tell whether
+// it ran. A request that may not be repeated must not be lost to that, nor must one
+// without an id, of which no answer could be told, get a late answer.
+func TestKeptConnectionIsNotForEveryRequest(t *testing.T) {
+	for _, c := range []struct{ path, service, id string }{{"/file/", "plain", "own"}, {"/tell/", "engines", "own"}, {"/read/", "plain", ""}} {
+		t.Run(c.path, func(t *testing.T) {
+			is := is.New(t)
+			var carried sync.Map // connections that carried a request
+			b := newStub(t, "a", func(w io.Writer, r *http.Request) bool {
+				if _, again := carried.LoadOrStore(w, true); again {
+					return false
+				}
+				return signed(200, "x\n\n")(w, r)
+			})
+			f := newFixture(t, c.service, b)
+			for range 2 {
+				got := f.call(t, "POST", c.path, func(r *http.Request) { r.Header.Set("X-Request-Id", c.id) })
+				is.Equal(got.status, 200)
+			}
+			is.Equal(b.count(), 2)
+		})
+	}
+}
--- a/front/send.go
+++ b/front/send.go
@@ -131,11 +131,9 @@
 // the snapshot became too old while the request waited for a slot.
 var errStale = errors.New("view too old")
 
-// send sends the request to the endpoint of a slot and forwards its response. A
-// request that may run only once gets a new connection, since an idle one may fail
-// without telling whether the request has run.
+// send sends the request to the endpoint of a slot and forwards its response.
 func (f *Front) send(ctx context.Context, j *job, slot *pick.Slot, last *response) result {
-	conn, err := f.options.Pool.Get(ctx, slot.Endpoint.Address, j.route.Repeat == site.Once)
+	conn, err := f.options.Pool.Get(ctx, slot.Endpoint.Address, j.needsNewConnection())
 	if err != nil {
 		if ctx.Err() == nil {
 			slot.Suspect()
