front: nothing but a stream's continuation follows its first events

What callers saw: after some events of a stream, the body of another answer (a 404, or a 201) joined to them, and a connection that ended as if the stream were complete. Cause: after a break, a further try's answer below 500 that is no stream was delivered as that of a plain request, though the head had been sent. Evidence: TestNothingElseIsJoinedToAStream failed for a 404 and a 201, with 'superfluous response.WriteHeader'. Five other answers that it tries were cut rightly before. Such an answer is now a failed try, and finish cuts the stream.

--- a/front/send.go
+++ b/front/send.go
@@ -237,7 +237,8 @@
 
 // forwardBody reads the body of a response that is not streamed and sends the
 // response to the caller. An error response to a repeatable request is kept in last
-// instead, since a retry may succeed.
+// instead, since a retry may succeed, and so is any where the caller has a part of a
+// stream, which it does not continue.
 func (f *Front) forwardBody(j *job, slot *pick.Slot, resp *conns.Response, last *response) result {
 	body, err := resp.ReadAll(responseLimit)
 	if err != nil {
@@ -253,7 +254,7 @@
 	last.status = resp.StatusCode
 	last.header = platform.Incoming(resp.Header)
 	last.body = body
-	if resp.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
+	if j.stream.headSent || resp.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
 		return failed
 	}
 	f.deliver(j, last)
