front: a stream that its caller resumes goes on after the event that it names

What callers could see: after a Last-Event-Id of 2, a run that begins anew at event 1, whose events they already have. Cause: the order of events was checked from the first event that came, whatever its id. Evidence: TestStreamGoesOnAfterItsCallersLastEvent failed with events 1 and 2 after Last-Event-Id 2. The caller's id now sets what the first event must be, as the daemon's own resumption does. It holds only on routes whose streams may be resumed.

--- a/front/send.go
+++ b/front/send.go
@@ -165,6 +165,7 @@
 	}
 	j.ran++
 	if j.route.Repeat == site.Streaming && resp.StatusCode == http.StatusOK {
+		j.expectAfterLast()
 		return f.forwardStream(ctx, j, slot, resp, monitor)
 	}
 	return f.forwardBody(j, slot, resp, last)
--- a/front/splice_test.go
+++ b/front/splice_test.go
@@ -45,3 +45,15 @@
 		})
 	}
 }
+
+// A stream that its caller resumes must go on with the event after the one that the
+// caller names.
+func TestStreamGoesOnAfterItsCallersLastEvent(t *testing.T) {
+	is := is.New(t)
+	whole := "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+	f := newFixture(t, "engines", newStub(t, "a", signed(200, whole)), newStub(t, "b", events(4, true)))
+	for range 4 {
+		got := f.call(t, "POST", "/talk/", func(r *http.Request) { r.Header.Set("Last-Event-Id", "2") })
+		is.True(got.status == 502 || got.body == "id: 3\ndata: x\n\nid: 4\ndata: x\n\n")
+	}
+}
