--- a/front/late_test.go
+++ b/front/late_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus/testutil"
@@ -129,3 +130,21 @@
 		})
 	}
 }
+
+// A late answer of which the rest doesn't come must not hold the next request until its
+// deadline.
+func TestUnfinishedLateAnswerIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	late := func(id string) string {
+		return "HTTP/1.1 200 X\r\nX-Request-Id: " + id + "\r\nContent-Length: 900\r\n\r\n"
+	}
+	s := stutter(late)
+	f := newFixture(t, "plain", newStub(t, "a", s), newStub(t, "b", s))
+	for _, id := range []string{"first", "second", "own"} {
+		began := time.Now()
+		got := f.call(t, "POST", "/read/", func(r *http.Request) { r.Header.Set("X-Request-Id", id) })
+		is.Equal(got.status, 200)
+		is.Equal(got.header.Get("X-Request-Id"), id)
+		is.True(time.Since(began) < time.Second) // the route's target latency
+	}
+}
