front: a caller that has left gets no empty success

What callers saw: '200 OK' with an empty body and no signature, for a request that no endpoint had answered, if they ended their side of the connection and went on reading. Cause: the end of a request whose caller has left wrote nothing, for which net/http sends '200 OK, Content-Length: 0'. The server takes the end of the caller's side for its leaving. Evidence: TestCallerThatLeftGetsNoSuccess failed with that answer on /read/, /talk/ and /tell/ (/file/ was added with the fix). The connection is now closed without an answer, as where a stream is cut.

--- a/front/finish.go
+++ b/front/finish.go
@@ -24,7 +24,8 @@
 }
 
 // finish sends the caller the final response after the last try, which did not
-// answer it. It aborts a stream of which the caller has a part.
+// answer it. It aborts a stream of which the caller has a part, and the connection of a
+// caller that has left.
 func (f *Front) finish(j *job, last *response, err error) {
 	switch {
 	case j.stream.headSent:
@@ -34,6 +35,7 @@
 		f.deliver(j, last)
 	case j.r.Context().Err() != nil:
 		f.logEnd(j, "left", 0, "caller left")
+		panic(http.ErrAbortHandler) // the server would send an empty success
 	case j.ran > 0 && j.remaining() <= minRemaining:
 		f.refuse(j, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"})
 	case j.ran > 0:
