--- a/front/send.go
+++ b/front/send.go
@@ -137,11 +137,9 @@
 // the snapshot became too old while the request waited for a slot.
 var errStale = errors.New("view too old")
 
-// send sends the request to the endpoint of a slot and forwards its response. A
-// request that may run only once gets a new connection, since an idle one may fail
-// without telling whether the request has run.
+// send sends the request to the endpoint of a slot and forwards its response.
 func (f *Front) send(ctx context.Context, j *job, slot *pick.Slot, last *response) result {
-	conn, err := f.options.Pool.Get(ctx, slot.Endpoint.Address, j.route.Repeat == site.Once)
+	conn, err := f.options.Pool.Get(ctx, slot.Endpoint.Address, j.needsNewConnection())
 	if err != nil {
 		if ctx.Err() == nil {
 			slot.Suspect()
@@ -155,22 +153,17 @@
 	monitor := f.watchStall(j, slot, conn)
 	defer monitor.Stop()
 	resp, err := f.options.Pool.Send(ctx, conn, f.request(j, slot.Endpoint))
+	if err == nil {
+		defer resp.Close()
+		defer monitor.Stop() // a send that has ended is not left any more
+		err = f.ownAnswer(j, slot, resp)
+	}
 	if err != nil {
 		j.ran++
-		j.setCause("no answer", err)
-		f.checkCrash(j, slot)
-		return f.orDisconnected(j, unknown)
+		return f.unanswered(j, slot, err)
 	}
-	defer resp.Close()
-	defer monitor.Stop() // a send that has ended is not left any more
-	f.noteAnswer(j, slot, resp)
 	recordNotices(slot, resp)
 	j.cause = strconv.Itoa(resp.StatusCode)
-	if resp.Header.Get(platform.HeaderRequest) != j.id && j.id != "" && resp.StatusCode < 400 {
-		j.ran++
-		j.cause = "another request's answer"
-		return f.orDisconnected(j, unknown)
-	}
 	if platform.NotRun(resp.StatusCode, resp.Header) {
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			slot.Suspect()
@@ -179,6 +172,7 @@
 	}
 	j.ran++
 	if j.route.Repeat == site.Streaming && resp.StatusCode == http.StatusOK {
+		j.expectAfterLast()
 		return f.forwardStream(ctx, j, slot, resp, monitor)
 	}
 	return f.forwardBody(j, slot, resp, last)
@@ -251,7 +245,8 @@
 
 // forwardBody reads the body of a response that is not streamed and sends the
 // response to the caller. An error response to a repeatable request is kept in last
-// instead, since a retry may succeed.
+// instead, since a retry may succeed, and so is any where the caller has a part of a
+// stream, which it does not continue.
 func (f *Front) forwardBody(j *job, slot *pick.Slot, resp *conns.Response, last *response) result {
 	body, err := resp.ReadAll(responseLimit)
 	if err != nil {
@@ -267,7 +262,7 @@
 	last.status = resp.StatusCode
 	last.header = platform.Incoming(resp.Header)
 	last.body = body
-	if resp.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
+	if j.stream.headSent || resp.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
 		return failed
 	}
 	f.deliver(j, last)
