daemon: a call to a plain service uses a connection of its own

Cause: calls to plain services that may be repeated went over kept connections. net/http closes one on which bytes arrive while it is idle, but a second answer that arrives after the next request was sent is taken for the answer to that one. Services need not return the request's id, so the entry can't tell.

With one request a connection there is no next request. The connection is not announced as single: where the answer then says "Connection: close, X-Inner", net/http drops that header and X-Inner would be forwarded; TestHopByHopHeaders showed that on a trial with DisableKeepAlives.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -155,7 +155,7 @@
 		Gate:     d.gateClient,
 		Ready:    d.ready,
 		Engine:   d.engine,
-		Plain:    d.clients.endpoint.Do,
+		Plain:    d.clients.plain.Do,
 		Unpooled: d.clients.singleUse.Do,
 		Records:  d.once,
 		Count:    d.tally.Count,
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -24,6 +24,7 @@
 type clients struct {
 	store     *http.Client
 	endpoint  *http.Client
+	plain     *http.Client // to plain services, without reuse of connections
 	probe     *http.Client // of the gate
 	order     *http.Client // of the keeper: probes and orders
 	singleUse *http.Client // to endpoints, without reuse of connections
@@ -34,6 +35,7 @@
 	return clients{
 		store:     &http.Client{Transport: storeTransport(o)},
 		endpoint:  &http.Client{Transport: endpointTransport(o), CheckRedirect: returnRedirect},
+		plain:     &http.Client{Transport: plainTransport(o), CheckRedirect: returnRedirect},
 		probe:     &http.Client{Transport: probeTransport(o)},
 		order:     &http.Client{Transport: probeTransport(o)},
 		singleUse: &http.Client{Transport: singleUseTransport(o), CheckRedirect: returnRedirect},
@@ -69,6 +71,15 @@
 	return transport
 }
 
+// plainTransport uses each connection for one request, but does not ask the service to
+// close it: from an answer that says so, net/http drops the Connection header, which
+// names the headers that the entry must not forward.
+func plainTransport(o Options) *http.Transport {
+	transport := endpointTransport(o)
+	transport.MaxIdleConnsPerHost = -1
+	return transport
+}
+
 // singleUseTransport uses each connection for one request, so that net/http never
 // sends a request a second time.
 func singleUseTransport(o Options) *http.Transport {
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -162,9 +162,10 @@
 		Capacity: conf.Capacity{Spread: 2},
 		Accounts: map[string]conf.Account{"guild": {Keys: []string{hex.EncodeToString(sum[:])}}},
 		Domains:  map[string]conf.Domain{"north": {Region: "r"}, "south": {Region: "r"}},
-		Services: map[string]conf.Service{"ledger": {
-			Addresses: []string{"plain:80"}, Accounts: []string{"guild"}, Once: true,
-		}},
+		Services: map[string]conf.Service{
+			"ledger":  {Addresses: []string{"plain:80"}, Accounts: []string{"guild"}, Once: true},
+			"stutter": {Addresses: []string{"stutter:80"}, Accounts: []string{"guild"}},
+		},
 		Limits: conf.Limits{Entries: conf.Duration(time.Second)},
 	}
 	text, err := json.Marshal(document)
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -191,6 +191,8 @@
 	host := fmt.Sprintf("d%d", i)
 	unpooled := cl.network.Client(host)
 	unpooled.Transport.(*http.Transport).DisableKeepAlives = true
+	plain := cl.network.Client(host)
+	plain.Transport.(*http.Transport).MaxIdleConnsPerHost = -1
 	ledger := once.New(once.Options{
 		Self: host, Boot: uint64(i + 1), Store: store.New("http://kv:80", cl.network.Client(host).Do),
 		Window: func() time.Duration { return time.Duration(cl.view.Load().Document.Limits.Window) },
@@ -212,7 +214,7 @@
 		Gate:     cl.gateAt,
 		Interim:  func(view.Location) []string { return []string{"d1"} },
 		Engine:   engine.New(cl.network.Client(host).Do),
-		Plain:    cl.network.Client(host).Do,
+		Plain:    plain.Do,
 		Unpooled: unpooled.Do,
 		Records:  ledger,
 		Count: func(s tally.Sample) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,7 +37,10 @@
 	Find    func(id string) (*wire.Daemon, bool)                 // nil for a linear search of Daemons
 	Interim func(location view.Location) []string                // ids of the daemons that act as gate while the replica's own is unreachable, in order; nil for none
 	Engine  *engine.Client
-	Plain   func(*http.Request) (*http.Response, error) // sends calls to plain services; must not follow redirects
+	// Plain sends calls to plain services. It must use each connection for one
+	// request only, so that a late second answer is not taken for that of the next
+	// request, and must not follow redirects.
+	Plain func(*http.Request) (*http.Response, error)
 	// Unpooled sends requests that aren't repeatable. It must use each connection
 	// for one request only, so that no transport sends a request twice, and
 	// must not follow redirects. Nil stands for a transport made by
