daemon: a silent endpoint is not cut off before the settings say so

A call that may be repeated was sent again while the first one still ran; of one that runs at most once the answer was lost.

Cause: the transport for callers' requests had a timeout of 30 s for the headers, of its own, beside the service's timeout, limits.first and the caller's deadline, each of which may be up to an hour.

The same timeout stood before an engine's first event; that is by reading only.

Requests now end by the settings and the deadline alone. Calls of the gate and the keeper keep the timeout; each has a shorter one in its context.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -13,7 +13,7 @@
 // The limits of outgoing connections.
 const (
 	idleTimeout       = 30 * time.Second // of an unused connection
-	headerTimeout     = 30 * time.Second // for the response headers
+	headerTimeout     = 30 * time.Second // for the response headers of a call of the gate or the keeper
 	peerIdleTimeout   = 5 * time.Second  // of an unused connection between daemons
 	sendPingTimeout   = 2 * time.Second  // without data on a connection between daemons, until a ping is sent
 	pingTimeout       = time.Second      // for the response to a ping
@@ -75,7 +75,7 @@
 // close it: from an answer that says so, net/http drops the Connection header, which
 // names the headers that the entry must not forward.
 func plainTransport(o Options) *http.Transport {
-	transport := endpointTransport(o)
+	transport := requestTransport(o)
 	transport.MaxIdleConnsPerHost = -1
 	return transport
 }
@@ -83,11 +83,19 @@
 // singleUseTransport uses each connection for one request, so that net/http never
 // sends a request a second time.
 func singleUseTransport(o Options) *http.Transport {
-	transport := endpointTransport(o)
+	transport := requestTransport(o)
 	transport.DisableKeepAlives = true
 	return transport
 }
 
+// requestTransport has no timeout of its own for callers' requests: the settings and
+// the caller's deadline say how long an endpoint may be silent.
+func requestTransport(o Options) *http.Transport {
+	transport := endpointTransport(o)
+	transport.ResponseHeaderTimeout = 0
+	return transport
+}
+
 // peerTransport uses HTTP/2 without TLS. A connection that no longer transfers
 // data is detected by pings and closed, so that the next call opens a new one.
 func peerTransport(o Options) *http.Transport {
