--- a/front/mixed_test.go
+++ b/front/mixed_test.go
@@ -28,13 +28,15 @@
 	beforeNext504       //
 	beforeNext421       //
 	beforeNextFull      //
-	cutShort            // the connection ends within a body of known length
-	cutChunk            // the connection ends within a chunked body
-	noHTTP              // bytes that are no answer
-	noLength            // the connection marks the end of the answer
-	noAnswer            // the connection ends
-	resetMidway         // the connection is reset within a body without a length
-	extraBytes          // bytes that are no answer follow the answer
+	beforeNextPart      // the same, but not all of it
+	extraBytes          // bytes that are no answer follow the answer; from the next on, the connection ends
+	cutShort            // within a body of known length
+	cutChunk            // within a chunked body
+	noHTTP              // after bytes that are no answer
+	spoiled             // after an answer with a head that is no HTTP
+	noLength            // which marks the end of the answer
+	noAnswer            // without an answer
+	resetMidway         // by a reset within a body without a length
 	flaws               // their number
 )
 
@@ -91,7 +93,7 @@
 	late := e.late[w]
 	e.late[w] = ""
 	_, keep := io.WriteString(w, late+e.answer(does, w, head, body, whole))
-	return keep == nil && (does <= beforeNextFull || does == extraBytes)
+	return keep == nil && does <= extraBytes
 }
 
 // answer returns what an endpoint writes at once.
@@ -103,12 +105,16 @@
 		time.AfterFunc(time.Duration(e.next%4)*time.Millisecond, func() { _, _ = io.WriteString(w, whole) })
 	case beforeNext, beforeNext500, beforeNext504, beforeNext421, beforeNextFull:
 		e.late[w] = whole
+	case beforeNextPart:
+		e.late[w] = whole[:len(whole)-len(body)/2]
 	case cutShort:
 		return whole[:len(whole)-len(body)/2]
 	case cutChunk:
 		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
 	case noHTTP:
 		return "nothing that is HTTP\r\n\r\n" + whole
+	case spoiled:
+		return head + "no colon here\r\n\r\n" + body
 	case noLength:
 		return head + "\r\n" + body
 	case resetMidway:
