--- a/front/place.go
+++ b/front/place.go
@@ -20,11 +20,21 @@
 // placement returns what a try of a request needs.
 func (j *job) placement() pick.Request {
 	return pick.Request{
-		Service: j.service, Model: j.model, PromptTokens: j.size.Prompt, Priority: j.priority, Avoid: j.avoid, MaxWait: min(maxWait, j.remaining()/waitDivisor),
+		Service: j.service, Model: j.model, PromptTokens: j.size.Prompt, Priority: j.priority, Avoid: j.avoid, MaxWait: j.longestWait(),
 		Remaining: j.route.TargetLatency - j.priorTime - time.Since(j.arrived), Retried: j.priorTime > 0, Resumed: j.stream.headSent,
 	}
 }
 
+// longestWait returns how long a try may wait for a slot. An interrupted stream waits
+// as long as another endpoint could still go on with it, since to give up is to cut it;
+// its caller leaves sooner if it wants to.
+func (j *job) longestWait() time.Duration {
+	if j.stream.headSent {
+		return max(0, j.remaining()-minTakeover)
+	}
+	return min(maxWait, j.remaining()/waitDivisor)
+}
+
 // isStaleFor reports whether the snapshot is too old to confirm a request's account.
 func (f *Front) isStaleFor(j *job) bool {
 	return !j.route.Public && j.account != "" && f.options.SnapshotAge() > f.options.MaxKeyAge()
