conns: a test of a close that comes as the connection is returned

It fails on as TestLateCloseSparesNextRequest does, with 'use of closed network connection' at the next request.

--- a/conns/owner_test.go
+++ b/conns/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -30,3 +31,26 @@
 	response.Close()
 	is.Equal(opened(), 1)
 }
+
+// The same where the close comes at the moment at which the connection is returned.
+func TestCloseAtReturnSparesNextRequest(t *testing.T) {
+	is := is.New(t)
+	address, _ := endpoint(t, respondWith(smallResponse))
+	p := New(Dial)
+	request := Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}
+	for range 50 {
+		c, err := p.Get(context.Background(), address, false)
+		is.NoErr(err)
+		response, err := p.Send(context.Background(), c, request)
+		is.NoErr(err)
+		_, err = response.ReadAll(10)
+		is.NoErr(err)
+		var closed sync.WaitGroup
+		closed.Go(func() { _ = c.Close() })
+		response.Close()
+		got, err := send(p, address, "")
+		is.NoErr(err)
+		is.Equal(got, "ok")
+		closed.Wait()
+	}
+}
