--- a/front/front.go
+++ b/front/front.go
@@ -44,21 +44,14 @@
 // create one.
 type Front struct {
 	options   Options
-	leaving   atomic.Bool
-	active    atomic.Int64
+	phase     atomic.Int32
+	jobs      jobs
 	deadlines deadlines
 }
 
 // New returns a Front.
 func New(o Options) *Front { return &Front{options: o} }
 
-// Leave makes every further response close its connection, so that callers
-// connect to another daemon.
-func (f *Front) Leave() { f.leaving.Store(true) }
-
-// Active returns the number of requests in progress.
-func (f *Front) Active() int64 { return f.active.Load() }
-
 // job is the state of one request in progress.
 type job struct {
 	w         http.ResponseWriter
@@ -92,6 +85,7 @@
 	stream    stream
 	watch     *watchdog  // of the present send, if any
 	successor *pick.Slot // held for the next try, since the last send was broken off for it
+	progress  progress
 }
 
 // remaining returns the time until the deadline of a request.
@@ -99,13 +93,10 @@
 
 // ServeHTTP forwards one request, or refuses it.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.active.Add(1)
-	defer f.active.Add(-1)
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now(), avoid: map[string]bool{}}
-	if refusal := f.admit(j); refusal != nil {
+	f.jobs.add(j)
+	defer f.jobs.remove(j)
+	if refusal := f.admitUnlessStopped(j); refusal != nil {
 		f.refuse(j, refusal)
 		return
 	}
@@ -147,6 +138,7 @@
 	}
 	deadline := platform.Deadline(j.r.Header, timeout)
 	j.deadline = j.arrived.Add(min(timeout, deadline))
+	j.progress.deadline.Store(int64(min(timeout, deadline)))
 	j.priorTime = f.deadlines.priorTime(route.Name, deadline)
 	j.header = platform.Outgoing(j.r.Header)
 	if j.account != "" {
@@ -255,6 +247,7 @@
 // refuse sends a refusal to the caller and logs it.
 func (f *Front) refuse(j *job, r *refusal) {
 	h := j.w.Header()
+	f.markLast(h)
 	h.Set("Content-Type", "application/json")
 	if j.id != "" {
 		h.Set(platform.HeaderRequest, j.id)
@@ -295,12 +288,16 @@
 // round rounds a rate to one decimal for the log.
 func round(v float64) float64 { return math.Round(v*10) / 10 }
 
-// context returns the context of a request's sends, which ends at its deadline. A
-// request that may run only once is not cancelled when its caller disconnects.
+// context returns the context of a request's sends, which ends at its deadline, or as
+// end is called. A request that may run only once is not cancelled when its caller
+// disconnects.
 func (j *job) context() (context.Context, context.CancelFunc) {
 	parent := j.r.Context()
 	if j.route.Repeat == site.Once {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, j.deadline)
+	ctx, cancel := context.WithDeadline(parent, j.deadline)
+	end := func() { cancel() }
+	j.progress.cancel.Store(&end)
+	return ctx, cancel
 }
--- a/front/retry.go
+++ b/front/retry.go
@@ -14,6 +14,7 @@
 	noBudget                    // budget of repeats used up
 	noSlot                      // no free slot elsewhere
 	viewTooOld                  // view too old
+	stopping                    // daemon stops
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=hurdle -linecomment -output=hurdle_string.go
@@ -24,6 +25,8 @@
 	switch {
 	case got == disconnected:
 		return callerGone
+	case f.reached(ending):
+		return stopping
 	case j.remaining() < minRemaining:
 		return noTime
 	case len(j.tried) >= maxTries:
--- a/front/send.go
+++ b/front/send.go
@@ -101,6 +101,7 @@
 	}
 	f.options.Metrics.observeWait(j.model, "placed", waited)
 	j.tried = append(j.tried, slot.Endpoint.ID)
+	j.progress.endpoint.Store(&slot.Endpoint.ID)
 	j.load = slot.Load
 	j.prefill = slot.ReadTime
 	j.setCause("", nil)
@@ -150,6 +151,7 @@
 	}
 	j.sends++
 	j.lastSend = sendRecord{served: conn.Served}
+	j.progress.sends.Add(1)
 	monitor := f.watchStall(j, slot, conn)
 	defer monitor.Stop()
 	resp, err := f.options.Pool.Send(ctx, conn, f.request(j, slot.Endpoint))
@@ -212,10 +214,10 @@
 // checkCrash probes in the background an endpoint that broke off a request, and
 // records a crash if it accepts no connections. An endpoint that does has not
 // crashed: the path to it was cut, or it lost a single response. There is no probe
-// if this daemon broke off the request itself, when the caller disconnected or the
-// deadline passed.
+// if this daemon broke off the request itself, when the caller disconnected, the
+// deadline passed or the daemon stops.
 func (f *Front) checkCrash(j *job, slot *pick.Slot) {
-	if j.r.Context().Err() != nil || j.remaining() <= 0 {
+	if j.r.Context().Err() != nil || j.remaining() <= 0 || f.reached(ending) {
 		return
 	}
 	id, digest, endpoint := j.id, j.digest, slot.Endpoint
--- a/front/silence.go
+++ b/front/silence.go
@@ -147,6 +147,8 @@
 // permitted returns allowed if a retry is permitted now, but for the budget and a slot.
 func (w *watchdog) permitted() hurdle {
 	switch j := w.job; {
+	case w.front.reached(ending):
+		return stopping
 	case w.ran >= j.route.Attempts:
 		return noAttempts
 	case w.tries >= maxTries:
