--- a/simul/answer.go
+++ b/simul/answer.go
@@ -46,6 +46,9 @@
 	r.active++
 	r.runs[id]++
 	r.mu.Unlock()
+	if r.options.OnRun != nil {
+		r.options.OnRun(id)
+	}
 	r.act(Ran, id, 0, "")
 	defer func() {
 		r.mu.Lock()
--- a/simul/runner.go
+++ b/simul/runner.go
@@ -23,6 +23,7 @@
 	Named    bool                           // whether the bodies of answers name their requests
 	Faults   Faults                         // none by default
 	PutEntry func(key string, value []byte) // writes the entry of the runner to the store
+	OnRun    func(id string)                // called with the request id before each run, may be nil
 	OnAct    func(Act)                      // called before each act takes effect, may be nil
 }
 
