--- a/cmd/chfake/caller.go
+++ b/cmd/chfake/caller.go
@@ -98,7 +98,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, simul.RetryAfter(response), err == nil && string(body) == simul.StreamBody(c.Events, id)
+	return response.StatusCode, simul.RetryAfter(response), err == nil && string(body) == simul.NamedStreamBody(c.Events, id)
 }
 
 // address returns an address to connect to. It requests the addresses from the
--- a/simul/answer.go
+++ b/simul/answer.go
@@ -248,7 +248,7 @@
 		body = PlainBody(r.options.ID, u.id)
 	case status == http.StatusOK:
 		h.Set("Content-Type", "text/event-stream")
-		body = StreamBody(r.options.Events, r.name(u.id))
+		body = NamedStreamBody(r.options.Events, r.name(u.id))
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
--- a/simul/body.go
+++ b/simul/body.go
@@ -15,9 +15,13 @@
 	return text + "\n\n"
 }
 
-// StreamBody returns the body of a complete stream of server-sent events. The name
-// is that of the request, or empty where bodies name none.
-func StreamBody(events int, name string) string {
+// StreamBody returns the body of a complete stream of server-sent events that do not
+// name their request.
+func StreamBody(events int) string { return NamedStreamBody(events, "") }
+
+// NamedStreamBody returns the body of a complete stream of server-sent events. The
+// name is that of the request, or empty where bodies name none.
+func NamedStreamBody(events int, name string) string {
 	var b strings.Builder
 	for i := 1; i <= events; i++ {
 		b.WriteString(Event(i, name))
--- a/soak/mixed.go
+++ b/soak/mixed.go
@@ -46,7 +46,7 @@
 	switch {
 	case rec.status != http.StatusOK:
 	case rec.path == talkPath:
-		want = simul.StreamBody(e.cluster.traits.events, rec.id)
+		want = simul.NamedStreamBody(e.cluster.traits.events, rec.id)
 	default:
 		want = simul.PlainBody(runner, rec.id)
 	}
