--- a/simul/act.go
+++ b/simul/act.go
@@ -13,6 +13,7 @@
 	Ran   Deed = "ran"   // began to run a request
 	Gave  Deed = "gave"  // began an answer, with Status and Signature
 	Broke Deed = "broke" // broke off an answer
+	Lost  Deed = "lost"  // will not answer a run
 	Ended Deed = "ended" // is no longer at work on a run
 )
 
--- a/simul/answer.go
+++ b/simul/answer.go
@@ -103,7 +103,7 @@
 	}
 	switch {
 	case u.fault == lose:
-		r.act(Ended, u.id, 0, "")
+		r.act(Lost, u.id, 0, "")
 		<-ctx.Done()
 		panic(http.ErrAbortHandler)
 	case u.fault == fail:
--- a/soak/check.go
+++ b/soak/check.go
@@ -4,16 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
-
-	"clementinehead.example/chead/simul"
 )
 
-// evidence is what the soak knows of a request beside its record.
-type evidence struct {
-	cluster *cluster
-	acts    []simul.Act // of runners, for this request
-}
-
 // check compares the answers that callers got with the acts of the runners, and
 // adds each broken promise to the report.
 func (r *Report) check(c *cluster, records []record) {
@@ -22,7 +14,7 @@
 	overAttempts := []string{}
 	for _, rec := range records {
 		r.count(rec)
-		e := evidence{cluster: c, acts: c.acts[rec.id]}
+		e := newEvidence(c, rec.id)
 		for _, broken := range []string{e.checkRunsOnce(rec), e.checkNotRun(rec), e.checkAnswer(rec), e.checkInTime(rec), e.checkWhole(rec), checkAllowed(rec)} {
 			if broken != "" {
 				r.Failures = append(r.Failures, fmt.Sprintf("%s: %s", broken, e.describe(rec)))
@@ -70,24 +62,13 @@
 	return text
 }
 
-// runs returns the number of runs of a request.
-func (e evidence) runs() int {
-	n := 0
-	for _, a := range e.acts {
-		if a.Deed == simul.Ran {
-			n++
-		}
-	}
-	return n
-}
-
 // soundRunners returns the number of runners that ran a request and were not disturbed
 // meanwhile.
 func (e evidence) soundRunners(rec record) int {
 	names := map[string]bool{}
-	for _, a := range e.acts {
-		if a.Deed == simul.Ran && !e.runnerDisturbed(a.Runner, rec.sent, rec.ended) {
-			names[a.Runner] = true
+	for _, r := range e.runs() {
+		if !e.runnerDisturbed(r.runner, rec.sent, rec.ended) {
+			names[r.runner] = true
 		}
 	}
 	return len(names)
@@ -108,7 +89,7 @@
 
 // checkRunsOnce checks that a request that may not be repeated ran at most once.
 func (e evidence) checkRunsOnce(rec record) string {
-	if rec.path == filePath && e.runs() > 1 {
+	if rec.path == filePath && len(e.runs()) > 1 {
 		return "TWICE: ran twice"
 	}
 	return ""
@@ -119,7 +100,7 @@
 func (e evidence) checkNotRun(rec record) string {
 	switch rec.status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		if e.runs() > 0 {
+		if len(e.runs()) > 0 {
 			return "REFUSED: said not to have run"
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -20,6 +20,7 @@
 	}
 	ran := func(from, to float64) []simul.Act { return []simul.Act{act(simul.Ran, from), act(simul.Ended, to)} }
 	broke := []simul.Act{act(simul.Ran, 11), act(simul.Broke, 12), act(simul.Ended, 12)}
+	failed := []simul.Act{act(simul.Ran, 12), {Deed: simul.Gave, Runner: "r0", At: at(13).UnixMicro(), Status: 500}, act(simul.Ended, 13)}
 	stop := faultSpan{step: Step{Fault: StopDaemon}, from: at(10)}
 	for _, c := range []struct {
 		name        string
@@ -37,10 +38,12 @@
 		{"not read", 13.5, 17.3, reset, nil, nil, ""},
 		{"passed on and reset", 13.5, 17.3, reset, ran(13.5, 17.3), nil, "LOST: no whole answer around SIGTERM"},
 		{"broken off by the endpoint", 11, 12, closed, broke, nil, ""},
+		{"broken off, then failed elsewhere", 11, 14, closed, append(append([]simul.Act{}, broke...), failed...), nil, ""},
+		{"left by the daemon, then failed elsewhere", 11, 14, closed, append(ran(11, 11.5), failed...), nil, "LOST: no whole answer around SIGTERM"},
 		{"broken off, then run elsewhere", 11, 14, closed, append(append([]simul.Act{}, broke...), ran(12, 14)...), nil, "LOST: no whole answer around SIGTERM"},
 		{"endpoint at work at the end of the grace", 12.9, 17.3, closed, ran(12.9, 17.3), nil, ""},
 		{"the same, sent too late", 13.1, 17.3, closed, ran(13.1, 17.3), nil, "LOST: no whole answer around SIGTERM"},
-		{"the endpoint lost the answer", 12, 17.3, closed, ran(12, 12.5), nil, "LOST: no whole answer around SIGTERM"},
+		{"the endpoint lost the answer", 12, 17.3, closed, []simul.Act{act(simul.Ran, 12), act(simul.Lost, 12.5), act(simul.Ended, 17.3)}, nil, "LOST: no whole answer around SIGTERM"},
 		{"deadline reached", 5, 11, closed, ran(5, 11), nil, ""},
 		{"daemon killed", 11, 12, reset, ran(11, 12), []faultSpan{{step: Step{Fault: KillDaemon}, from: at(12)}}, ""},
 		{"another daemon killed", 11, 12, reset, ran(11, 12), []faultSpan{{step: Step{Fault: KillDaemon, Target: 1}, from: at(12)}}, "LOST: no whole answer around SIGTERM"},
--- /dev/null
+++ b/soak/evidence.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"clementinehead.example/chead/simul"
+)
+
+// evidence is what the soak knows of a request beside its record.
+type evidence struct {
+	cluster *cluster
+	acts    []simul.Act // of runners, for this request, by time
+}
+
+// newEvidence returns the evidence of a request. The caller holds the cluster's lock.
+func newEvidence(c *cluster, id string) evidence {
+	acts := slices.Clone(c.acts[id]) // which came from several processes
+	slices.SortStableFunc(acts, func(a, b simul.Act) int { return cmp.Compare(a.At, b.At) })
+	return evidence{cluster: c, acts: acts}
+}
+
+// run is one run of a request by a runner.
+type run struct {
+	runner string
+	began  time.Time
+	ended  time.Time // zero if the end was not seen
+	failed bool      // the runner broke off or answered with a failure
+	status int       // of the runner's answer, 0 if there was none
+	lost   bool      // the runner lost the answer
+}
+
+// runs returns the runs of the request, in the order in which they began.
+func (e evidence) runs() []run {
+	var runs []run
+	for _, a := range e.acts {
+		if a.Deed == simul.Ran {
+			runs = append(runs, run{runner: a.Runner, began: a.Time()})
+			continue
+		}
+		i := slices.IndexFunc(runs, func(r run) bool { return r.runner == a.Runner && r.ended.IsZero() })
+		if i < 0 {
+			continue // the runner refused it, or answered twice
+		}
+		switch a.Deed {
+		case simul.Broke:
+			runs[i].failed = true
+		case simul.Gave:
+			if runs[i].status == 0 { // of the first answer; a second one may follow
+				runs[i].status = a.Status
+				runs[i].failed = a.Status >= http.StatusInternalServerError
+			}
+		case simul.Lost:
+			runs[i].lost = true
+		case simul.Ended:
+			runs[i].ended = a.Time()
+		}
+	}
+	return runs
+}
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -26,7 +26,7 @@
 	if rec.ending == answered || rec.ending == malformed || rec.written.IsZero() {
 		return ""
 	}
-	passedOn := e.runs() > 0
+	passedOn := len(e.runs()) > 0
 	if !passedOn && (rec.ending == reset && rec.status == 0 || rec.ended.Sub(rec.written) <= lossSlack) {
 		return "" // not read, as a reset shows, or crossed by the close
 	}
@@ -68,37 +68,27 @@
 	return e.cluster.disturbed(i, from, to, KillRunner, PauseRunner, CutRunner)
 }
 
-// brokeOff reports whether the last endpoint that ran a request broke off its
-// answer.
+// brokeOff reports whether endpoints ended a request: the last one that ran it broke
+// off or failed, and so did those before, or they lost the answer.
 func (e evidence) brokeOff() bool {
-	broke := false
-	for _, a := range e.acts {
-		switch a.Deed {
-		case simul.Ran:
-			broke = false
-		case simul.Broke:
-			broke = true
+	runs := e.runs()
+	for i, r := range runs {
+		if last := i == len(runs)-1; !r.failed && (last || !r.lost) {
+			return false
 		}
 	}
-	return broke
+	return len(runs) > 0
 }
 
 // atWork reports whether the last endpoint that ran a request was still at work on
 // it at a time.
 func (e evidence) atWork(at time.Time) bool {
-	working := false
-	for _, a := range e.acts {
-		if a.Time().After(at) {
-			break
-		}
-		switch a.Deed {
-		case simul.Ran:
-			working = true
-		case simul.Ended:
-			working = false
-		}
+	runs := e.runs()
+	if len(runs) == 0 {
+		return false
 	}
-	return working
+	last := runs[len(runs)-1]
+	return !last.lost && !last.began.After(at) && (last.ended.IsZero() || last.ended.After(at))
 }
 
 // lastFault returns when the newest fault of a kind began at a target before a time,
