--- a/cmd/chsoak/main.go
+++ b/cmd/chsoak/main.go
@@ -82,8 +82,8 @@
 			fmt.Println("  ", step)
 		}
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d lost, %d promises broken\n",
-		seed, len(report.Steps), report.Requests, report.Served, report.Refused, report.Lost, len(report.Failures))
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d lost %v, %d promises broken\n",
+		seed, len(report.Steps), report.Requests, report.Served, report.Refused, report.Lost, report.Excused, len(report.Failures))
 	for _, text := range report.Failures {
 		fmt.Println("  BROKEN", text)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -12,9 +12,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	overAttempts := []string{}
+	r.Excused = map[string]int{}
 	for _, rec := range records {
-		r.count(rec)
 		e := newEvidence(c, rec.id)
+		r.count(rec)
+		if rec.ending != answered {
+			r.Excused[e.excuse(rec)]++
+		}
 		for _, broken := range []string{e.checkRunsOnce(rec), e.checkNotRun(rec), e.checkAnswer(rec), e.checkInTime(rec), e.checkWhole(rec), checkAllowed(rec)} {
 			if broken != "" {
 				r.Failures = append(r.Failures, fmt.Sprintf("%s: %s", broken, e.describe(rec)))
--- a/soak/kept.go
+++ b/soak/kept.go
@@ -17,7 +17,7 @@
 	client  *client
 	daemon  *daemon
 	path    string
-	maxIdle time.Duration // a new connection is left unused for up to so long, and used once; 0: used at once, and on
+	maxIdle time.Duration // a connection is left unused for up to so long before each request; 0: not at all
 	chances *rand.Rand
 }
 
@@ -26,11 +26,12 @@
 	connectPause   = 50 * time.Millisecond   // after a connection that was not accepted
 	refusedPause   = 250 * time.Millisecond  // after an answer that is no success
 	maxIdle        = 4500 * time.Millisecond // below the time that daemons allow until a connection's first request
-	streamsKept    = 2                       // callers with streams for each daemon
+	streamsKept    = 2                       // callers for each daemon that send one stream after the other
+	idlersKept     = 2                       // callers for each daemon and kind of request that leave connections unused
 )
 
 // runKept runs the callers that stay with their daemons until the context ends: for
-// each daemon and kind of request some that go on at once, and one that leaves its
+// each daemon and kind of request some that go on at once, and some that leave their
 // connections unused for a while.
 func runKept(ctx context.Context, c *client) {
 	var callers sync.WaitGroup
@@ -48,7 +49,9 @@
 			add(d, path, 0)
 		}
 		for _, path := range []string{talkPath, filePath, readPath} {
-			add(d, path, maxIdle)
+			for range idlersKept {
+				add(d, path, maxIdle)
+			}
 		}
 	}
 	callers.Wait()
@@ -70,15 +73,15 @@
 // use sends requests over a connection until it ends.
 func (k *keptCaller) use(ctx context.Context, conn net.Conn) {
 	reader := bufio.NewReader(conn)
-	if k.maxIdle > 0 {
-		time.Sleep(time.Duration(k.chances.Int64N(int64(k.maxIdle))))
-	}
 	for ctx.Err() == nil {
+		if k.maxIdle > 0 {
+			time.Sleep(time.Duration(k.chances.Int64N(int64(k.maxIdle))))
+		}
 		rec := k.client.begin(k.daemon, k.path, "good-key")
 		rec.kept = true
 		ends := k.exchange(conn, reader, &rec)
 		k.client.finish(rec)
-		if rec.ending != answered || ends || k.maxIdle > 0 {
+		if rec.ending != answered || ends {
 			return
 		}
 		if rec.status != http.StatusOK {
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -20,23 +20,12 @@
 // deadline: the daemon leaves 20 ms for the way back.
 const clockSlack = 50 * time.Millisecond
 
-// checkWhole checks that a request that was read was answered, and whole. The only
-// excuses are those of the rule LOST.
+// checkWhole checks that a request that was read was answered, and whole.
 func (e evidence) checkWhole(rec record) string {
-	if rec.ending == answered || rec.ending == malformed || rec.written.IsZero() {
-		return ""
-	}
-	passedOn := len(e.runs()) > 0
-	if !passedOn && (rec.ending == reset && rec.status == 0 || rec.ended.Sub(rec.written) <= lossSlack) {
-		return "" // not read, as a reset shows, or crossed by the close
-	}
-	if e.brokeOff() || rec.ended.Sub(rec.sent) >= rec.limit()-clockSlack || e.disturbed(rec) {
+	if rec.ending == answered || rec.ending == malformed || e.excuse(rec) != "" {
 		return ""
 	}
 	stop, stopped := e.cluster.lastFault(StopDaemon, rec.daemon, rec.ended)
-	if stopped && !rec.sent.After(stop.Add(takenLimit)) && e.atWork(stop.Add(workLimit)) {
-		return ""
-	}
 	hangup, reread := e.cluster.lastFault(Hangup, rec.daemon, rec.ended)
 	switch {
 	case stopped && rec.ended.Before(stop.Add(grace+stopTail)):
@@ -47,6 +36,34 @@
 	return "LOST: cut off without a cause"
 }
 
+// excuse returns why the lack of a whole answer does not count, empty if it does. The
+// excuses are those of the rule LOST.
+func (e evidence) excuse(rec record) string {
+	if rec.written.IsZero() {
+		return "not sent whole"
+	}
+	if len(e.runs()) == 0 && rec.ending == reset && rec.status == 0 {
+		return "not read" // as the reset shows
+	}
+	if len(e.runs()) == 0 && rec.ended.Sub(rec.written) <= lossSlack {
+		return "crossed by the close"
+	}
+	if e.brokeOff() {
+		return "endpoints broke off"
+	}
+	if rec.ended.Sub(rec.sent) >= rec.limit()-clockSlack {
+		return "deadline"
+	}
+	stop, stopped := e.cluster.lastFault(StopDaemon, rec.daemon, rec.ended)
+	if stopped && !rec.sent.After(stop.Add(takenLimit)) && e.atWork(stop.Add(workLimit)) {
+		return "endpoint at work at the end of the grace"
+	}
+	if e.disturbed(rec) {
+		return "unplanned fault"
+	}
+	return ""
+}
+
 // disturbed reports whether an unplanned fault of the daemon, of its path or of an
 // endpoint that ran a request excuses its loss. Faults of the store excuse nothing.
 func (e evidence) disturbed(rec record) bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,8 +14,9 @@
 	Requests int
 	Served   int
 	Refused  int
-	Lost     int      // without an answer, or cut off
-	Failures []string // broken promises, each with the request or daemon
+	Lost     int            // without an answer, or cut off
+	Excused  map[string]int // of those lost, by excuse, empty for none
+	Failures []string       // broken promises, each with the request or daemon
 }
 
 const (
