--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -13,7 +13,7 @@
 // The limits of outgoing connections.
 const (
 	idleTimeout       = 30 * time.Second // of an unused connection
-	headerTimeout     = 30 * time.Second // for the response headers
+	headerTimeout     = 30 * time.Second // for the response headers of a call of the gate or the keeper
 	peerIdleTimeout   = 5 * time.Second  // of an unused connection between daemons
 	sendPingTimeout   = 2 * time.Second  // without data on a connection between daemons, until a ping is sent
 	pingTimeout       = time.Second      // for the response to a ping
@@ -24,6 +24,7 @@
 type clients struct {
 	store     *http.Client
 	endpoint  *http.Client
+	plain     *http.Client // to plain services, without reuse of connections
 	probe     *http.Client // of the gate
 	order     *http.Client // of the keeper: probes and orders
 	singleUse *http.Client // to endpoints, without reuse of connections
@@ -34,6 +35,7 @@
 	return clients{
 		store:     &http.Client{Transport: storeTransport(o)},
 		endpoint:  &http.Client{Transport: endpointTransport(o), CheckRedirect: returnRedirect},
+		plain:     &http.Client{Transport: plainTransport(o), CheckRedirect: returnRedirect},
 		probe:     &http.Client{Transport: probeTransport(o)},
 		order:     &http.Client{Transport: probeTransport(o)},
 		singleUse: &http.Client{Transport: singleUseTransport(o), CheckRedirect: returnRedirect},
@@ -69,14 +71,31 @@
 	return transport
 }
 
+// plainTransport uses each connection for one request, but does not ask the service to
+// close it: from an answer that says so, net/http drops the Connection header, which
+// names the headers that the entry must not forward.
+func plainTransport(o Options) *http.Transport {
+	transport := requestTransport(o)
+	transport.MaxIdleConnsPerHost = -1
+	return transport
+}
+
 // singleUseTransport uses each connection for one request, so that net/http never
 // sends a request a second time.
 func singleUseTransport(o Options) *http.Transport {
-	transport := endpointTransport(o)
+	transport := requestTransport(o)
 	transport.DisableKeepAlives = true
 	return transport
 }
 
+// requestTransport has no timeout of its own for callers' requests: the settings and
+// the caller's deadline say how long an endpoint may be silent.
+func requestTransport(o Options) *http.Transport {
+	transport := endpointTransport(o)
+	transport.ResponseHeaderTimeout = 0
+	return transport
+}
+
 // peerTransport uses HTTP/2 without TLS. A connection that no longer transfers
 // data is detected by pings and closed, so that the next call opens a new one.
 func peerTransport(o Options) *http.Transport {
