front: of the requests that a stop refuses, the first 100 have a line

Callers that connect at once again and again, to a daemon that refuses them as it stops, used up the log's rate; lines of requests in progress were dropped, which are needed to explain a stop. TestRefusalsOfAStopDoNotFillTheLog counts the lines. The others are counted, in the metrics and in 'connections closed'.

--- a/edge/leave.go
+++ b/edge/leave.go
@@ -49,7 +49,8 @@
 		awaitCallers(ctx, side, 0, began.Add(times.cut+2*times.settle))
 	}
 	closed, crossed := side.conns.Closed()
-	d.options.Log.Info("connections closed", "waiting", closed, "crossed", crossed, "open", side.conns.Open())
+	d.options.Log.Info("connections closed", "waiting", closed, "crossed", crossed, "open", side.conns.Open(),
+		"refused", d.front.Refused())
 }
 
 // removeTimeout is the time for the removal of the daemon's record.
--- a/front/front.go
+++ b/front/front.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math"
@@ -46,6 +45,7 @@
 	options   Options
 	phase     atomic.Int32
 	jobs      jobs
+	refused   atomic.Int64 // requests that came too late in a shutdown
 	deadlines deadlines
 }
 
@@ -86,6 +86,7 @@
 	watch     *watchdog  // of the present send, if any
 	successor *pick.Slot // held for the next try, since the last send was broken off for it
 	progress  progress
+	unlogged  bool // the end isn't logged
 }
 
 // remaining returns the time until the deadline of a request.
@@ -270,6 +271,9 @@
 func (f *Front) logEnd(j *job, outcome string, status int, reason string) {
 	took := time.Since(j.arrived)
 	f.options.Metrics.observeEnd(j.account, outcome, status, took)
+	if j.unlogged {
+		return
+	}
 	v := f.options.Snapshot()
 	version := int64(0)
 	if v.Config != nil {
@@ -287,17 +291,3 @@
 
 // round rounds a rate to one decimal for the log.
 func round(v float64) float64 { return math.Round(v*10) / 10 }
-
-// context returns the context of a request's sends, which ends at its deadline, or as
-// end is called. A request that may run only once is not cancelled when its caller
-// disconnects.
-func (j *job) context() (context.Context, context.CancelFunc) {
-	parent := j.r.Context()
-	if j.route.Repeat == site.Once {
-		parent = context.WithoutCancel(parent)
-	}
-	ctx, cancel := context.WithDeadline(parent, j.deadline)
-	end := func() { cancel() }
-	j.progress.cancel.Store(&end)
-	return ctx, cancel
-}
--- a/front/progress.go
+++ b/front/progress.go
@@ -1,13 +1,16 @@
 package front
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"clementinehead.example/chead/site"
 )
 
-// maxProgressLines is the most lines that one call of LogProgress writes, so that they
-// fit in the log's buffer.
+// maxProgressLines is the most lines that a phase of a shutdown writes of requests, so
+// that all fit in the log's buffer.
 const maxProgressLines = 100
 
 // progress is what is known of a request in progress outside its handler.
@@ -83,3 +86,17 @@
 	f.options.Log.Info("request in progress", "id", j.id, "cause", cause, "endpoint", endpoint, "sends", j.progress.sends.Load(),
 		"events", j.progress.events.Load(), "elapsed_ms", elapsed.Milliseconds(), "left_ms", left.Milliseconds())
 }
+
+// context returns the context of a request's sends, which ends at its deadline, or as
+// end is called. A request that may run only once is not cancelled when its caller
+// disconnects.
+func (j *job) context() (context.Context, context.CancelFunc) {
+	parent := j.r.Context()
+	if j.route.Repeat == site.Once {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, cancel := context.WithDeadline(parent, j.deadline)
+	end := func() { cancel() }
+	j.progress.cancel.Store(&end)
+	return ctx, cancel
+}
--- a/front/stop.go
+++ b/front/stop.go
@@ -56,12 +56,17 @@
 			return refused
 		}
 	}
-	if f.reached(refusing) {
-		return &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter}
+	if !f.reached(refusing) {
+		return nil
 	}
-	return nil
+	j.unlogged = f.refused.Add(1) > maxProgressLines // callers may come again at once, and the log's rate is limited
+	return &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter}
 }
 
+// Refused returns the number of requests that were refused since they came too late in
+// the shutdown. The first maxProgressLines of them are in the log.
+func (f *Front) Refused() int64 { return f.refused.Load() }
+
 // markLast makes a response close its connection if the daemon leaves.
 func (f *Front) markLast(h http.Header) {
 	if f.reached(leaving) {
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 )
 
@@ -105,6 +107,23 @@
 	is.Equal(b.count(), passed)
 }
 
+// Callers that connect again and again to a daemon that refuses them must not use up the
+// log's rate, which the lines of requests in progress need.
+func TestRefusalsOfAStopDoNotFillTheLog(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, "plain", newStub(t, "a", signed(200, "x")))
+	var lines atomic.Int64
+	f.front.options.Log = funcr.New(func(_, _ string) { lines.Add(1) }, funcr.Options{})
+	f.front.Leave()
+	f.front.Refuse()
+	const all = 2 * maxProgressLines
+	for range all {
+		is.Equal(f.call(t, "POST", "/read/", nil).status, http.StatusServiceUnavailable)
+	}
+	is.True(lines.Load() <= maxProgressLines)
+	is.Equal(f.front.Refused(), int64(all))
+}
+
 // A request that is not whole when the daemon begins to refuse requests is refused, and
 // not passed on.
 func TestRequestWholeAfterTheRefusalsBegan(t *testing.T) {
