daemon: the shutdown waits as long as requests may last

Of a request that runs at most once the answer was lost with it.

Cause: a fixed limit of 10 min on the shutdown, beside the limits in force.

Evidence: TestShutdownAwaitsLongRequests (a call of 11 min, limits.request 20 min) failed in 3 of 3 runs before, since the daemon had stopped before the answer; 3 of 3 passed after.

The limit now follows from the settings: until callers' lists ran out, then the longest request, then a minute for the records and releases behind it. Each request ends by its own deadline, so the limit is only met by a fault.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,7 +66,7 @@
 }
 
 // Run serves until the context ends, and then shuts down gracefully: requests in
-// progress can complete within shutdownTimeout. It returns the error of the first
+// progress can complete within their limits. It returns the error of the first
 // role that fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.clients.close()
@@ -155,7 +155,7 @@
 
 // The limits of a graceful shutdown.
 const (
-	shutdownTimeout = 10 * time.Minute // for requests in progress
+	shutdownMargin  = time.Minute      // beyond the limits of requests, for the records and releases behind the last answer
 	handoverTimeout = 10 * time.Second // for other daemons to take over the gates
 	handoverPoll    = 50 * time.Millisecond
 )
@@ -165,7 +165,7 @@
 func (d *Daemon) shutDown(ctx context.Context) {
 	d.options.Log.Info("daemon leaves")
 	d.roster.Leave()
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.shutdownTimeout())
 	defer cancel()
 	if err := d.entry.Shutdown(ctx); err != nil {
 		d.options.Log.Error(err, "requests cut off")
@@ -173,6 +173,13 @@
 	d.handOver(ctx)
 }
 
+// shutdownTimeout returns the time in which every request has ended that is accepted
+// until the daemon stops listening.
+func (d *Daemon) shutdownTimeout() time.Duration {
+	limits := d.relay.View().Document.Limits
+	return time.Duration(limits.Entries+limits.Request) + shutdownMargin
+}
+
 func (d *Daemon) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
--- a/daemon/slow_test.go
+++ b/daemon/slow_test.go
@@ -31,3 +31,25 @@
 		is.Equal(got.status, 200)
 	})
 }
+
+// TestShutdownAwaitsLongRequests stops a daemon while it has a call that takes 11 min,
+// for which its limits leave time.
+func TestShutdownAwaitsLongRequests(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		is := is.New(c.t)
+		c.putSection("services", `{"ledger":{"addresses":["plain:80"],"accounts":["guild"],"once":true,"timeout":"20m"}}`)
+		c.putSection("limits", `{"entries":"1s","request":"20m"}`)
+		c.plain.Delay(11 * time.Minute)
+		stopped := make(chan time.Time, 1) // when the process would have ended
+		time.AfterFunc(time.Second, func() {
+			c.daemons["d1"]()
+			stopped <- time.Now()
+		})
+		got := c.send(c.network.Client("caller"), "http://d1:80/services/ledger/x", "x", "slow", false)
+		is.NoErr(got.err)
+		is.Equal(got.reason.Code, "")
+		is.Equal(got.status, 200)
+		answered := time.Now()
+		is.True((<-stopped).After(answered))
+	})
+}
