daemon: operators' edits in progress are answered at a shutdown

The edit may be in force; its entry in the audit log may be missing, since the log was written for the last time before.

Cause: an edit takes up to 8 s (4 s for the store, 4 s for the daemons to confirm), but 2 s after the end of the roles its connection was cut.

With an edit each 500 ms, one is sent at the instant of the shutdown; net/http drops a request that it reads then without running it, and the stand-in listener keeps the connection open for ever. That is not counted.

The operators' interface now stops before the roles that an edit needs, and waits for the edits in progress.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,7 +70,7 @@
 // role that fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.clients.close()
-	callers, servers, err := d.listeners()
+	callers, peer, operator, err := d.listeners()
 	if err != nil {
 		return err
 	}
@@ -81,15 +81,15 @@
 	for _, run := range d.roles() {
 		group.Go(func() error { return roleError(run(roles)) })
 	}
-	for _, s := range servers {
-		group.Go(func() error { return s.run(roles) })
-	}
+	group.Go(func() error { return peer.run(roles) })
+	group.Go(func() error { return operator.run(roles) })
 	group.Go(func() error { return roleError(d.entry.Serve(callers)) })
 	group.Go(func() error {
 		defer cancel()
 		select {
 		case <-ctx.Done():
 			d.shutDown(roles)
+			operator.stop(editTimeout) // an edit in progress needs the roles
 		case <-roles.Done():
 			_ = callers.Close()
 		}
@@ -123,20 +123,17 @@
 	return &Error{Op: "run", Kind: Role, Err: err}
 }
 
-func (d *Daemon) listeners() (net.Listener, []*server, error) {
-	callers, err := d.options.Listen(d.options.Settings.Caller)
-	if err != nil {
-		return nil, nil, &Error{Op: "listen caller", Kind: Address, Err: err}
-	}
-	peer, err := d.listen("peer", d.options.Settings.Peer, d.peerHandler(), peerProtocols())
+func (d *Daemon) listeners() (callers net.Listener, peer, operator *server, err error) {
+	callers, err = d.options.Listen(d.options.Settings.Caller)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, &Error{Op: "listen caller", Kind: Address, Err: err}
 	}
-	operator, err := d.listen("operator", d.options.Settings.Operator, d.operatorHandler(), nil)
+	peer, err = d.listen("peer", d.options.Settings.Peer, d.peerHandler(), peerProtocols())
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	return callers, []*server{peer, operator}, nil
+	operator, err = d.listen("operator", d.options.Settings.Operator, d.operatorHandler(), nil)
+	return callers, peer, operator, err
 }
 
 // reportRevision keeps the roster informed of the revision of the configuration
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -14,8 +14,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	serverIdleTimeout = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10 // bytes
-	closeTimeout      = 2 * time.Second
+	maxHeaderBytes    = 64 << 10         // bytes
+	closeTimeout      = 2 * time.Second  // for requests in progress when the roles have ended
+	editTimeout       = 10 * time.Second // for edits in progress: 4 s for the store, 4 s for the daemons to confirm, and some
 )
 
 // server is an HTTP server on one address.
@@ -59,7 +60,7 @@
 	stopped := make(chan struct{})
 	cancel := context.AfterFunc(ctx, func() {
 		defer close(stopped)
-		s.stop()
+		s.stop(closeTimeout)
 	})
 	err := s.http.Serve(s.listener)
 	if !cancel() {
@@ -71,9 +72,10 @@
 	return &Error{Op: "serve " + s.name, Kind: Address, Err: err}
 }
 
-// stop closes idle connections immediately and all others after closeTimeout.
-func (s *server) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+// stop accepts no more connections, closes idle ones immediately and all others after
+// the timeout.
+func (s *server) stop(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.log.Info("connections cut off", "server", s.name, "reason", err.Error())
--- a/daemon/slow_test.go
+++ b/daemon/slow_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,3 +59,53 @@
 		is.True((<-stopped).After(answered))
 	})
 }
+
+// putEdit sends an edit to d1 and returns the error of a connection that was made and
+// ended without an answer.
+func (c *cluster) putEdit(id string) error {
+	body := fmt.Sprintf(`{"id":%q,"base":1,"who":"test","sections":{"limits":{"entries":"1s"}}}`, id)
+	r, err := http.NewRequest(http.MethodPut, "http://d1:82/admin/v1/config", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	operator := c.network.Client("operator")
+	operator.Transport.(*http.Transport).DisableKeepAlives = true
+	operator.Timeout = 20 * time.Second
+	response, err := operator.Do(r)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// TestShutdownAnswersEdits stops a daemon to which edits are sent. They take 4 s, since
+// the store is down. Each must be answered, be it by a refusal.
+func TestShutdownAnswersEdits(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		is := is.New(c.t)
+		c.store.Down(true)
+		stopped := make(chan struct{})
+		go func() {
+			c.daemons["d1"]()
+			close(stopped)
+		}()
+		var edits sync.WaitGroup
+		for i := range 60 {
+			edits.Go(func() {
+				time.Sleep(time.Duration(i) * 470 * time.Millisecond)
+				if err := c.putEdit(fmt.Sprint("edit-", i)); err != nil {
+					c.t.Errorf("edit %d: %v", i, err)
+				}
+			})
+		}
+		edits.Wait()
+		<-stopped
+		c.store.Down(false)
+		is.True(c.putEdit("last") == nil)
+	})
+}
