serve: SIGHUP shuts down gracefully

Cause: no handler, so the kernel's default ended the process at once.

SIGHUP is now taken as SIGTERM is, from before the settings are read.

--- a/cmd/chead/serve.go
+++ b/cmd/chead/serve.go
@@ -24,9 +24,11 @@
 	Settings string `required:"" type:"existingfile" help:"Settings of this daemon, a JSON file."`
 }
 
-// Run runs a daemon until SIGTERM or SIGINT. It then shuts down and lets requests
-// in progress finish.
+// Run runs a daemon until SIGTERM, SIGINT or SIGHUP, without whose handler the process
+// would end at once. It then shuts down and lets requests in progress finish.
 func (c serveCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer stop()
 	data, err := os.ReadFile(c.Settings)
 	if err != nil {
 		return err
@@ -39,8 +41,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return d.Run(ctx)
 }
 
--- a/cmd/chead/signal_test.go
+++ b/cmd/chead/signal_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/simul"
 )
 
@@ -63,16 +64,16 @@
 	t.Fatal("not seen: " + what)
 }
 
-// start starts "chead edge" with its output in a file. It returns the command and a
-// function that reads the output.
-func start(t *testing.T, settingsPath string) (*exec.Cmd, func() string) {
+// start starts a daemon by "chead edge" or "chead serve" with its output in a file. It
+// returns the command and a function that reads the output.
+func start(t *testing.T, command, settingsPath string) (*exec.Cmd, func() string) {
 	t.Helper()
 	log := filepath.Join(t.TempDir(), "log")
 	file, err := os.Create(log)
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(buildProgram(t), "edge", "--settings", settingsPath)
+	cmd := exec.Command(buildProgram(t), command, "--settings", settingsPath)
 	cmd.Stdout, cmd.Stderr = file, file
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -92,7 +93,7 @@
 	is := is.New(t)
 	fifo := filepath.Join(t.TempDir(), "settings.json")
 	is.NoErr(syscall.Mkfifo(fifo, 0o600))
-	cmd, output := start(t, fifo)
+	cmd, output := start(t, "edge", fifo)
 	writer, err := os.OpenFile(fifo, os.O_WRONLY, 0) // returns once the daemon reads
 	is.NoErr(err)
 	is.NoErr(cmd.Process.Signal(syscall.SIGHUP))
@@ -109,7 +110,7 @@
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	is.NoErr(os.WriteFile(path, settingsJSON(t, 5000), 0o600))
-	cmd, output := start(t, path)
+	cmd, output := start(t, "edge", path)
 	await(t, "start", func() bool { return strings.Contains(output(), "daemon starts") })
 	is.NoErr(os.WriteFile(path, []byte("{"), 0o600))
 	await(t, "bad settings refused", func() bool { return strings.Contains(output(), "settings refused") })
@@ -118,3 +119,20 @@
 	is.NoErr(cmd.Process.Signal(syscall.SIGHUP))
 	await(t, "a signal", func() bool { return strings.Contains(output(), `"cause":"signal"`) })
 }
+
+// A SIGHUP must not end "chead serve" at once, with the requests in progress.
+func TestHangupOfServe(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	store := "http://" + simul.Address()
+	settings, err := json.Marshal(conf.Settings{
+		ID: "d", Domain: "north", Region: "r", Caller: simul.Address(), Peer: simul.Address(), Operator: simul.Address(),
+		Store: store, Platform: store,
+	})
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(path, settings, 0o600))
+	cmd, output := start(t, "serve", path)
+	await(t, "start", func() bool { return strings.Contains(output(), "daemon starts") })
+	is.NoErr(cmd.Process.Signal(syscall.SIGHUP))
+	await(t, "a graceful shutdown", func() bool { return strings.Contains(output(), "interface shutting down") })
+}
