--- a/front/front.go
+++ b/front/front.go
@@ -79,6 +79,7 @@
 	avoid     map[string]bool // endpoints that failed it
 	sends     int             // tries that got a connection to an endpoint
 	ran       int             // tries that may have run
+	hasAnswer bool            // an error answer of an endpoint is kept
 	tried     []string        // endpoints, by try
 	cause     string          // why the last try failed, or its status
 	errText   string          // text of the error that cause stands for, if any
--- a/front/place.go
+++ b/front/place.go
@@ -21,15 +21,19 @@
 func (j *job) placement() pick.Request {
 	return pick.Request{
 		Service: j.service, Model: j.model, PromptTokens: j.size.Prompt, Priority: j.priority, Avoid: j.avoid, MaxWait: j.longestWait(),
-		Remaining: j.route.TargetLatency - j.priorTime - time.Since(j.arrived), Retried: j.priorTime > 0, Resumed: j.stream.headSent,
+		Remaining: j.route.TargetLatency - j.priorTime - time.Since(j.arrived), Retried: j.priorTime > 0, Begun: j.begun(), Resumed: j.stream.headSent,
 	}
 }
 
-// longestWait returns how long a try may wait for a slot. An interrupted stream waits
-// as long as another endpoint could still go on with it, since to give up is to cut it;
-// its caller leaves sooner if it wants to.
+// begun reports whether a request may have run and there is no answer to it, so that
+// to give it up is to fail it or to cut its stream.
+func (j *job) begun() bool { return j.stream.headSent || j.ran > 0 && !j.hasAnswer }
+
+// longestWait returns how long a try may wait for a slot. A request that may have run
+// waits as long as another endpoint could still answer it; its caller leaves sooner if
+// it wants to.
 func (j *job) longestWait() time.Duration {
-	if j.stream.headSent {
+	if j.begun() {
 		return max(0, j.remaining()-minTakeover)
 	}
 	return min(maxWait, j.remaining()/waitDivisor)
--- a/front/send.go
+++ b/front/send.go
@@ -36,8 +36,8 @@
 	maxTries       = 4                       // tries per request, whatever their results
 	minRemaining   = 30 * time.Millisecond   // least remaining time for a retry
 	responseLimit  = 8 << 20                 // bytes of a response that is not streamed
-	waitDivisor    = 3                       // a try waits for a slot for at most the remaining time divided by this, unless its stream has begun
-	maxWait        = 1200 * time.Millisecond // longest wait of a try for a slot, unless its stream has begun
+	waitDivisor    = 3                       // a try waits for a slot for at most the remaining time divided by this, unless it may have run
+	maxWait        = 1200 * time.Millisecond // longest wait of a try for a slot, unless it may have run
 	deadlineMargin = 20 * time.Millisecond   // subtracted from the deadline sent to endpoints, for the response's way back
 	probeTimeout   = 400 * time.Millisecond  // for the connection that shows whether an endpoint crashed
 )
@@ -105,6 +105,7 @@
 	j.prefill = slot.ReadTime
 	j.setCause("", nil)
 	got := f.send(ctx, j, slot, last)
+	j.hasAnswer = last.status != 0
 	if j.successor = j.watch.take(); j.successor != nil && got != answered {
 		j.setCause("left for another endpoint", nil)
 	}
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -96,6 +96,7 @@
 	ArrivalRate float64       // requests arriving per second, without retries
 	Slack       time.Duration // time that the request can wait for a slot before it is late; negative if it is late already
 	MaxWait     time.Duration // longest wait that the caller accepts
+	Begun       bool          // whether it may have run, so that to refuse it is to fail it
 	Resumed     bool          // whether its caller has received a part of the stream already
 	Paused      time.Duration // until the first endpoint that serves it takes requests again; 0 if one does now
 }
@@ -120,9 +121,10 @@
 // serve every request late. The queue is therefore no longer than what can be
 // served in time, late requests get the capacity that remains, and a request that
 // would get none is refused at once, as is one that no endpoint takes for longer than
-// it can wait. An interrupted stream always waits, because to refuse it is to cut it.
+// it can wait. A request that may have run always waits, because to refuse it is to fail
+// it or to cut its stream.
 func Admit(q QueueState) Decision {
-	if q.Resumed {
+	if q.Begun || q.Resumed {
 		return Decision{Wait: true}
 	}
 	if q.Paused > q.MaxWait {
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -45,6 +45,7 @@
 	MaxWait      time.Duration   // longest wait for a slot
 	Remaining    time.Duration   // remaining time of its latency target; negative if it has passed
 	Retried      bool            // whether its caller sent it before, as it may after a refusal
+	Begun        bool            // whether it may have run, so that to refuse it is to fail it
 	Resumed      bool            // whether its caller has received a part of the stream already
 	Avoid        map[string]bool // endpoints at which it failed
 }
--- a/pick/policy_test.go
+++ b/pick/policy_test.go
@@ -206,6 +206,7 @@
 		{"late, but slots remain", QueueState{InTime: 2, FreeRate: 20, ArrivalRate: 15, Slack: -time.Second, MaxWait: time.Second}, true},
 		{"late in overload", QueueState{InTime: 2, FreeRate: 20, ArrivalRate: 25, Slack: -time.Second, MaxWait: time.Second}, false},
 		{"an interrupted stream", QueueState{InTime: 9, FreeRate: 20, ArrivalRate: 30, Slack: -time.Second, MaxWait: time.Second, Resumed: true}, true},
+		{"one that may have run", QueueState{InTime: 9, FreeRate: 20, ArrivalRate: 30, Slack: -time.Second, MaxWait: time.Second, Begun: true}, true},
 		{"longer than its limit", QueueState{InTime: 2, FreeRate: 20, ArrivalRate: 15, Slack: time.Second, MaxWait: 50 * time.Millisecond}, false},
 		{"first where no slot was freed lately", QueueState{Slack: 100 * time.Millisecond, MaxWait: time.Second}, true},
 		{"second where no slot was freed lately", QueueState{InTime: 1, Slack: 100 * time.Millisecond, MaxWait: time.Second}, false},
--- a/pick/queue.go
+++ b/pick/queue.go
@@ -29,14 +29,14 @@
 
 // rejectLate refuses the late requests while the queue is saturated: nearly as many
 // requests arrive as slots are freed, and since those in time go first, no slots
-// remain for late ones. Interrupted streams (Request.Resumed) and requests
+// remain for late ones. Requests that may have run (Request.Begun) and requests
 // that their callers sent before (Request.Retried) go on waiting.
 func (q *queue) rejectLate(now time.Time) {
 	if !saturated(q.arrivals.rate(now), q.freed.rate(now)) {
 		return
 	}
 	for _, w := range append([]*waiter(nil), q.waiting...) {
-		if w.request.Resumed || w.request.Retried || now.Before(w.inTimeUntil) {
+		if w.request.Begun || w.request.Resumed || w.request.Retried || now.Before(w.inTimeUntil) {
 			continue
 		}
 		q.remove(w)
@@ -64,7 +64,7 @@
 	sum.FreeRate += q.others.FreeRate
 	sum.ArrivalRate += q.others.ArrivalRate
 	return QueueState{
-		InTime: sum.InTime, Late: sum.Late, FreeRate: sum.FreeRate, ArrivalRate: sum.ArrivalRate, MaxWait: request.MaxWait, Resumed: request.Resumed,
+		InTime: sum.InTime, Late: sum.Late, FreeRate: sum.FreeRate, ArrivalRate: sum.ArrivalRate, MaxWait: request.MaxWait, Begun: request.Begun, Resumed: request.Resumed,
 		Slack: request.Remaining - time.Duration(q.firstEventSeconds*float64(time.Second)),
 	}
 }
