soak: an endpoint that broke off excuses a loss by itself; the load of stops grows with the size

The rule LOST leaves out requests whose runner broke off. They are counted by their own excuse where the daemon had left a sound endpoint before, so that this stays visible. A failure (500) in place of the rest of a stream excuses only if all its endpoints failed.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -40,6 +40,7 @@
 		{"broken off by the endpoint", 11, 12, closed, broke, nil, ""},
 		{"broken off, then failed elsewhere", 11, 14, closed, append(append([]simul.Act{}, broke...), failed...), nil, ""},
 		{"left by the daemon, then failed elsewhere", 11, 14, closed, append(ran(11, 11.5), failed...), nil, "LOST: no whole answer around SIGTERM"},
+		{"left by the daemon, then broken off elsewhere", 10, 14, closed, append(ran(10, 10.5), broke...), nil, ""},
 		{"broken off, then run elsewhere", 11, 14, closed, append(append([]simul.Act{}, broke...), ran(12, 14)...), nil, "LOST: no whole answer around SIGTERM"},
 		{"endpoint at work at the end of the grace", 12.9, 17.3, closed, ran(12.9, 17.3), nil, ""},
 		{"the same, sent too late", 13.1, 17.3, closed, ran(13.1, 17.3), nil, "LOST: no whole answer around SIGTERM"},
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -27,11 +27,14 @@
 	runner string
 	began  time.Time
 	ended  time.Time // zero if the end was not seen
-	failed bool      // the runner broke off or answered with a failure
+	broke  bool      // the runner broke off its answer
 	status int       // of the runner's answer, 0 if there was none
 	lost   bool      // the runner lost the answer
 }
 
+// failed reports whether the runner broke off or answered with a failure.
+func (r run) failed() bool { return r.broke || r.status >= http.StatusInternalServerError }
+
 // runs returns the runs of the request, in the order in which they began.
 func (e evidence) runs() []run {
 	var runs []run
@@ -46,11 +49,10 @@
 		}
 		switch a.Deed {
 		case simul.Broke:
-			runs[i].failed = true
+			runs[i].broke = true
 		case simul.Gave:
 			if runs[i].status == 0 { // of the first answer; a second one may follow
 				runs[i].status = a.Status
-				runs[i].failed = a.Status >= http.StatusInternalServerError
 			}
 		case simul.Lost:
 			runs[i].lost = true
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -48,8 +48,11 @@
 	if len(e.runs()) == 0 && rec.ended.Sub(rec.written) <= lossSlack {
 		return "crossed by the close"
 	}
+	if e.failedAll() {
+		return "endpoints failed"
+	}
 	if e.brokeOff() {
-		return "endpoints broke off"
+		return "endpoint broke off, after the daemon left one"
 	}
 	if rec.ended.Sub(rec.sent) >= rec.limit()-clockSlack {
 		return "deadline"
@@ -85,18 +88,24 @@
 	return e.cluster.disturbed(i, from, to, KillRunner, PauseRunner, CutRunner)
 }
 
-// brokeOff reports whether endpoints ended a request: the last one that ran it broke
-// off or failed, and so did those before, or they lost the answer.
-func (e evidence) brokeOff() bool {
+// failedAll reports whether endpoints failed a request: all that ran it broke off,
+// failed or lost the answer, the last one not by losing it.
+func (e evidence) failedAll() bool {
 	runs := e.runs()
 	for i, r := range runs {
-		if last := i == len(runs)-1; !r.failed && (last || !r.lost) {
+		if last := i == len(runs)-1; !r.failed() && (last || !r.lost) {
 			return false
 		}
 	}
 	return len(runs) > 0
 }
 
+// brokeOff reports whether the last endpoint that ran a request broke off its answer.
+func (e evidence) brokeOff() bool {
+	runs := e.runs()
+	return len(runs) > 0 && runs[len(runs)-1].broke
+}
+
 // atWork reports whether the last endpoint that ran a request was still at work on
 // it at a time.
 func (e evidence) atWork(at time.Time) bool {
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -47,6 +47,18 @@
 	return traits{events: 20, streamInterval: 50 * time.Millisecond, fileInterval: 40 * time.Millisecond, plainShare: 1 << 30}
 }
 
+// usualDaemons is the number of daemons for which the intervals of the load are meant.
+const usualDaemons = 3
+
+// interval returns an interval of the load for the number of daemons. In Mixed it is
+// the same for all.
+func (c *cluster) interval(usual time.Duration) time.Duration {
+	if c.options.Profile == Mixed {
+		return usual
+	}
+	return usual * usualDaemons / time.Duration(c.options.Daemons)
+}
+
 // pace is the range of the times between two events of an endpoint.
 type pace struct{ shortest, longest time.Duration }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,9 +42,11 @@
 	load, stop := context.WithCancel(ctx)
 	var senders sync.WaitGroup
 	p := newProbe(c, caller)
-	senders.Go(func() { every(load, c.traits.streamInterval, func(n int) { caller.sendStream(caller.pick(n)) }) })
 	senders.Go(func() {
-		every(load, c.traits.fileInterval, func(n int) { caller.send(caller.pick(n), filePath, "good-key") })
+		every(load, c.interval(c.traits.streamInterval), func(n int) { caller.sendStream(caller.pick(n)) })
+	})
+	senders.Go(func() {
+		every(load, c.interval(c.traits.fileInterval), func(n int) { caller.send(caller.pick(n), filePath, "good-key") })
 	})
 	senders.Go(func() { every(load, probeInterval, p.run) })
 	if c.traits.kept {
