--- a/front/send.go
+++ b/front/send.go
@@ -36,8 +36,8 @@
 	maxTries       = 4                       // tries per request, whatever their results
 	minRemaining   = 30 * time.Millisecond   // least remaining time for a retry
 	responseLimit  = 8 << 20                 // bytes of a response that is not streamed
-	waitDivisor    = 3                       // a try waits for a slot for at most the remaining time divided by this
-	maxWait        = 1200 * time.Millisecond // longest wait of a try for a slot
+	waitDivisor    = 3                       // a try waits for a slot for at most the remaining time divided by this, unless its stream has begun
+	maxWait        = 1200 * time.Millisecond // longest wait of a try for a slot, unless its stream has begun
 	deadlineMargin = 20 * time.Millisecond   // subtracted from the deadline sent to endpoints, for the response's way back
 	probeTimeout   = 400 * time.Millisecond  // for the connection that shows whether an endpoint crashed
 )
@@ -51,6 +51,7 @@
 	}
 	ctx, cancel := j.context()
 	defer cancel()
+	defer j.releaseSuccessor()
 	last := &response{}
 	for {
 		got, err := f.try(ctx, j, last)
@@ -83,10 +84,7 @@
 // there was no slot, or if the snapshot became too old while the request waited.
 func (f *Front) try(ctx context.Context, j *job, last *response) (result, error) {
 	start := time.Now()
-	slot, err := f.options.Placer.Acquire(ctx, pick.Request{
-		Service: j.service, Model: j.model, PromptTokens: j.size.Prompt, Priority: j.priority, Avoid: j.avoid, MaxWait: min(maxWait, j.remaining()/waitDivisor),
-		Remaining: j.route.TargetLatency - j.priorTime - time.Since(j.arrived), Retried: j.priorTime > 0, Resumed: j.stream.headSent,
-	})
+	slot, err := f.place(ctx, j)
 	waited := time.Since(start)
 	j.waited += waited
 	if err != nil {
@@ -97,22 +95,32 @@
 		}
 		return notRun, err
 	}
-	if !j.route.Public && j.account != "" && f.options.SnapshotAge() > f.options.MaxKeyAge() {
-		slot.Done(false)
+	if f.isStaleFor(j) {
+		slot.Cancel()
 		return notRun, errStale
 	}
 	f.options.Metrics.observeWait(j.model, "placed", waited)
 	j.tried = append(j.tried, slot.Endpoint.ID)
+	j.progress.endpoint.Store(&slot.Endpoint.ID)
 	j.load = slot.Load
 	j.prefill = slot.ReadTime
 	j.setCause("", nil)
 	got := f.send(ctx, j, slot, last)
+	if j.successor = j.watch.take(); j.successor != nil && got != answered {
+		j.setCause("left for another endpoint", nil)
+	}
+	j.watch = nil
 	f.options.Metrics.sends.WithLabelValues(j.model, slot.Endpoint.Domain, got.String()).Inc()
-	slot.Done(got == unknown || got == notRun || got == failed && last.status >= http.StatusInternalServerError)
+	if got == disconnected {
+		slot.Left()
+	} else {
+		slot.Done(got == unknown || got == notRun || got == failed && last.status >= http.StatusInternalServerError)
+	}
 	if got != answered {
 		j.avoid[slot.Endpoint.ID] = true
 		f.options.Log.Info("send ended", "id", j.id, "endpoint", slot.Endpoint.ID, "result", got.String(),
-			"group", slot.Endpoint.State.Member.Group, "cause", j.cause, "error", j.errText, "sends", j.sends, "left_ms", j.remaining().Milliseconds())
+			"group", slot.Endpoint.State.Member.Group, "cause", j.cause, "error", j.errText, "sends", j.sends, "left_ms", j.remaining().Milliseconds(),
+			"served", j.lastSend.served, "answer_id", j.lastSend.answerID)
 	}
 	return got, nil
 }
@@ -130,36 +138,34 @@
 // the snapshot became too old while the request waited for a slot.
 var errStale = errors.New("view too old")
 
-// send sends the request to the endpoint of a slot and forwards its response. A
-// request that may run only once gets a new connection, since an idle one may fail
-// without telling whether the request has run.
+// send sends the request to the endpoint of a slot and forwards its response.
 func (f *Front) send(ctx context.Context, j *job, slot *pick.Slot, last *response) result {
-	conn, err := f.options.Pool.Get(ctx, slot.Endpoint.Address, j.route.Repeat == site.Once)
+	conn, err := f.options.Pool.Get(ctx, slot.Endpoint.Address, j.needsNewConnection())
 	if err != nil {
 		if ctx.Err() == nil {
 			slot.Suspect()
 		}
+		j.lastSend = sendRecord{}
 		j.setCause("no connection", err)
 		return f.orDisconnected(j, notRun)
 	}
 	j.sends++
+	j.lastSend = sendRecord{served: conn.Served}
+	j.progress.sends.Add(1)
 	monitor := f.watchStall(j, slot, conn)
 	defer monitor.Stop()
 	resp, err := f.options.Pool.Send(ctx, conn, f.request(j, slot.Endpoint))
+	if err == nil {
+		defer resp.Close()
+		defer monitor.Stop() // a send that has ended is not left any more
+		err = f.ownAnswer(j, slot, resp)
+	}
 	if err != nil {
 		j.ran++
-		j.setCause("no answer", err)
-		f.checkCrash(j, slot)
-		return f.orDisconnected(j, unknown)
+		return f.unanswered(j, slot, err)
 	}
-	defer resp.Close()
 	recordNotices(slot, resp)
 	j.cause = strconv.Itoa(resp.StatusCode)
-	if resp.Header.Get(platform.HeaderRequest) != j.id && j.id != "" && resp.StatusCode < 400 {
-		j.ran++
-		j.cause = "another request's answer"
-		return f.orDisconnected(j, unknown)
-	}
 	if platform.NotRun(resp.StatusCode, resp.Header) {
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			slot.Suspect()
@@ -168,6 +174,7 @@
 	}
 	j.ran++
 	if j.route.Repeat == site.Streaming && resp.StatusCode == http.StatusOK {
+		j.expectAfterLast()
 		return f.forwardStream(ctx, j, slot, resp, monitor)
 	}
 	return f.forwardBody(j, slot, resp, last)
@@ -207,10 +214,10 @@
 // checkCrash probes in the background an endpoint that broke off a request, and
 // records a crash if it accepts no connections. An endpoint that does has not
 // crashed: the path to it was cut, or it lost a single response. There is no probe
-// if this daemon broke off the request itself, when the caller disconnected or the
-// deadline passed.
+// if this daemon broke off the request itself, when the caller disconnected, the
+// deadline passed or the daemon stops.
 func (f *Front) checkCrash(j *job, slot *pick.Slot) {
-	if j.r.Context().Err() != nil || j.remaining() <= 0 {
+	if j.r.Context().Err() != nil || j.remaining() <= 0 || f.reached(ending) {
 		return
 	}
 	id, digest, endpoint := j.id, j.digest, slot.Endpoint
@@ -240,7 +247,8 @@
 
 // forwardBody reads the body of a response that is not streamed and sends the
 // response to the caller. An error response to a repeatable request is kept in last
-// instead, since a retry may succeed.
+// instead, since a retry may succeed, and so is any where the caller has a part of a
+// stream, which it does not continue.
 func (f *Front) forwardBody(j *job, slot *pick.Slot, resp *conns.Response, last *response) result {
 	body, err := resp.ReadAll(responseLimit)
 	if err != nil {
@@ -256,7 +264,7 @@
 	last.status = resp.StatusCode
 	last.header = platform.Incoming(resp.Header)
 	last.body = body
-	if resp.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
+	if j.stream.headSent || resp.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
 		return failed
 	}
 	f.deliver(j, last)
--- a/pick/queue.go
+++ b/pick/queue.go
@@ -16,6 +16,7 @@
 	firstEventSeconds float64      // mean time from a slot's acquisition to the first event, smoothed
 	holdSeconds       float64      // mean time that a request keeps its slot, smoothed
 	active            int          // requests with a slot
+	paces                          // of all endpoints that its requests run at
 	others            gossip.Queue // sum over the other daemons
 }
 
@@ -133,11 +134,13 @@
 	return max(q.active+len(q.waiting), int(wanted+0.5))
 }
 
-func (q *queue) remove(w *waiter) {
+// remove takes a waiting request out of the queue, and reports whether it was there.
+func (q *queue) remove(w *waiter) bool {
 	for i, other := range q.waiting {
 		if other == w {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return
+			return true
 		}
 	}
+	return false
 }
