--- a/simul/config.go
+++ b/simul/config.go
@@ -9,12 +9,13 @@
 const ConfigKey = "op/config"
 
 // Config returns the given version of a test configuration. It has a route for
-// streams of model m, a route for plain calls that run at most once and a route for
+// streams of model m that may be resumed, one for those that may not, a route for plain calls that run at most once and a route for
 // calls that may be repeated. Version N also has a public route /markN/, and the
 // key key-N beside good-key, so that tests can see which version is in force.
 func Config(version int) []byte {
 	text := fmt.Sprintf(`{"version":%[1]d,"routes":[
  {"name":"talk","host":"%[2]s","path_prefix":"/talk/","type":"streaming","timeout_ms":8000,"target_latency_ms":500,"service":"engines","max_attempts":2,"resumable":true,"target_gap_ms":300},
+ {"name":"tell","host":"%[2]s","path_prefix":"/tell/","type":"streaming","timeout_ms":8000,"target_latency_ms":500,"service":"engines","max_attempts":2,"target_gap_ms":300},
  {"name":"file","host":"%[2]s","path_prefix":"/file/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":1},
  {"name":"read","host":"%[2]s","path_prefix":"/read/","type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2},
  {"name":"mark","host":"%[2]s","path_prefix":"/mark%[1]d/","type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2,"public":true}],
--- a/soak/check.go
+++ b/soak/check.go
@@ -24,7 +24,7 @@
 				r.Failures = append(r.Failures, fmt.Sprintf("%s: %s", broken, e.describe(rec)))
 			}
 		}
-		if attempts := maxAttempts[rec.path]; attempts > 0 && e.soundRunners(rec) > attempts {
+		if attempts := routes[rec.path].attempts; attempts > 0 && e.soundRunners(rec) > attempts {
 			overAttempts = append(overAttempts, rec.id)
 		}
 	}
@@ -39,9 +39,6 @@
 	}
 }
 
-// maxAttempts holds max_attempts of the routes in simul.Config.
-var maxAttempts = map[string]int{talkPath: 2, filePath: 1, readPath: 2}
-
 const (
 	attemptsSlack = 3                      // requests that may run more often than max_attempts
 	lateSlack     = 500 * time.Millisecond // time after a request's limit by which it has to be answered
@@ -93,7 +90,7 @@
 
 // checkRunsOnce checks that a request that may not be repeated ran at most once.
 func (e evidence) checkRunsOnce(rec record) string {
-	if rec.path == filePath && len(e.runs()) > 1 {
+	if routes[rec.path].once && len(e.runs()) > 1 {
 		return "TWICE: ran twice"
 	}
 	return ""
@@ -123,7 +120,7 @@
 
 // checkAllowed checks that no proper request is denied.
 func checkAllowed(rec record) string {
-	if maxAttempts[rec.path] == 0 || rec.key != "good-key" {
+	if _, known := routes[rec.path]; !known || rec.key != "good-key" {
 		return "" // sent by the probe, which asks for what may not be allowed
 	}
 	switch rec.status {
--- a/soak/client.go
+++ b/soak/client.go
@@ -14,7 +14,6 @@
 
 const (
 	deadline     = 6 * time.Second
-	plainTimeout = 2 * time.Second        // timeout_ms of the routes for plain calls in simul.Config
 	callerSlack  = time.Second            // time that a caller waits beyond its deadline
 	guideTimeout = 500 * time.Millisecond // for one request to a daemon's directory
 	guideTTL     = time.Second            // how long a directory's answer is used
@@ -22,13 +21,6 @@
 	minRetryWait = 300 * time.Millisecond // between tries of sendUntilServed
 )
 
-// Paths of the requests, one for each kind of route. The probe has its own.
-const (
-	talkPath = "/talk/" // streams, which may be resumed
-	filePath = "/file/" // plain calls that may run once
-	readPath = "/read/" // plain calls that may be repeated
-)
-
 // client sends requests over persistent connections and records the results.
 type client struct {
 	cluster *cluster
@@ -105,7 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
-	return record{id: fmt.Sprintf("%s%d", strings.Trim(path, "/"), c.count), path: path, key: key, daemon: d.index, sent: time.Now()}
+	return record{id: fmt.Sprintf("%s%d", strings.Trim(path, "/"), c.count), path: path, key: key, daemon: d.index, deadline: deadline, sent: time.Now()}
 }
 
 // finish records the result of a request.
@@ -142,7 +134,7 @@
 
 // call returns the request of a record, to an address.
 func (r record) call(address string) simul.Call {
-	return simul.Call{Address: address, Path: r.path, ID: r.id, Model: "m", Key: r.key, Deadline: deadline}
+	return simul.Call{Address: address, Path: r.path, ID: r.id, Model: "m", Key: r.key, Deadline: r.deadline}
 }
 
 // sendUntilServed sends a request up to maxTries times, with the retry delay of
--- a/soak/kept.go
+++ b/soak/kept.go
@@ -24,12 +24,14 @@
 const (
 	connectTimeout = time.Second
 	connectPause   = 50 * time.Millisecond   // after a connection that was not accepted
-	refusedPause   = 250 * time.Millisecond  // after an answer that is no success
+	refusedPause   = 250 * time.Millisecond  // after a request that was not served
 	maxIdle        = 4500 * time.Millisecond // below the time that daemons allow until a connection's first request
-	streamsKept    = 2                       // callers for each daemon that send one stream after the other
 	idlersKept     = 2                       // callers for each daemon and kind of request that leave connections unused
 )
 
+// keptDeadlines are the deadlines of the requests, drawn for each.
+var keptDeadlines = []time.Duration{3 * time.Second, deadline, 8 * time.Second}
+
 // runKept runs the callers that stay with their daemons until the context ends: for
 // each daemon and kind of request some that go on at once, and some that leave their
 // connections unused for a while.
@@ -42,13 +44,10 @@
 		callers.Go(func() { k.run(ctx) })
 	}
 	for _, d := range c.cluster.daemons {
-		for range streamsKept {
-			add(d, talkPath, 0)
-		}
-		for _, path := range []string{filePath, readPath} {
+		for _, path := range []string{talkPath, talkPath, tellPath, filePath, readPath} {
 			add(d, path, 0)
 		}
-		for _, path := range []string{talkPath, filePath, readPath} {
+		for _, path := range []string{talkPath, tellPath, filePath, readPath} {
 			for range idlersKept {
 				add(d, path, maxIdle)
 			}
@@ -79,14 +78,15 @@
 		}
 		rec := k.client.begin(k.daemon, k.path, "good-key")
 		rec.kept = true
+		rec.deadline = keptDeadlines[k.chances.IntN(len(keptDeadlines))]
 		ends := k.exchange(conn, reader, &rec)
 		k.client.finish(rec)
+		if !rec.served() {
+			time.Sleep(refusedPause)
+		}
 		if rec.ending != answered || ends {
 			return
 		}
-		if rec.status != http.StatusOK {
-			time.Sleep(refusedPause)
-		}
 	}
 }
 
@@ -101,9 +101,9 @@
 	if k.chances.IntN(2) == 0 {
 		request.ContentLength = 1 // of the body of a simul.Call; otherwise it goes in chunks
 	}
-	_ = conn.SetDeadline(time.Now().Add(deadline + callerSlack))
+	_ = conn.SetDeadline(time.Now().Add(rec.deadline + callerSlack))
 	if err := request.Write(conn); err != nil {
-		rec.end(err)
+		rec.err, rec.ending = err, reset // whatever the error, which package http may hide
 		return true
 	}
 	rec.written = time.Now()
--- a/soak/mixed.go
+++ b/soak/mixed.go
@@ -45,7 +45,7 @@
 	want := simul.FailureBody(rec.id)
 	switch {
 	case rec.status != http.StatusOK:
-	case rec.path == talkPath:
+	case routes[rec.path].stream:
 		want = simul.NamedStreamBody(e.cluster.traits.events, rec.id)
 	default:
 		want = simul.PlainBody(runner, rec.id)
--- a/soak/record.go
+++ b/soak/record.go
@@ -30,6 +30,7 @@
 	path       string
 	key        string
 	daemon     int
+	deadline   time.Duration
 	kept       bool // sent by a caller that stays with its daemon, not through a Path
 	sent       time.Time
 	written    time.Time // when the last byte had been sent, zero if it was not
@@ -52,10 +53,10 @@
 // limit returns the time in which the request has to end: the caller's deadline or
 // the route's timeout.
 func (r record) limit() time.Duration {
-	if r.path == talkPath {
-		return deadline
+	if known, found := routes[r.path]; found {
+		return min(r.deadline, known.timeout)
 	}
-	return plainTimeout
+	return plainTimeout // of the probe's routes
 }
 
 // read fills in the answer, and how reading its body ended.
