--- a/cmd/chead/stop_test.go
+++ b/cmd/chead/stop_test.go
@@ -51,7 +51,7 @@
 		is.NoErr(os.WriteFile(path, data, 0o600))
 	}
 	write(60)
-	cmd, output := start(t, path)
+	cmd, output := start(t, "edge", path)
 	caller := settings["caller"].(string)
 	status := make(chan int, 1)
 	await(t, "ready", func() bool {
