--- a/simul/answer.go
+++ b/simul/answer.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	maxSecondDelay = 2 * time.Second // until the second answer of a runner that stutters
-	plainLines     = 100             // of the named body of a plain call, which is then longer than usual buffers
+	signatureHeader = "X-Server-Signature"
+	maxSecondDelay  = 2 * time.Second // until the second answer of a runner that stutters
+	plainLines      = 100             // of the named body of a plain call, which is then longer than usual buffers
 )
 
 // run is one run of a request.
@@ -84,7 +85,7 @@
 	signature := fmt.Sprintf("%s.%x.%d", r.options.ID, r.born, r.given)
 	r.mu.Unlock()
 	h.Set("X-Request-Id", id)
-	h.Set("X-Server-Signature", signature)
+	h.Set(signatureHeader, signature)
 	r.act(Gave, id, status, signature)
 }
 
--- a/simul/caller.go
+++ b/simul/caller.go
@@ -35,6 +35,10 @@
 	return r, nil
 }
 
+// Signature returns the endpoint's signature of a response, or an empty string if there
+// is none.
+func Signature(response *http.Response) string { return response.Header.Get(signatureHeader) }
+
 // RetryAfter returns the time after which a response asks the caller to retry, from
 // its Retry-After header, or 0 if the header is missing or not a number of seconds.
 func RetryAfter(response *http.Response) time.Duration {
--- a/soak/record.go
+++ b/soak/record.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"clementinehead.example/chead/simul"
 )
 
 // ending is how the exchange of a request ended.
@@ -65,7 +67,7 @@
 	r.status = response.StatusCode
 	r.body = string(body)
 	r.echo = response.Header.Get("X-Request-Id")
-	r.signature = response.Header.Get("X-Server-Signature")
+	r.signature = simul.Signature(response)
 	r.end(err)
 }
 
