groups: the outcome of an earlier term's order is ignored

No user saw it; it was found by reading.

Cause: a keeper that resigns since the store is in another era takes office again in the same step, while orders of its earlier term may be unanswered for 400 ms. Their outcome was matched to the new term's order by verb and count alone. So "accepted" for a leave of an old group could stand for the leave of another one, after which the endpoint counts as free, and a refusal of the old fencing token ended the new term.

An order carries its term as fencing token, so one of another term is told by it.

--- a/groups/era_test.go
+++ b/groups/era_test.go
@@ -1,11 +1,14 @@
 package groups
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
@@ -46,3 +49,24 @@
 	}
 	is.True(!k.firstCandidate())
 }
+
+// A keeper may begin another term, after the store came back from an older copy, while
+// orders of its earlier term are unanswered. Their outcome says nothing of an order of
+// the new term, nor does their refusal by fencing token end it.
+func TestOutcomeOfAnEarlierTermIsIgnored(t *testing.T) {
+	for _, status := range []int{http.StatusAccepted, http.StatusPreconditionFailed} {
+		is := is.New(t)
+		k := newKeeper()
+		k.term = 7
+		k.planner = NewPlanner(7, nil)
+		current := platform.Order{Verb: platform.Leave, Group: "g2", Epoch: 2, Token: 7, Sequence: 4}
+		k.planner.records["e"] = &orderRecord{sequence: 4, sequenceKnown: true, lastOrder: current, sentAt: time.Minute}
+		k.options.Engines = &platform.Engines{Do: func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: status, Body: http.NoBody}, nil
+		}}
+		earlier := platform.Order{Verb: platform.Leave, Group: "g1", Epoch: 1, Token: 6, Sequence: 4}
+		k.send(t.Context(), Order{To: site.Endpoint{ID: "e", Address: "127.0.0.1:1"}, Order: earlier})
+		is.True(k.IsKeeper())
+		is.Equal(k.planner.records["e"].outcome, pending)
+	}
+}
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -245,7 +245,7 @@
 	k.options.Metrics.setGroups(k.planner.sortedGroups())
 }
 
-// send sends an order and records its outcome.
+// send sends an order and records its outcome, unless the term has ended.
 func (k *Keeper) send(ctx context.Context, o Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -253,8 +253,8 @@
 	defer k.wakeUp()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.planner == nil {
-		return
+	if k.planner == nil || k.term != o.Order.Token {
+		return // of an earlier term
 	}
 	k.options.Log.Info("order", "endpoint", o.To.ID, "order", o.Order.Verb.String(), "group", o.Order.Group, "model", o.Order.Model,
 		"sequence", o.Order.Sequence, "term", o.Order.Token, "error", errorText(err))
