--- a/gate/clock_test.go
+++ b/gate/clock_test.go
@@ -10,8 +10,8 @@
 	"clementinehead.example/chead/fleet"
 )
 
-// clock runs events in the order of their times, without waiting.
-type clock struct {
+// eventClock runs events in the order of their times, without waiting.
+type eventClock struct {
 	now    time.Time
 	events events
 	count  int
@@ -42,22 +42,22 @@
 	return last
 }
 
-func newClock() *clock { return &clock{now: time.Unix(1000, 0)} }
+func newClock() *eventClock { return &eventClock{now: time.Unix(1000, 0)} }
 
 // after calls do after a delay.
-func (c *clock) after(delay time.Duration, do func()) {
+func (c *eventClock) after(delay time.Duration, do func()) {
 	c.count++
 	heap.Push(&c.events, event{at: c.now.Add(delay), order: c.count, do: do})
 }
 
 // every calls do now and after each pause.
-func (c *clock) every(pause time.Duration, do func()) {
+func (c *eventClock) every(pause time.Duration, do func()) {
 	do()
 	c.after(pause, func() { c.every(pause, do) })
 }
 
 // run advances the clock by a span and runs the events that are due.
-func (c *clock) run(span time.Duration) {
+func (c *eventClock) run(span time.Duration) {
 	end := c.now.Add(span)
 	for len(c.events) > 0 && !c.events[0].at.After(end) {
 		next := heap.Pop(&c.events).(event)
--- a/gate/cluster_test.go
+++ b/gate/cluster_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"clementinehead.example/chead/chart"
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/edit"
 	"clementinehead.example/chead/engine"
@@ -200,7 +201,7 @@
 		delay := time.Duration(c.random.Int64N(int64(maxPublishDelay)))
 		c.after(delay, func() {
 			if c.waitResumed(d) {
-				_ = sleep(c.ctx, delay) // a daemon that resumes receives the view late
+				_ = clock.Sleep(c.ctx, delay) // a daemon that resumes receives the view late
 			}
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -220,7 +221,7 @@
 // after calls do after a delay, unless the simulation ends before.
 func (c *cluster) after(delay time.Duration, do func()) {
 	c.group.Go(func() {
-		if sleep(c.ctx, delay) {
+		if clock.Sleep(c.ctx, delay) {
 			do()
 		}
 	})
@@ -284,7 +285,7 @@
 
 // probe returns the report of an endpoint to a daemon.
 func (c *cluster) probe(d *daemon, address string) (engine.Report, error) {
-	_ = sleep(c.ctx, time.Millisecond)
+	_ = clock.Sleep(c.ctx, time.Millisecond)
 	c.mu.Lock()
 	report, err := engine.Report{}, errDown
 	for i := range c.endpoints {
@@ -342,7 +343,7 @@
 
 // dial returns the other daemon's gate after the time of one message.
 func (p *peer) dial(ctx context.Context) (*Gate, error) {
-	_ = sleep(ctx, time.Millisecond)
+	_ = clock.Sleep(ctx, time.Millisecond)
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
 	for _, d := range p.cluster.daemons {
@@ -417,7 +418,7 @@
 		if random.IntN(slowAnswerOneIn) == 0 {
 			delay = time.Duration(random.Int64N(int64(maxAnswerDelay)))
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
 		c.waitResumed(d)
@@ -449,7 +450,7 @@
 func (c *cluster) runRequest(ctx context.Context, d *daemon, boot uint64, id string, planned requestPlan) {
 	requestedAt := time.Now()
 	client, response := c.acquire(ctx, d, boot, id)
-	_ = sleep(ctx, planned.delay)
+	_ = clock.Sleep(ctx, planned.delay)
 	c.waitResumed(d)
 	if response == nil || ctx.Err() != nil {
 		return
@@ -516,7 +517,7 @@
 	c.mu.Unlock()
 	if planned.silent {
 		c.group.Go(func() { c.finish(e, boot, id, planned.service) })
-		_ = sleep(c.ctx, planned.service/4)
+		_ = clock.Sleep(c.ctx, planned.service/4)
 		return wire.Ending_ENDING_BROKEN
 	}
 	return c.finish(e, boot, id, planned.service)
@@ -524,7 +525,7 @@
 
 // finish runs a request to its end.
 func (c *cluster) finish(e *endpoint, boot uint64, id string, service time.Duration) wire.Ending {
-	_ = sleep(c.ctx, service)
+	_ = clock.Sleep(c.ctx, service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if e.boot != boot || e.missing {
--- a/gate/history_test.go
+++ b/gate/history_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 )
 
@@ -255,7 +256,7 @@
 // runKeeper simulates the keeper: it orders members that differ from their
 // orders, and names another gate when the gate's daemon is dead.
 func (c *cluster) runKeeper() {
-	for sleep(c.ctx, 500*time.Millisecond) {
+	for clock.Sleep(c.ctx, 500*time.Millisecond) {
 		c.mu.Lock()
 		if c.store {
 			c.confirmedAt = time.Now()
--- a/gate/overload_test.go
+++ b/gate/overload_test.go
@@ -18,7 +18,7 @@
 // overloadModel simulates one endpoint under load. Permits are given by a Core,
 // or by fixed limits of the entries (split mode).
 type overloadModel struct {
-	clock       *clock
+	clock       *eventClock
 	random      *rand.Rand
 	core        *Core
 	waiting     map[uint64]*modelRequest
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/wire"
 )
 
@@ -58,7 +59,7 @@
 		if err == nil && response.Taken {
 			return nil
 		}
-		if sleep(ctx, handoverPause) {
+		if clock.Sleep(ctx, handoverPause) {
 			continue
 		}
 		if err != nil {
--- a/gate/probe.go
+++ b/gate/probe.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/engine"
 )
 
@@ -67,7 +68,7 @@
 		if err == nil && g.handleReport(r, sent, address, report) == Open {
 			pause = ProbeEvery
 		}
-		if !sleep(ctx, pause-time.Since(sent)) {
+		if !clock.Sleep(ctx, pause-time.Since(sent)) {
 			return nil
 		}
 	}
@@ -95,7 +96,7 @@
 func (g *Gate) feedLoop(ctx context.Context, r *replicaGate, address string) error {
 	for {
 		pause := g.readFeed(ctx, r, address)
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
 	}
@@ -119,18 +120,3 @@
 	g.mu.Unlock()
 	return max(feedEvery, time.Duration(len(feed.Events)*eventSize)*time.Second/feedBudget)
 }
-
-// sleep waits and returns false if the context ended.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
