--- a/admin/accept.go
+++ b/admin/accept.go
@@ -93,8 +93,7 @@
 	entry, envelope, err := read(request.Context(), a.options.Store)
 	fresh := err == nil
 	if !fresh {
-		entry, _ = a.options.Get(fleet.ConfKey)
-		envelope, err = edit.Read(entry.Value)
+		entry, envelope, err = a.inForce()
 		if err != nil {
 			refuse(w, id, err)
 			return
--- a/admin/audit.go
+++ b/admin/audit.go
@@ -10,7 +10,6 @@
 
 	"clementinehead.example/chead/audit"
 	"clementinehead.example/chead/edit"
-	"clementinehead.example/chead/fleet"
 )
 
 // defaultPeriod is the length of the period if an operator gives no start.
@@ -29,8 +28,7 @@
 		refuse(w, "", &Error{Op: "audit", Kind: Unavailable, Err: err})
 		return
 	}
-	entry, _ := a.options.Get(fleet.ConfKey)
-	envelope, err := edit.Read(entry.Value)
+	_, envelope, err := a.inForce()
 	if err != nil {
 		refuse(w, "", err)
 		return
--- a/admin/config.go
+++ b/admin/config.go
@@ -10,6 +10,7 @@
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/edit"
 	"clementinehead.example/chead/fleet"
+	"clementinehead.example/chead/store"
 )
 
 // getConfig responds with the document that is in force at this daemon.
@@ -18,8 +19,7 @@
 		refuse(w, "", &Error{Op: "get", Kind: Unavailable, Err: errors.New("this daemon does not know the document yet")})
 		return
 	}
-	entry, _ := a.options.Get(fleet.ConfKey)
-	envelope, err := edit.Read(entry.Value)
+	entry, envelope, err := a.inForce()
 	if err != nil {
 		refuse(w, "", err)
 		return
@@ -37,6 +37,13 @@
 	})
 }
 
+// inForce returns the configuration that is in force at this daemon.
+func (a *Admin) inForce() (store.Entry, edit.Envelope, error) {
+	entry, _ := a.options.Get(fleet.ConfKey)
+	envelope, err := edit.Read(entry.Value)
+	return entry, envelope, err
+}
+
 // documentJSON returns a document, or one section of it, as JSON.
 func documentJSON(d conf.Document, section string) (json.RawMessage, error) {
 	if section == "" {
