--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -37,6 +37,8 @@
 		{"crossed by the close", 13.5, 13.6, closed, nil, nil, ""},
 		{"not read", 13.5, 17.3, reset, nil, nil, ""},
 		{"passed on and reset", 13.5, 17.3, reset, ran(13.5, 17.3), nil, "LOST: no whole answer around SIGTERM"},
+		{"passed on, not run, and closed at once", 11, 11.1, closed, []simul.Act{act(passedOn, 11)}, nil, "LOST: no whole answer around SIGTERM"},
+		{"passed on to an endpoint that was killed", 11, 11.1, closed, []simul.Act{act(passedOn, 11)}, []faultSpan{{step: Step{Fault: KillRunner}, from: at(11)}}, ""},
 		{"broken off by the endpoint", 11, 12, closed, broke, nil, ""},
 		{"broken off, then failed elsewhere", 11, 14, closed, append(append([]simul.Act{}, broke...), failed...), nil, ""},
 		{"left by the daemon, then failed elsewhere", 11, 14, closed, append(ran(11, 11.5), failed...), nil, "LOST: no whole answer around SIGTERM"},
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -9,6 +9,15 @@
 	"clementinehead.example/chead/simul"
 )
 
+// passedOn is what a daemon did for a request: it sent it to a runner, which may have
+// refused it or ended before it read it.
+const passedOn simul.Deed = "passed on"
+
+// passedOn reports whether a daemon passed the request on to a runner.
+func (e evidence) passedOn() bool {
+	return slices.ContainsFunc(e.acts, func(a simul.Act) bool { return a.Deed == passedOn || a.Deed == simul.Ran })
+}
+
 // evidence is what the soak knows of a request beside its record.
 type evidence struct {
 	cluster *cluster
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -42,10 +42,10 @@
 	if rec.written.IsZero() {
 		return "not sent whole"
 	}
-	if len(e.runs()) == 0 && rec.ending == reset && rec.status == 0 {
+	if !e.passedOn() && rec.ending == reset && rec.status == 0 {
 		return "not read" // as the reset shows
 	}
-	if len(e.runs()) == 0 && rec.ended.Sub(rec.written) <= lossSlack {
+	if !e.passedOn() && rec.ended.Sub(rec.written) <= lossSlack {
 		return "crossed by the close"
 	}
 	if e.failedAll() {
@@ -68,7 +68,7 @@
 }
 
 // disturbed reports whether an unplanned fault of the daemon, of its path or of an
-// endpoint that ran a request excuses its loss. Faults of the store excuse nothing.
+// endpoint that got a request excuses its loss. Faults of the store excuse nothing.
 func (e evidence) disturbed(rec record) bool {
 	from := rec.sent.Add(-contact)
 	kinds := []Fault{KillDaemon, PauseDaemon}
--- a/soak/path.go
+++ b/soak/path.go
@@ -20,6 +20,7 @@
 type Path struct {
 	target   string
 	listener net.Listener
+	onBytes  func([]byte) // called with the bytes to the target, may be nil; set before use
 	mu       sync.Mutex
 	cuts     map[int]Cut // in force, by the number of the step that set it
 	conns    map[net.Conn]bool
@@ -142,6 +143,9 @@
 		if p.cut() == Delay {
 			time.Sleep(pathDelay)
 		}
+		if n > 0 && direction == There && p.onBytes != nil {
+			p.onBytes(buffer[:n])
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
--- a/soak/start.go
+++ b/soak/start.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"clementinehead.example/chead/simul"
 )
@@ -24,6 +26,7 @@
 	if err != nil {
 		return &Error{Op: "path", Kind: Start, Err: err}
 	}
+	path.onBytes = func(data []byte) { c.recordPassed(name, data) }
 	service, fabric := "engines", "f1"
 	plain := i >= c.options.Runners-max(minPlain, c.options.Runners/c.traits.plainShare)
 	if plain {
@@ -55,6 +58,20 @@
 	c.acts[act.ID] = append(c.acts[act.ID], act)
 }
 
+// recordPassed records that a request was passed on to a runner, if the bytes that a
+// daemon sent begin one.
+func (c *cluster) recordPassed(runner string, data []byte) {
+	const header = "\r\nX-Request-Id: "
+	_, rest, found := bytes.Cut(data, []byte(header))
+	id, _, whole := bytes.Cut(rest, []byte("\r\n"))
+	if !found || !whole {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.acts[string(id)] = append(c.acts[string(id)], simul.Act{Deed: passedOn, Runner: runner, ID: string(id), At: time.Now().UnixMicro()})
+}
+
 // addDaemon starts the daemon with index i.
 func (c *cluster) addDaemon(i int, store string) error {
 	name := fmt.Sprintf("d%d", i)
