--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,11 +66,11 @@
 }
 
 // Run serves until the context ends, and then shuts down gracefully: requests in
-// progress can complete within shutdownTimeout. It returns the error of the first
+// progress can complete within their limits. It returns the error of the first
 // role that fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.clients.close()
-	callers, servers, err := d.listeners()
+	callers, peer, operator, err := d.listeners()
 	if err != nil {
 		return err
 	}
@@ -81,15 +81,15 @@
 	for _, run := range d.roles() {
 		group.Go(func() error { return roleError(run(roles)) })
 	}
-	for _, s := range servers {
-		group.Go(func() error { return s.run(roles) })
-	}
+	group.Go(func() error { return peer.run(roles) })
+	group.Go(func() error { return operator.run(roles) })
 	group.Go(func() error { return roleError(d.entry.Serve(callers)) })
 	group.Go(func() error {
 		defer cancel()
 		select {
 		case <-ctx.Done():
 			d.shutDown(roles)
+			operator.stop(editTimeout) // an edit in progress needs the roles
 		case <-roles.Done():
 			_ = callers.Close()
 		}
@@ -123,20 +123,17 @@
 	return &Error{Op: "run", Kind: Role, Err: err}
 }
 
-func (d *Daemon) listeners() (net.Listener, []*server, error) {
-	callers, err := d.options.Listen(d.options.Settings.Caller)
-	if err != nil {
-		return nil, nil, &Error{Op: "listen caller", Kind: Address, Err: err}
-	}
-	peer, err := d.listen("peer", d.options.Settings.Peer, d.peerHandler(), peerProtocols())
+func (d *Daemon) listeners() (callers net.Listener, peer, operator *server, err error) {
+	callers, err = d.options.Listen(d.options.Settings.Caller)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, &Error{Op: "listen caller", Kind: Address, Err: err}
 	}
-	operator, err := d.listen("operator", d.options.Settings.Operator, d.operatorHandler(), nil)
+	peer, err = d.listen("peer", d.options.Settings.Peer, d.peerHandler(), peerProtocols())
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	return callers, []*server{peer, operator}, nil
+	operator, err = d.listen("operator", d.options.Settings.Operator, d.operatorHandler(), nil)
+	return callers, peer, operator, err
 }
 
 // reportRevision keeps the roster informed of the revision of the configuration
@@ -155,7 +152,7 @@
 
 // The limits of a graceful shutdown.
 const (
-	shutdownTimeout = 10 * time.Minute // for requests in progress
+	shutdownMargin  = time.Minute      // beyond the limits of requests, for the records and releases behind the last answer
 	handoverTimeout = 10 * time.Second // for other daemons to take over the gates
 	handoverPoll    = 50 * time.Millisecond
 )
@@ -165,7 +162,7 @@
 func (d *Daemon) shutDown(ctx context.Context) {
 	d.options.Log.Info("daemon leaves")
 	d.roster.Leave()
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.shutdownTimeout())
 	defer cancel()
 	if err := d.entry.Shutdown(ctx); err != nil {
 		d.options.Log.Error(err, "requests cut off")
@@ -173,6 +170,13 @@
 	d.handOver(ctx)
 }
 
+// shutdownTimeout returns the time in which every request has ended that is accepted
+// until the daemon stops listening.
+func (d *Daemon) shutdownTimeout() time.Duration {
+	limits := d.relay.View().Document.Limits
+	return time.Duration(limits.Entries+limits.Request) + shutdownMargin
+}
+
 func (d *Daemon) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
