--- a/soak/client.go
+++ b/soak/client.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clementinehead.example/chead/simul"
@@ -113,9 +114,10 @@
 func (c *client) exchange(d *daemon, rec *record) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+callerSlack)
 	defer cancel()
+	var written atomic.Pointer[time.Time] // the transport may still write when it has returned
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
-		if info.Err == nil {
-			rec.written = time.Now()
+		if now := time.Now(); info.Err == nil {
+			written.Store(&now)
 		}
 	}})
 	r, err := rec.call(d.callers.Address()).Request(traced)
@@ -126,10 +128,13 @@
 	response, err := c.http.Do(r)
 	if err != nil {
 		rec.end(err)
-		return
+	} else {
+		defer func() { _ = response.Body.Close() }()
+		rec.read(response)
+	}
+	if at := written.Load(); at != nil {
+		rec.written = *at
 	}
-	defer func() { _ = response.Body.Close() }()
-	rec.read(response)
 }
 
 // call returns the request of a record, to an address.
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -43,6 +43,7 @@
 	traits  traits
 	store   *simul.Store
 	server  *http.Server
+	log     *os.File // of the soak itself
 	began   time.Time
 	daemons []*daemon
 	runners []*runner
@@ -86,6 +87,11 @@
 func newCluster(o Options) (*cluster, error) {
 	c := &cluster{options: o, traits: o.Profile.traits(), store: simul.NewStore(), changes: map[int]time.Time{}, acts: map[string][]simul.Act{}, given: map[string]simul.Act{}}
 	c.change()
+	log, err := c.createLog("soak")
+	if err != nil {
+		return nil, &Error{Op: "log", Kind: Start, Err: err}
+	}
+	c.log = log
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: Start, Err: err}
@@ -153,4 +159,5 @@
 		_ = r.log.Close()
 	}
 	_ = c.server.Close()
+	_ = c.log.Close()
 }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -118,6 +119,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.faults = append(c.faults, faultSpan{step: s, from: time.Now()})
+	c.logFault("begins", s)
 	return len(c.faults) - 1
 }
 
@@ -126,6 +128,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.faults[index].to = time.Now()
+	c.logFault("has ended", c.faults[index].step)
+}
+
+// logFault writes a line to the soak's own log, with the time as daemons log it.
+func (c *cluster) logFault(what string, s Step) {
+	_, _ = fmt.Fprintln(c.log, time.Now().UTC().Format(time.RFC3339Nano), s.Fault, s.Target, s.Cut, what) // a line missing from the log is no failure
 }
 
 // disturbed reports whether a fault of one of the kinds affected a daemon within
