--- a/front/front.go
+++ b/front/front.go
@@ -83,8 +83,9 @@
 	waited    time.Duration      // for slots, in all tries
 	retry     pick.RetryDecision // what the retry budget answered to the last retry
 	stream    stream
-	watch     *watchdog  // of the present send, if any
-	successor *pick.Slot // held for the next try, since the last send was broken off for it
+	watch     *watchdog   // of the present send, if any
+	successor *successor  // held for the next try, since the last send was broken off for it
+	opened    *conns.Conn // the successor's, until it is used
 	progress  progress
 }
 
--- a/front/place.go
+++ b/front/place.go
@@ -10,9 +10,10 @@
 // place returns the slot of a request's next try: the one that is held for it, or
 // one at any endpoint, after a wait if none is free.
 func (f *Front) place(ctx context.Context, j *job) (*pick.Slot, error) {
-	if slot := j.successor; slot != nil {
+	if next := j.successor; next != nil {
 		j.successor = nil
-		return slot, nil
+		j.opened = next.conn
+		return next.slot, nil
 	}
 	return f.options.Placer.Acquire(ctx, j.placement())
 }
--- a/front/send.go
+++ b/front/send.go
@@ -140,7 +140,7 @@
 
 // send sends the request to the endpoint of a slot and forwards its response.
 func (f *Front) send(ctx context.Context, j *job, slot *pick.Slot, last *response) result {
-	conn, err := f.options.Pool.Get(ctx, slot.Endpoint.Address, j.needsNewConnection())
+	conn, err := f.connection(ctx, j, slot)
 	if err != nil {
 		if ctx.Err() == nil {
 			slot.Suspect()
@@ -152,7 +152,7 @@
 	j.sends++
 	j.lastSend = sendRecord{served: conn.Served}
 	j.progress.sends.Add(1)
-	monitor := f.watchStall(j, slot, conn)
+	monitor := f.watchStall(ctx, j, slot, conn)
 	defer monitor.Stop()
 	resp, err := f.options.Pool.Send(ctx, conn, f.request(j, slot.Endpoint))
 	if err == nil {
--- a/front/silence.go
+++ b/front/silence.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -18,11 +19,13 @@
 
 // watchdog watches a send for silence. While no event arrives, it checks whether the
 // endpoint is silent for longer than usual. It breaks the send off only once it holds
-// a successor: a slot at another endpoint, for a retry that is permitted and counted.
-// Until then, and in the last attempt, the send goes on to its natural end.
+// a successor: a slot at another endpoint, for a retry that is permitted and counted,
+// and a connection to it. Until then, and in the last attempt, the send goes on to its
+// natural end.
 type watchdog struct {
 	front     *Front
-	job       *job // only what doesn't change during the send may be read
+	ctx       context.Context // of the send
+	job       *job            // only what doesn't change during the send may be read
 	slot      *pick.Slot
 	conn      *conns.Conn
 	request   pick.Request // for the successor
@@ -36,13 +39,14 @@
 	stopped     bool
 	denied      hurdle            // why there was no successor at the last check
 	reservation *pick.Reservation // for a slot elsewhere, while there is none
-	successor   *pick.Slot        // set once the send has been broken off
+	connecting  bool              // a connection to an endpoint elsewhere is being opened
+	successor   *successor        // set once the send has been broken off
 }
 
 // watchStall starts the watchdog of a send over conn. It does nothing if the
 // request is not repeatable or is not for a model.
-func (f *Front) watchStall(j *job, slot *pick.Slot, conn *conns.Conn) *watchdog {
-	w := &watchdog{front: f, job: j, slot: slot, conn: conn, ran: j.ran + 1, tries: len(j.tried), start: time.Now()}
+func (f *Front) watchStall(ctx context.Context, j *job, slot *pick.Slot, conn *conns.Conn) *watchdog {
+	w := &watchdog{front: f, ctx: ctx, job: j, slot: slot, conn: conn, ran: j.ran + 1, tries: len(j.tried), start: time.Now()}
 	if !j.route.Repeatable() || j.model == "" {
 		return w
 	}
@@ -59,7 +63,7 @@
 func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
+	if w.stopped || w.connecting || w.successor != nil {
 		return
 	}
 	cause := w.overdue()
@@ -68,9 +72,9 @@
 		w.reset(stallRecheck)
 		return
 	}
-	successor, decision, reason := w.takeOver()
+	slot, decision, reason := w.takeOver()
 	if reason == allowed {
-		w.leave(cause, successor)
+		w.connect(slot)
 		return
 	}
 	w.logDenied(cause, reason, decision)
@@ -100,7 +104,7 @@
 // still permitted. The lock must be held.
 func (w *watchdog) granted(slot *pick.Slot) {
 	cause := w.overdue()
-	if w.stopped || w.successor != nil || cause == "" || w.permitted() != allowed {
+	if w.stopped || w.connecting || w.successor != nil || cause == "" || w.permitted() != allowed {
 		slot.Cancel()
 		return
 	}
@@ -109,14 +113,13 @@
 		w.logDenied(cause, noBudget, decision)
 		return
 	}
-	w.leave(cause, slot)
+	w.connect(slot)
 }
 
 // leave breaks the send off for a successor. The lock must be held.
-func (w *watchdog) leave(cause string, successor *pick.Slot) {
-	w.cancelReservation()
-	w.successor = successor
-	w.front.options.Log.Info("endpoint stands still", append(w.fields(cause), "successor", successor.Endpoint.ID)...)
+func (w *watchdog) leave(cause string, slot *pick.Slot, conn *conns.Conn) {
+	w.successor = &successor{slot, conn}
+	w.front.options.Log.Info("endpoint stands still", append(w.fields(cause), "successor", slot.Endpoint.ID)...)
 	_ = w.conn.Close()
 }
 
@@ -231,7 +234,7 @@
 }
 
 // take stops the watchdog and returns the successor if the send was broken off.
-func (w *watchdog) take() *pick.Slot {
+func (w *watchdog) take() *successor {
 	if w == nil {
 		return nil
 	}
@@ -242,11 +245,3 @@
 	w.successor = nil
 	return successor
 }
-
-// releaseSuccessor gives back a successor that is not used.
-func (j *job) releaseSuccessor() {
-	if j.successor != nil {
-		j.successor.Cancel()
-		j.successor = nil
-	}
-}
