--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,7 +74,8 @@
 	if err != nil {
 		return nil, &Error{Op: "listen peer", Kind: Address, Err: err}
 	}
-	client := newClient()
+	transport := newTransport()
+	client := &http.Client{Transport: transport}
 	d.store = platform.NewStore(s.Store, client.Do)
 	d.watcher = watch.New(watch.Options{
 		Store: d.store, Do: client.Do, Relays: d.storeRelays, Boot: clock.Boot, Log: o.Log,
@@ -96,25 +97,25 @@
 		Crashes:   d.crashes, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
 	d.keeper = groups.New(groups.Options{
-		Self: d.self, Store: d.store, Engines: &platform.Engines{Do: client.Do}, Watcher: d.watcher, Alive: d.gossip.Alive,
+		Self: d.self, Store: d.store, Engines: platform.NewEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
 		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
 	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Peers: d.peers})
 	return d, nil
 }
 
-// newClient returns an HTTP client for the store and for orders to engines. It keeps
+// newTransport returns the transport to the store and to engines. It keeps
 // few idle connections, and those only for a short time, since a connection may stop
 // passing data without being closed.
-func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+func newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return conns.Dial(ctx, address) },
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     4 * time.Second,
 		DisableCompression:  true,
 		ReadBufferSize:      4 << 10,
 		WriteBufferSize:     2 << 10,
-	}}
+	}
 }
 
 // ready reports whether this daemon accepts callers.
