trace: a request in progress at a stop has not ended

chead explain took the line 'request in progress' for the end of its request, since it begins as the lines of ends do: it said 'in progress with after ms', and left out what the daemon logged of its stop. It now says up to where the request was followed, and shows the daemon's lines of the 3 s after that.

--- a/trace/trace.go
+++ b/trace/trace.go
@@ -10,7 +10,7 @@
 
 const (
 	maxLine  = 1 << 20         // bytes, longest accepted line
-	lookback = 3 * time.Second // related lines are included from this long before the arrival, as decisions rest on what daemons learned then
+	lookback = 3 * time.Second // related lines are included from this long before the arrival, as decisions rest on what daemons learned then, and until this long after the last line of a request without an end
 )
 
 // Logs collects the log lines of all daemons that may concern one request: those
@@ -53,7 +53,7 @@
 // Trace is the history of a request, with its lines in order of time.
 type Trace struct {
 	ID      string
-	Arrived time.Time // arrival, or the time of the first line if the request has not ended
+	Arrived time.Time // arrival, or the time of the first line if no line tells of the end
 	End     Line      // last line that carries the id; isEnd reports whether it ends the request
 	Tagged  []Line    // lines that carry the id of the request
 	Related []Line    // lines without an id that concern the request
@@ -69,12 +69,14 @@
 	byTime(l.tagged)
 	trace := &Trace{ID: l.id, Tagged: l.tagged, End: l.tagged[len(l.tagged)-1], Skipped: l.skipped}
 	trace.Arrived = l.tagged[0].Time
+	until := trace.End.Time.Add(lookback) // what its daemon did next may tell why there is no end
 	if took := time.Duration(trace.End.number("took_ms")) * time.Millisecond; isEnd(trace.End) {
 		trace.Arrived = trace.End.Time.Add(-took)
+		until = trace.End.Time
 	}
 	r := relatedTo(l.tagged)
 	for _, line := range l.untagged {
-		if line.Time.Before(trace.Arrived.Add(-lookback)) || line.Time.After(trace.End.Time) || !r.matches(line) {
+		if line.Time.Before(trace.Arrived.Add(-lookback)) || line.Time.After(until) || !r.matches(line) {
 			continue
 		}
 		trace.Related = append(trace.Related, line)
@@ -83,9 +85,12 @@
 	return trace, nil
 }
 
+// inProgress is the message of a line on a request that has not ended.
+const inProgress = "request in progress"
+
 // isEnd reports whether a line is the final line of a request. Its message begins
 // with "request ", followed by the outcome.
-func isEnd(l Line) bool { return strings.HasPrefix(l.Message, "request ") }
+func isEnd(l Line) bool { return strings.HasPrefix(l.Message, "request ") && l.Message != inProgress }
 
 func byTime(lines []Line) {
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
--- a/trace/write.go
+++ b/trace/write.go
@@ -44,6 +44,10 @@
 // outcome returns one sentence on how the request ended and whether it ran.
 func (t *Trace) outcome() string {
 	e := t.End
+	if e.Message == inProgress {
+		return fmt.Sprintf("no line tells of its end: it was in progress as its daemon logged %q, %s ms after its arrival, with %s sends and %s events",
+			e.Get("cause"), e.Get("elapsed_ms"), e.Get("sends"), e.Get("events"))
+	}
 	if !isEnd(e) {
 		return "no line tells of its end: it is in progress, its daemon ended, or lines were dropped"
 	}
