--- a/front/front.go
+++ b/front/front.go
@@ -278,7 +278,7 @@
 	}
 	f.options.Log.Info("request "+outcome,
 		"id", j.id, "route", j.route.Name, "account", j.account, "model", j.model, "status", status, "reason", reason,
-		"tried", strings.Join(j.tried, ","), "ran", j.ran, "load", j.load, "read_ms", j.prefill.Milliseconds(),
+		"tried", strings.Join(j.tried, ","), "ran", j.ran, "served", j.lastSend.served, "load", j.load, "read_ms", j.prefill.Milliseconds(),
 		"events", j.stream.forwarded, "first_ms", j.stream.first.Milliseconds(), "gap_ms", j.stream.longestGap.Milliseconds(),
 		"ahead", j.queue.InTime+j.queue.Late, "fit", j.eligible, "freed", round(j.queue.FreeRate), "arrivals", round(j.queue.ArrivalRate),
 		"slack_ms", j.queue.Slack.Milliseconds(), "returned_ms", j.priorTime.Milliseconds(),
--- a/front/late_test.go
+++ b/front/late_test.go
@@ -148,3 +148,18 @@
 		is.True(time.Since(began) < time.Second) // the route's target latency
 	}
 }
+
+// The line of a served request says whether its answer came on a kept connection, as an
+// answer with the right id may still be a second one there.
+func TestServedLineTellsOfKeptConnection(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, "plain", newStub(t, "a", signed(200, "x")))
+	lines := f.captureLog()
+	for range 2 {
+		is.Equal(f.call(t, "GET", "/read/", nil).status, 200)
+	}
+	served := lines("request served")
+	is.Equal(len(served), 2)
+	is.True(strings.Contains(served[0], `"served":0`))
+	is.True(strings.Contains(served[1], `"served":1`))
+}
