--- a/pick/pace_test.go
+++ b/pick/pace_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/site"
 )
 
 var engineRequest = Request{Service: "s", Model: "m", Remaining: time.Second, MaxWait: 100 * time.Millisecond}
@@ -131,3 +132,28 @@
 		is.True(!other.Stalled())
 	})
 }
+
+// An endpoint that serves another model than before is judged by that model's pace: a
+// dead one was waited for as long as its earlier model's usual silence.
+func TestPaceIsOfOneModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		v := p.options.Snapshot()
+		v.Config.Services["s"].Engine.Models = append(v.Config.Services["s"].Engine.Models, site.Model{Name: "n", Size: 1, Pace: 1})
+		e := v.Endpoints["a"]
+		e.State.Models = []string{"m", "n"}
+		v.Endpoints["a"] = e
+		slow, err := p.Acquire(t.Context(), engineRequest)
+		is.NoErr(err)
+		time.Sleep(3 * time.Second)
+		slow.Progress(true)
+		slow.Done(false)
+		other := engineRequest
+		other.Model = "n"
+		slot, err := p.Acquire(t.Context(), other)
+		is.NoErr(err)
+		time.Sleep(firstEventTimeout + time.Millisecond)
+		is.True(slot.Stalled())
+	})
+}
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -169,6 +169,9 @@
 		return nil
 	}
 	s := p.endpoint(eligible[i].ID)
+	if s.queue != q && s.running == 0 {
+		s.paces = paces{} // those of another model
+	}
 	s.begin(now)
 	s.unread += request.PromptTokens
 	q.active++
