--- a/pick/queue.go
+++ b/pick/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -25,6 +26,12 @@
 	request     Request
 	slot        chan *Slot
 	inTimeUntil time.Time // with a slot by then, it can be answered within its latency target
+	reserving   bool      // its send is still in progress
+}
+
+// hasIdle reports whether a request waits of which no send is in progress.
+func (q *queue) hasIdle() bool {
+	return slices.ContainsFunc(q.waiting, func(w *waiter) bool { return !w.reserving })
 }
 
 // rejectLate refuses the late requests while the queue is saturated: nearly as many
--- a/pick/reserve.go
+++ b/pick/reserve.go
@@ -11,15 +11,14 @@
 
 // Reserve queues for a slot for the retry of a request whose send is still in progress.
 // It calls granted in a goroutine of its own with the slot, once, unless Cancel comes
-// first. The retry is
-// to be counted by CountRetry.
+// first. The retry is to be counted by CountRetry.
 func (p *Placer) Reserve(request Request, granted func(*Slot)) *Reservation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	request.Retried = true // not refused while it waits
 	q := p.queue(request.key())
-	w := &waiter{request: request, slot: make(chan *Slot, 1), inTimeUntil: now.Add(q.state(request, now).Slack)}
+	w := &waiter{request: request, slot: make(chan *Slot, 1), inTimeUntil: now.Add(q.state(request, now).Slack), reserving: true}
 	q.waiting = append(q.waiting, w)
 	go func() {
 		if slot, ok := <-w.slot; ok {
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -64,7 +64,7 @@
 	s.placer.mu.Lock()
 	defer s.placer.mu.Unlock()
 	now := time.Now()
-	if len(s.queue.waiting) > 0 && saturated(s.queue.arrivals.rate(now), s.queue.freed.rate(now)) {
+	if s.queue.hasIdle() && saturated(s.queue.arrivals.rate(now), s.queue.freed.rate(now)) {
 		return math.MaxInt64
 	}
 	patience := max(minPatience, time.Duration(patienceFactor*s.queue.firstEventSeconds*float64(time.Second)))
