--- a/front/successor_test.go
+++ b/front/successor_test.go
@@ -39,3 +39,16 @@
 		time.AfterFunc(hold, slot.Left)
 	}
 }
+
+// A silent send is not left for an endpoint that refuses the request.
+func TestSilentSendIsNotLeftForRefusal(t *testing.T) {
+	is := is.New(t)
+	full := newStub(t, "b", raw("HTTP/1.1 503 X\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", true))
+	f := newFixture(t, "engines", newStub(t, "a", paced(4, 0, 700*time.Millisecond)), full)
+	f.front.options.Placer = newPlacer(f.front.options.Snapshot, pick.Budget{Extra: 1.5, Window: 10 * time.Second})
+	holdSlots(t, f, "a", 300*time.Millisecond)
+	got := f.call(t, "POST", "/talk/", func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "3000") })
+	is.Equal(got.status, 200)
+	is.True(!got.truncated)
+	is.Equal(got.body, simul.StreamBody(4))
+}
