--- a/groups/planner.go
+++ b/groups/planner.go
@@ -70,15 +70,15 @@
 }
 
 const (
-	epochsPerTerm   = 1 << 24                 // epochs reserved for each term, so that those of a later term are higher
-	retryWait       = 300 * time.Millisecond  // until an order that was refused or lost is issued again
-	settleWait      = 900 * time.Millisecond  // until an accepted order is issued again if no report shows its effect
-	closeWait       = 1500 * time.Millisecond // for the requests of a closing group to finish
-	joinSlack       = 6 * time.Second         // a group that is still forming this much later than its model takes to load is ended
-	stateLag        = 600 * time.Millisecond  // time after an order within which entries and reports may not show its effect yet
-	loadWindow      = time.Second             // time over which the starts of loads are counted for their rate
-	minGain         = 0.04                    // least gain by a reassignment, in the lower of the two models' ratios of groups to target
-	reservationTime = 4 * time.Second         // for which endpoints in reassignment are reserved for their model
+	epochsPerTerm   = 1 << 24                // epochs reserved for each term, so that those of a later term are higher
+	retryWait       = 300 * time.Millisecond // until an order that was refused or lost is issued again
+	settleWait      = 900 * time.Millisecond // until an accepted order is issued again if no report shows its effect
+	closeWait       = 10 * time.Second       // for the requests of a closing group to finish, as long as members that drain stay with it
+	joinSlack       = 6 * time.Second        // a group that is still forming this much later than its model takes to load is ended
+	stateLag        = 600 * time.Millisecond // time after an order within which entries and reports may not show its effect yet
+	loadWindow      = time.Second            // time over which the starts of loads are counted for their rate
+	minGain         = 0.04                   // least gain by a reassignment, in the lower of the two models' ratios of groups to target
+	reservationTime = 4 * time.Second        // for which endpoints in reassignment are reserved for their model
 )
 
 // NewPlanner returns a Planner for one term of the keeper. The map lastModel holds
