--- a/front/front.go
+++ b/front/front.go
@@ -73,6 +73,7 @@
 	tries      tries
 	queue      pick.QueueState    // state of the queue, if the last try got no slot
 	eligible   int                // endpoints that serve its model or service, if the last try got no slot
+	served     int                // requests that the last connection to an endpoint had carried before
 	load       int                // requests in progress at the last endpoint it was sent to
 	prefill    time.Duration      // expected time until that endpoint has processed the prompt
 	waited     time.Duration      // for slots, in all tries
@@ -279,7 +280,7 @@
 	}
 	f.options.Log.Info("request "+outcome,
 		"id", j.id, "route", j.route.Name, "account", j.account, "model", j.model, "status", status, "reason", reason,
-		"tried", j.tries.names(), "ran", ran, "load", j.load, "read_ms", j.prefill.Milliseconds(),
+		"tried", j.tries.names(), "ran", ran, "served", j.served, "load", j.load, "read_ms", j.prefill.Milliseconds(),
 		"events", j.stream.forwarded, "first_ms", j.stream.first.Milliseconds(), "gap_ms", j.stream.longestGap.Milliseconds(),
 		"ahead", j.queue.InTime+j.queue.Late, "fit", j.eligible, "freed", round(j.queue.FreeRate), "arrivals", round(j.queue.ArrivalRate),
 		"slack_ms", j.queue.Slack.Milliseconds(), "returned_ms", j.priorTime.Milliseconds(),
--- a/front/send.go
+++ b/front/send.go
@@ -103,6 +103,7 @@
 		x.open()
 	}
 	<-x.opened
+	j.served = x.record.served
 	got := x.result
 	if got == answered {
 		got = f.forward(ctx, j, x)
