--- a/groups/era_test.go
+++ b/groups/era_test.go
@@ -61,7 +61,7 @@
 		k.planner = NewPlanner(7, nil)
 		current := platform.Order{Verb: platform.Leave, Group: "g2", Epoch: 2, Token: 7, Sequence: 4}
 		k.planner.records["e"] = &orderRecord{sequence: 4, sequenceKnown: true, lastOrder: current, sentAt: time.Minute}
-		k.options.Engines = &platform.Engines{Do: func(*http.Request) (*http.Response, error) {
+		k.options.Engines = &platform.Engines{Order: func(*http.Request) (*http.Response, error) {
 			return &http.Response{StatusCode: status, Body: http.NoBody}, nil
 		}}
 		earlier := platform.Order{Verb: platform.Leave, Group: "g1", Epoch: 1, Token: 6, Sequence: 4}
