--- a/front/front.go
+++ b/front/front.go
@@ -71,9 +71,9 @@
 	header     http.Header   // of the request to endpoints
 	body       []byte
 	tries      tries
-	served     int                // requests that the connection of the last try carried before
 	queue      pick.QueueState    // state of the queue, if the last try got no slot
 	eligible   int                // endpoints that serve its model or service, if the last try got no slot
+	served     int                // requests that the last connection to an endpoint had carried before
 	load       int                // requests in progress at the last endpoint it was sent to
 	prefill    time.Duration      // expected time until that endpoint has processed the prompt
 	waited     time.Duration      // for slots, in all tries
