--- a/pick/pace_test.go
+++ b/pick/pace_test.go
@@ -157,3 +157,19 @@
 		is.True(slot.Stalled())
 	})
 }
+
+// A stream whose intervals aren't known yet is given as long as its first event may take:
+// after a daemon's start sound streams were left after a second.
+func TestPatienceBeforeTheFirstInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		slot, err := p.Acquire(t.Context(), engineRequest)
+		is.NoErr(err)
+		time.Sleep(1400 * time.Millisecond)
+		slot.Progress(true)
+		time.Sleep(1400 * time.Millisecond)
+		is.True(slot.Patience() > 1400*time.Millisecond)
+		is.True(!slot.Stalled())
+	})
+}
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -68,10 +68,14 @@
 		return math.MaxInt64
 	}
 	patience := max(minPatience, time.Duration(patienceFactor*s.queue.firstEventSeconds*float64(time.Second)))
-	if s.streaming {
+	if s.streaming && (s.state.gaps.known || s.queue.gaps.known) {
 		return max(patience, s.state.gaps.limit(), s.queue.gaps.limit())
 	}
-	return max(patience, s.state.firsts.limit(), s.queue.firsts.limit()) + s.ReadTime
+	patience = max(patience, s.state.firsts.limit(), s.queue.firsts.limit())
+	if s.streaming {
+		return patience
+	}
+	return patience + s.ReadTime
 }
 
 // UsualSilence returns the time without progress beyond which the endpoint counts as
