--- a/edge/times.go
+++ b/edge/times.go
@@ -5,7 +5,7 @@
 // stopTimes are the times of a shutdown, from its signal. For a grace period of 8 s they
 // are given in the comments.
 type stopTimes struct {
-	refuse time.Duration // requests are taken until then: 2.8 s
+	refuse time.Duration // requests are taken until then: 2.5 s
 	listen time.Duration // connections are accepted until then: 3.3 s
 	answer time.Duration // a request without an answer gets one of ours: 7.1 s
 	cut    time.Duration // streams are cut off: 7.3 s
@@ -16,8 +16,8 @@
 
 // Upper limits of stopTimes.
 const (
-	maxTaking    = 2800 * time.Millisecond // callers don't count on the end of requests that they send 3 s after the signal
-	maxLingering = 500 * time.Millisecond  // after that, refusals reach callers that connect meanwhile; then other addresses are sooner tried
+	maxTaking    = 2500 * time.Millisecond // callers don't count on the end of requests that they send 3 s after the signal, which may come late
+	maxLingering = 800 * time.Millisecond  // after that, refusals reach callers that connect meanwhile; then other addresses are sooner tried
 	maxMargin    = 700 * time.Millisecond  // between the cut and SIGKILL
 	maxNotice    = 200 * time.Millisecond  // for answers of ours to reach callers
 	maxIdle      = time.Second
@@ -29,13 +29,13 @@
 // requests, and the last eighth at most is lost to them.
 func newStopTimes(grace time.Duration) stopTimes {
 	t := stopTimes{
-		refuse: min(maxTaking, grace*35/100),
+		refuse: min(maxTaking, grace*31/100),
 		cut:    grace - min(maxMargin, grace/8),
 		idle:   min(maxIdle, grace/8),
 		settle: min(maxSettle, grace/80),
 		record: min(maxRemoval, grace/16),
 	}
-	t.listen = t.refuse + min(maxLingering, grace/16)
+	t.listen = t.refuse + min(maxLingering, grace/10)
 	t.answer = t.cut - min(maxNotice, grace/40)
 	return t
 }
--- a/edge/times_test.go
+++ b/edge/times_test.go
@@ -15,7 +15,8 @@
 		t.Run(grace.String(), func(t *testing.T) {
 			is := is.New(t)
 			s := newStopTimes(grace)
-			is.True(s.refuse > grace/100 && s.refuse < min(3*time.Second, grace*3/8))
+			late := min(500*time.Millisecond, grace/16) // the signal, where processor time is short
+			is.True(s.refuse > grace/100 && s.refuse+late <= min(3*time.Second, grace*3/8))
 			is.True(s.refuse < s.listen && s.listen < s.answer)
 			is.True(s.answer > grace*5/6 && s.answer < s.cut)
 			is.True(max(s.cut+2*s.settle, s.answer+s.record) < grace)
