soak: a request that ran at two endpoints for a while is judged by the one that ended last

Traced: the endpoint went on while a successor was tried, the successor was given up, and then the endpoint broke off its answer, which the rule LOST leaves out ('the runner broke off'). The check took the run that began last for the last one. Of the two new cases of TestLossesThatCount the first failed before; the second keeps the loss that counts.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -18,6 +18,9 @@
 	act := func(deed simul.Deed, seconds float64) simul.Act {
 		return simul.Act{Deed: deed, Runner: "r0", At: at(seconds).UnixMicro()}
 	}
+	at1 := func(deed simul.Deed, seconds float64) simul.Act {
+		return simul.Act{Deed: deed, Runner: "r1", At: at(seconds).UnixMicro()}
+	}
 	ran := func(from, to float64) []simul.Act { return []simul.Act{act(simul.Ran, from), act(simul.Ended, to)} }
 	broke := []simul.Act{act(simul.Ran, 11), act(simul.Broke, 12), act(simul.Ended, 12)}
 	failed := []simul.Act{act(simul.Ran, 12), {Deed: simul.Gave, Runner: "r0", At: at(13).UnixMicro(), Status: 500}, act(simul.Ended, 13)}
@@ -43,6 +46,8 @@
 		{"broken off, then failed elsewhere", 11, 14, closed, append(append([]simul.Act{}, broke...), failed...), nil, ""},
 		{"left by the daemon, then failed elsewhere", 11, 14, closed, append(ran(11, 11.5), failed...), nil, "LOST: no whole answer around SIGTERM"},
 		{"left by the daemon, then broken off elsewhere", 10, 14, closed, append(ran(10, 10.5), broke...), nil, ""},
+		{"broken off, after a second endpoint was given up", 10, 14, closed, []simul.Act{act(simul.Ran, 10), at1(simul.Ran, 10.5), at1(simul.Ended, 10.7), act(simul.Broke, 12), act(simul.Ended, 12)}, nil, ""},
+		{"left by the daemon for a second endpoint, then closed", 10, 14, closed, []simul.Act{act(simul.Ran, 10), at1(simul.Ran, 10.5), act(simul.Broke, 10.7), act(simul.Ended, 10.7), at1(simul.Ended, 12)}, nil, "LOST: no whole answer around SIGTERM"},
 		{"broken off, then run elsewhere", 11, 14, closed, append(append([]simul.Act{}, broke...), ran(12, 14)...), nil, "LOST: no whole answer around SIGTERM"},
 		{"endpoint at work at the end of the grace", 12.9, 17.3, closed, ran(12.9, 17.3), nil, ""},
 		{"the same, sent too late", 13.1, 17.3, closed, ran(13.1, 17.3), nil, "LOST: no whole answer around SIGTERM"},
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -100,21 +100,26 @@
 	return len(runs) > 0
 }
 
-// brokeOff reports whether the last endpoint that ran a request broke off its answer.
-func (e evidence) brokeOff() bool {
-	runs := e.runs()
-	return len(runs) > 0 && runs[len(runs)-1].broke
-}
+// brokeOff reports whether the last endpoint at work on a request broke off its answer.
+func (e evidence) brokeOff() bool { return e.lastRun().broke }
 
-// atWork reports whether the last endpoint that ran a request was still at work on
-// it at a time.
+// atWork reports whether the last endpoint at work on a request was so at a time.
 func (e evidence) atWork(at time.Time) bool {
-	runs := e.runs()
-	if len(runs) == 0 {
-		return false
+	last := e.lastRun()
+	return !last.began.IsZero() && !last.lost && !last.began.After(at) && (last.ended.IsZero() || last.ended.After(at))
+}
+
+// lastRun returns the run that ended last, or whose end was not seen. It isn't always the
+// one that began last, since a request may run at two endpoints for a while. It is zero if
+// there is none.
+func (e evidence) lastRun() run {
+	var last run
+	for _, r := range e.runs() {
+		if last.began.IsZero() || r.ended.IsZero() || !last.ended.IsZero() && r.ended.After(last.ended) {
+			last = r
+		}
 	}
-	last := runs[len(runs)-1]
-	return !last.lost && !last.began.After(at) && (last.ended.IsZero() || last.ended.After(at))
+	return last
 }
 
 // lastFault returns when the newest fault of a kind began at a target before a time,
