--- a/front/exchange.go
+++ b/front/exchange.go
@@ -33,7 +33,7 @@
 	result  result          // answered if there is an answer to be passed on
 	cause   string          // why it failed, or the answer's status
 	errText string          // text of the error that cause stands for, if any
-	record  sendRecord      //
+	record  sendRecord      // for the log
 	resp    *conns.Response // nil if there is no answer
 	reader  *bufio.Reader   // of a stream's events, nil for another answer
 	first   event           // of a stream, unless it is empty
