--- a/edge/leave_test.go
+++ b/edge/leave_test.go
@@ -216,6 +216,7 @@
 	is.NoErr(passed.send("passed", "x"))
 	is.NoErr(partial.send("partial", ""))
 	await(t, "the request runs", time.Second, func() bool { return r.hasRun("passed") })
+	await(t, "both are in progress", time.Second, func() bool { return r.daemon.front.Active() == 2 })
 	r.sendStop()
 	status, closes := passed.receive()
 	is.Equal(status, http.StatusBadGateway)
