--- a/front/doc.go
+++ b/front/doc.go
@@ -1,8 +1,9 @@
 // Package front is the HTTP proxy that serves callers. For each request it finds
 // the route and the client account, gets a slot at an endpoint from package pick,
 // forwards the request, retries it at another endpoint where the route allows
-// that, and forwards the response or the event stream to the caller. It also
-// counts requests that crash endpoints, and refuses them. The choice of endpoints,
+// that, and forwards the response or the event stream to the caller. A send on which
+// nothing comes goes on until another endpoint has answered. It also counts requests
+// that crash endpoints, and refuses them. The choice of endpoints,
 // the queues of waiting requests and the retry budget are up to package pick.
 //
 // A try of a request is the choice of a slot and the send to its endpoint. A
