--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"clementinehead.example/chead/guide"
 	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/pulse"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
@@ -48,6 +49,7 @@
 	current atomic.Pointer[Settings] // newest settings, of which only those that Reload applies are used
 	started time.Time                // since when retries are counted, as pick.Budget.Since
 	catchUp catchUp
+	pulse   *pulse.Pulse
 
 	store   *platform.Store
 	watcher *watch.Watcher
@@ -67,6 +69,7 @@
 	d := &Daemon{options: o, crashes: &front.Crashes{}, started: time.Now()}
 	d.current.Store(&s)
 	d.catchUp.startedAt = clock.Boot()
+	d.pulse = pulse.New(pulse.Options{Boot: clock.Boot, Log: o.Log, Registry: o.Registry})
 	d.self = site.Daemon{
 		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Caller: s.Caller, Peer: s.Peer,
 	}
@@ -98,7 +101,7 @@
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: platform.NewEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
-		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
+		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
 	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Peers: d.peers})
 	return d, nil
@@ -243,7 +246,7 @@
 		}
 		group.Go(func() error { return server.run(partsCtx, listener) })
 	}
-	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.applyGossip, d.sweepConns} {
+	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.pulse.Run, d.applyGossip, d.sweepConns} {
 		group.Go(func() error { return partError(partsCtx, run(partsCtx)) })
 	}
 	reg := &registration{instance: s.ID, self: d.self, store: d.store, log: d.options.Log, removeTimeout: d.removeTimeout}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -23,6 +23,7 @@
 	maxDatagram        = 60_000                 // size limit of a message, in bytes; a UDP datagram over IPv4 carries at most 65,507
 	discardLogInterval = 5 * time.Second        // least time between two log lines about discarded datagrams
 	forgetAfter        = 30 * time.Second       // a peer silent for this long is removed
+	regularMessages    = 3                      // without a silence in between, from which it is logged that a peer is heard and falls silent; others are met at random
 )
 
 // Options configure a Gossip.
@@ -63,7 +64,9 @@
 	message      Message
 	lastHeard    time.Duration // boot clock
 	interval     time.Duration // mean time between its messages, smoothed
-	loggedSilent bool          // its silence has been logged
+	silent       bool          // it has fallen silent
+	silentBefore time.Duration // its silence before it was heard again, 0 for a new one
+	messages     int           // heard since its last silence
 }
 
 // silenceLimit returns how long the peer may be silent and still count as alive.
@@ -157,17 +160,19 @@
 			delete(g.peers, id)
 			continue
 		}
-		g.logSilent(p, now)
+		g.noteSilent(p, now)
 	}
 }
 
-// logSilent logs once that a peer has become silent.
-func (g *Gossip) logSilent(p *peer, now time.Duration) {
-	if p.loggedSilent || now-p.lastHeard < p.silenceLimit() {
+// noteSilent notes that a peer has become silent, and logs it if it was heard regularly.
+func (g *Gossip) noteSilent(p *peer, now time.Duration) {
+	if p.silent || now-p.lastHeard < p.silenceLimit() {
 		return
 	}
-	p.loggedSilent = true
-	if !g.counts(p.message) {
+	regular := p.messages >= regularMessages
+	p.silent = true
+	p.messages = 0
+	if !regular || !g.counts(p.message) {
 		return
 	}
 	g.options.Log.Info("daemon silent", "peer", p.message.From.ID, "domain", p.message.From.Domain, "silent_ms", (now - p.lastHeard).Milliseconds())
@@ -214,8 +219,8 @@
 	g.options.Log.Info("datagrams passed over", "op", op, "error", err.Error(), "passed", g.discarded)
 }
 
-// handle stores a message as the newest of its sender, and logs if the sender is
-// new or was silent. It ignores messages of this daemon itself.
+// handle stores a message as the newest of its sender, and logs if the sender, which was
+// new or silent, is now heard regularly. It ignores messages of this daemon itself.
 func (g *Gossip) handle(message Message) {
 	if message.From.ID == g.options.Self.ID {
 		return
@@ -226,20 +231,22 @@
 		p = &peer{}
 		g.peers[message.From.ID] = p
 	}
-	appeared := !known || p.loggedSilent
 	silent := g.options.Boot() - p.lastHeard
-	if known && !appeared {
+	switch {
+	case p.silent:
+		p.silentBefore = silent
+	case known:
 		p.interval += time.Duration(intervalWeight * float64(silent-p.interval))
 	}
 	p.message = message.merge(p.message)
 	p.lastHeard += silent
-	p.loggedSilent = false
+	p.silent = false
+	p.messages++
+	appeared := p.messages == regularMessages
+	silentBefore := p.silentBefore
 	g.mu.Unlock()
-	if !known {
-		silent = 0
-	}
 	if appeared && g.counts(message) {
-		g.options.Log.Info("daemon heard", "peer", message.From.ID, "domain", message.From.Domain, "silent_ms", silent.Milliseconds())
+		g.options.Log.Info("daemon heard", "peer", message.From.ID, "domain", message.From.Domain, "silent_ms", silentBefore.Milliseconds())
 	}
 	g.options.Receive(message)
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -76,7 +76,8 @@
 	is.Equal(len(a.Alive()), 0)
 }
 
-// The log shows when a daemon becomes silent, once, and when it is heard again.
+// The log shows when a daemon that is heard regularly becomes silent, once, and when it
+// is heard regularly again.
 func TestSilenceIsLogged(t *testing.T) {
 	is := is.New(t)
 	var lines []string
@@ -87,14 +88,18 @@
 		Log:    funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{}),
 	})
 	b := Message{From: site.Daemon{ID: "b", Peer: "127.0.0.1:1", Domain: "north"}}
-	g.handle(b)
+	hear := func(times int) {
+		for range times {
+			g.handle(b)
+		}
+	}
+	hear(regularMessages)
 	now += silenceTimeout
 	for range 3 {
 		g.forgetSilent()
 	}
 	is.Equal(len(g.Alive()), 0)
-	g.handle(b)
-	g.handle(b)
+	hear(regularMessages + 1)
 	want := []string{
 		`"level"=0 "msg"="daemon heard" "peer"="b" "domain"="north" "silent_ms"=0`,
 		`"level"=0 "msg"="daemon silent" "peer"="b" "domain"="north" "silent_ms"=800`,
@@ -103,6 +108,24 @@
 	is.Equal(lines, want)
 }
 
+// Relays send to daemons at random, so that parts of a fleet find each other. A peer that
+// is met so must not be logged as silent when no further message follows.
+func TestPeerMetAtRandomIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	lines := 0
+	now := time.Second
+	g := New(Options{
+		Self: site.Daemon{ID: "a"}, Boot: func() time.Duration { return now }, Receive: func(Message) {},
+		Listed: func() map[string]site.Daemon { return nil }, Log: funcr.New(func(_, _ string) { lines++ }, funcr.Options{}),
+	})
+	for range 10 {
+		g.handle(Message{From: site.Daemon{ID: "b", Peer: "127.0.0.1:1", Domain: "north"}})
+		now += 3 * time.Second
+		g.forgetSilent()
+	}
+	is.Equal(lines, 0)
+}
+
 // A discarded datagram is logged with its cause; of many, one is logged per
 // discardLogInterval, with the total number.
 func TestDiscardedDatagramsAreLogged(t *testing.T) {
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -38,10 +39,11 @@
 	Store   *platform.Store
 	Engines *platform.Engines
 	Watcher *watch.Watcher
-	Alive   func() []gossip.Message  // the latest message of each other daemon that is alive
-	Leaving func(site.Endpoint) bool // whether an endpoint stated to any daemon that it leaves
-	Demand  func() map[string]int    // this daemon's demand, by service and model, as in gossip.Message
-	Boot    func() time.Duration     // reads the boot clock
+	Alive   func() []gossip.Message                 // the latest message of each other daemon that is alive
+	Leaving func(site.Endpoint) bool                // whether an endpoint stated to any daemon that it leaves
+	Demand  func() map[string]int                   // this daemon's demand, by service and model, as in gossip.Message
+	Boot    func() time.Duration                    // reads the boot clock
+	Late    func(since time.Duration) time.Duration // longest time for which this process ran late since a reading of the boot clock
 	Log     logr.Logger
 	Metrics *Metrics
 }
@@ -51,7 +53,8 @@
 type Keeper struct {
 	options Options
 
-	wake chan struct{} // holds a value while an answer awaits the next step
+	wake  chan struct{} // holds a value while an answer awaits the next step
+	calls atomic.Int64  // orders and requests for reports in progress
 
 	mu              sync.Mutex
 	term            int64                    // 0 while not the keeper
@@ -249,7 +252,10 @@
 func (k *Keeper) send(ctx context.Context, o Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	sentAt := k.options.Boot()
+	calls := k.calls.Add(1)
 	done, err := k.options.Engines.SendOrder(ctx, o.To, o.Order)
+	k.calls.Add(-1)
 	defer k.wakeUp()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -257,7 +263,8 @@
 		return // of an earlier term
 	}
 	k.options.Log.Info("order", "endpoint", o.To.ID, "order", o.Order.Verb.String(), "group", o.Order.Group, "model", o.Order.Model,
-		"sequence", o.Order.Sequence, "term", o.Order.Token, "error", errorText(err))
+		"sequence", o.Order.Sequence, "term", o.Order.Token, "error", errorText(err),
+		"calls", calls, "late_ms", k.options.Late(sentAt).Milliseconds())
 	k.options.Metrics.countOrder(o.Order.Verb, err)
 	k.planner.RecordOutcome(o.To.ID, o.Order, done, err)
 	r := k.reports[o.To.ID]
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -119,7 +119,9 @@
 // does not answer is checked for checkDuration.
 func (k *Keeper) fetch(ctx context.Context, e site.Endpoint) {
 	requestedAt := k.options.Boot()
+	calls := k.calls.Add(1)
 	state, err := k.requestTwice(ctx, e)
+	k.calls.Add(-1)
 	now := k.options.Boot()
 	defer k.wakeUp()
 	k.mu.Lock()
@@ -133,7 +135,7 @@
 		r.misses++
 		k.checks[e.ID] = now + checkDuration
 		if r.misses == 1 {
-			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error())
+			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error(), "calls", calls, "late_ms", k.options.Late(requestedAt).Milliseconds())
 		}
 	case r.unusable != err.Error():
 		r.unusable = err.Error()
