--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -30,6 +29,9 @@
 	checkDuration      = 3 * time.Second         // for which an endpoint is checked after it was reported as stalled or did not answer
 	takeoverWait       = 200 * time.Millisecond  // time for which the keeper must be seen gone before another daemon becomes keeper
 	startWait          = 300 * time.Millisecond  // after the start, before this daemon may become keeper
+	maxOrders          = 16                      // orders in progress, but for those older than longCall; more would wait for this process, at the cost of their timeouts
+	maxReports         = 16                      // the same of requests for reports
+	longCall           = 100 * time.Millisecond  // a call in progress for longer waits for its endpoint rather than for this process
 	maxSnapshotAge     = 2500 * time.Millisecond // a daemon whose snapshot is older does not become keeper
 )
 
@@ -53,8 +55,9 @@
 type Keeper struct {
 	options Options
 
-	wake  chan struct{} // holds a value while an answer awaits the next step
-	calls atomic.Int64  // orders and requests for reports in progress
+	wake      chan struct{} // holds a value while an answer awaits the next step
+	orderings chan struct{} // holds a value for each order in progress
+	reporting chan struct{} // holds a value for each report that is requested
 
 	mu              sync.Mutex
 	term            int64                    // 0 while not the keeper
@@ -75,7 +78,7 @@
 // New returns a Keeper for a daemon that is not elected.
 func New(o Options) *Keeper {
 	return &Keeper{
-		options: o, wake: make(chan struct{}, 1), reports: map[string]report{}, checks: map[string]time.Duration{}, slowChecks: map[string]time.Duration{},
+		options: o, wake: make(chan struct{}, 1), orderings: make(chan struct{}, maxOrders), reporting: make(chan struct{}, maxReports), reports: map[string]report{}, checks: map[string]time.Duration{}, slowChecks: map[string]time.Duration{},
 		announced: map[string]gossip.Group{}, loggedStages: map[string]stage{}, startedAt: o.Boot(),
 		lastModel: map[string]string{}, lastStarted: map[string]int64{},
 	}
@@ -248,15 +251,20 @@
 	k.options.Metrics.setGroups(k.planner.sortedGroups())
 }
 
-// send sends an order and records its outcome, unless the term has ended.
+// send sends an order as soon as fewer than maxOrders are in progress, and records its
+// outcome, unless the term has ended. An order that was overtaken while it waited is
+// not sent.
 func (k *Keeper) send(ctx context.Context, o Order) {
+	defer k.wakeUp()
+	leave, entered := enter(ctx, k.orderings)
+	defer leave()
+	if !entered || !k.stillWanted(o) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sentAt := k.options.Boot()
-	calls := k.calls.Add(1)
 	done, err := k.options.Engines.SendOrder(ctx, o.To, o.Order)
-	k.calls.Add(-1)
-	defer k.wakeUp()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.planner == nil || k.term != o.Order.Token {
@@ -264,7 +272,7 @@
 	}
 	k.options.Log.Info("order", "endpoint", o.To.ID, "order", o.Order.Verb.String(), "group", o.Order.Group, "model", o.Order.Model,
 		"sequence", o.Order.Sequence, "term", o.Order.Token, "error", errorText(err),
-		"calls", calls, "late_ms", k.options.Late(sentAt).Milliseconds())
+		"calls", len(k.orderings)+len(k.reporting), "late_ms", k.options.Late(sentAt).Milliseconds())
 	k.options.Metrics.countOrder(o.Order.Verb, err)
 	k.planner.RecordOutcome(o.To.ID, o.Order, done, err)
 	r := k.reports[o.To.ID]
@@ -275,6 +283,29 @@
 	}
 }
 
+// stillWanted reports whether an order that waited is to be sent.
+func (k *Keeper) stillWanted(o Order) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.planner != nil && k.term == o.Order.Token && k.planner.Sending(o.To.ID, o.Order, k.options.Boot())
+}
+
+// enter waits for one of the places of a channel, and reports false if the context ends
+// first. The place is held until the returned function is called or for longCall.
+func enter(ctx context.Context, places chan struct{}) (leave func(), entered bool) {
+	select {
+	case places <- struct{}{}:
+	case <-ctx.Done():
+		return func() {}, false
+	}
+	release := sync.OnceFunc(func() { <-places })
+	timer := time.AfterFunc(longCall, release)
+	return func() {
+		timer.Stop()
+		release()
+	}, true
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -115,15 +115,20 @@
 	return found && e.Service == service.Name
 }
 
-// fetch requests an endpoint's report once and records the result. An endpoint that
-// does not answer is checked for checkDuration.
+// fetch requests an endpoint's report once, as soon as fewer than maxReports are
+// requested, and records the result. An endpoint that does not answer is checked for
+// checkDuration.
 func (k *Keeper) fetch(ctx context.Context, e site.Endpoint) {
+	defer k.wakeUp()
+	leave, entered := enter(ctx, k.reporting)
+	defer leave()
+	if !entered {
+		return
+	}
 	requestedAt := k.options.Boot()
-	calls := k.calls.Add(1)
 	state, err := k.requestTwice(ctx, e)
-	k.calls.Add(-1)
+	calls := len(k.orderings) + len(k.reporting)
 	now := k.options.Boot()
-	defer k.wakeUp()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r := k.reports[e.ID]
--- a/groups/record.go
+++ b/groups/record.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// Sending tells that an order is about to be sent, and reports whether it still is to be:
+// it must be the latest one to its endpoint, and an order to join must be of a group that
+// still forms. One that is not counts as refused.
+func (p *Planner) Sending(id string, order platform.Order, now time.Duration) bool {
+	r := p.records[id]
+	if r == nil || r.outcome != pending || r.lastOrder.Verb != order.Verb || r.lastOrder.Group != order.Group || r.lastOrder.Sequence != order.Sequence {
+		return false
+	}
+	if g := p.groups[order.Group]; order.Verb == platform.Join && (g == nil || g.stage != forming) {
+		r.outcome = refused
+		return false
+	}
+	r.sentAt = now
+	return true
+}
+
 // updateRecords updates the order records from a snapshot.
 func (p *Planner) updateRecords(snap Snapshot) {
 	for id := range p.records {
--- a/groups/slowkeeper_test.go
+++ b/groups/slowkeeper_test.go
@@ -70,6 +70,8 @@
 		stored, ids := manyEndpoints(216)
 		k.poll(t.Context(), stored, ids)
 		time.Sleep(5 * time.Second)
+		k.mu.Lock()
+		defer k.mu.Unlock()
 		silent := 0
 		for _, id := range ids {
 			if k.reports[id].misses > 0 {
@@ -107,3 +109,25 @@
 		})
 	}
 }
+
+// An order that waited until its group was given up must not be sent: the endpoint would
+// join a group that nobody knows.
+func TestOrderOfAbandonedGroupIsSent(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1, 4)
+	p := NewPlanner(1, nil)
+	var snap Snapshot
+	var orders []Order
+	for len(orders) < 2 && c.now < 10*time.Second {
+		c.tick()
+		snap = c.snapshot(c.ids())
+		orders = p.Step(snap)
+	}
+	is.True(len(orders) > 1)
+	first, second := orders[0], orders[1]
+	is.True(p.Sending(first.To.ID, first.Order, snap.Now))
+	p.setStage(p.groups[second.Order.Group], ending, snap, "given up")
+	is.True(!p.Sending(second.To.ID, second.Order, snap.Now))
+	is.Equal(p.records[second.To.ID].outcome, refused)
+	is.True(p.records[second.To.ID].sequenceKnown) // nothing was sent
+}
