--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -31,6 +31,7 @@
 	startWait          = 300 * time.Millisecond  // after the start, before this daemon may become keeper
 	maxOrders          = 16                      // orders in progress, but for those older than longCall; more would wait for this process, at the cost of their timeouts
 	maxReports         = 16                      // the same of requests for reports
+	lateLogInterval    = time.Second             // least time between two log lines about silences that don't count
 	longCall           = 100 * time.Millisecond  // a call in progress for longer waits for its endpoint rather than for this process
 	maxSnapshotAge     = 2500 * time.Millisecond // a daemon whose snapshot is older does not become keeper
 )
@@ -72,6 +73,7 @@
 	loggedStages    map[string]stage         // stage of each group as last logged, by name
 	hadTraffic      bool                     // traffic was seen at some daemon while this one was the keeper
 	startedAt       time.Duration            // boot clock: when the Keeper was made
+	nextLateLog     time.Duration            // boot clock: until then, silences that don't count are not logged
 	keeperGoneSince time.Duration            // boot clock: when the elected keeper was first seen gone, 0 while it is there
 }
 
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -117,7 +117,8 @@
 
 // fetch requests an endpoint's report once, as soon as fewer than maxReports are
 // requested, and records the result. An endpoint that does not answer is checked for
-// checkDuration.
+// checkDuration. It is not held against an endpoint if this process ran so late that
+// less than secondRequestAfter was left of the timeout.
 func (k *Keeper) fetch(ctx context.Context, e site.Endpoint) {
 	defer k.wakeUp()
 	leave, entered := enter(ctx, k.reporting)
@@ -129,6 +130,7 @@
 	state, err := k.requestTwice(ctx, e)
 	calls := len(k.orderings) + len(k.reporting)
 	now := k.options.Boot()
+	late := k.options.Late(requestedAt)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r := k.reports[e.ID]
@@ -136,11 +138,13 @@
 	switch {
 	case err == nil:
 		r.state, r.stateRequestedAt, r.hasState, r.misses, r.unusable = state, requestedAt, true, 0, ""
+	case platform.Is(err, platform.Lost) && late > reportTimeout-secondRequestAfter:
+		k.logUncounted(e.ID, now, late)
 	case platform.Is(err, platform.Lost) || platform.Is(err, platform.WrongEndpoint):
 		r.misses++
 		k.checks[e.ID] = now + checkDuration
 		if r.misses == 1 {
-			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error(), "calls", calls, "late_ms", k.options.Late(requestedAt).Milliseconds())
+			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error(), "calls", calls, "late_ms", late.Milliseconds())
 		}
 	case r.unusable != err.Error():
 		r.unusable = err.Error()
@@ -149,6 +153,16 @@
 	k.reports[e.ID] = r
 }
 
+// logUncounted logs that an endpoint's missing answer doesn't count, one line each
+// lateLogInterval at the most. The lock must be held.
+func (k *Keeper) logUncounted(id string, now, late time.Duration) {
+	if now < k.nextLateLog {
+		return
+	}
+	k.nextLateLog = now + lateLogInterval
+	k.options.Log.Info("silence not counted", "endpoint", id, "late_ms", late.Milliseconds())
+}
+
 // requestTwice requests an endpoint's report, and once more over another connection
 // if no answer has come within secondRequestAfter, since a single packet or
 // connection may be lost. It returns the first answer.
