--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -63,6 +63,7 @@
 type peer struct {
 	message      Message
 	lastHeard    time.Duration // boot clock
+	fullAt       time.Duration // boot clock: when its message last had all members and groups
 	interval     time.Duration // mean time between its messages, smoothed
 	silent       bool          // it has fallen silent
 	silentBefore time.Duration // its silence before it was heard again, 0 for a new one
@@ -238,8 +239,11 @@
 	case known:
 		p.interval += time.Duration(intervalWeight * float64(silent-p.interval))
 	}
-	p.message = message.merge(p.message)
 	p.lastHeard += silent
+	if message.complete() {
+		p.fullAt = p.lastHeard
+	}
+	p.message = message.merge(p.message, p.lastHeard-p.fullAt)
 	p.silent = false
 	p.messages++
 	appeared := p.messages == regularMessages
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -39,6 +39,7 @@
 	ID    string `json:"id"`
 	Ready bool   `json:"ready,omitempty"`
 	Fresh bool   `json:"fresh,omitempty"`
+	Age   int    `json:"age,omitempty"` // for which nothing was heard of the daemon itself, in tenths of a second, at the most
 }
 
 // EndpointLoad is the load that daemons cause at an endpoint, and what they observe
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -133,14 +133,14 @@
 	part = emptySum(own)
 	part.Scope = Part
 	part.add(own)
-	part.Members = []Member{{own.From.ID, own.Ready, own.Fresh}}
+	part.Members = []Member{{ID: own.From.ID, Ready: own.Ready, Fresh: own.Fresh}}
 	for _, id := range sortedPeers(g.peers) {
 		p := g.peers[id]
 		if p.message.Scope != Own || p.message.Relay != own.From.ID || now-p.lastHeard >= p.silenceLimit() {
 			continue
 		}
 		part.add(p.message)
-		part.Members = append(part.Members, Member{id, p.message.Ready, p.message.Fresh})
+		part.Members = append(part.Members, Member{ID: id, Ready: p.message.Ready, Fresh: p.message.Fresh, Age: tenths(now - p.lastHeard)})
 	}
 	all = emptySum(own)
 	all.Scope = All
@@ -152,7 +152,7 @@
 			continue
 		}
 		all.add(p.message)
-		all.Members = append(all.Members, p.message.Members...)
+		all.Members = append(all.Members, p.members(now)...)
 	}
 	return part, all
 }
@@ -248,21 +248,3 @@
 		}
 	}
 }
-
-// merge completes a relay's message by what the one before had and this one leaves
-// out.
-func (m Message) merge(before Message) Message {
-	if m.Scope == Own || m.Full || before.Scope != m.Scope {
-		return m
-	}
-	m.Members = before.Members
-	groups := map[string]Group{}
-	for leader, group := range before.Groups {
-		groups[leader] = group
-	}
-	for leader, group := range m.Groups {
-		groups[leader] = group
-	}
-	m.Groups = groups
-	return m
-}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -37,8 +37,10 @@
 		if now-p.lastHeard >= p.silenceLimit() {
 			continue
 		}
-		for _, member := range p.message.Members {
-			members[member.ID] = member
+		for _, member := range p.members(now) {
+			if known, ok := members[member.ID]; !ok || member.Age < known.Age {
+				members[member.ID] = member
+			}
 		}
 		if following == nil && g.counts(p.message) {
 			loads = append(loads, p.message)
@@ -63,7 +65,7 @@
 }
 
 // stubs returns a message without load for each daemon that is alive and whose own
-// message is not in loads. The lock must be held.
+// message is not in loads, by what is youngest of it. The lock must be held.
 func (g *Gossip) stubs(loads []Message, members map[string]Member, now time.Duration) []Message {
 	known := map[string]bool{g.options.Self.ID: true}
 	for _, m := range loads {
