--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,7 +71,7 @@
 	d.catchUp.startedAt = clock.Boot()
 	d.pulse = pulse.New(pulse.Options{Boot: clock.Boot, Log: o.Log, Registry: o.Registry})
 	d.self = site.Daemon{
-		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Caller: s.Caller, Peer: s.Peer,
+		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Caller: s.Caller, Peer: s.Peer, Cores: s.Cores,
 	}
 	conn, err := net.ListenPacket("udp4", s.Peer)
 	if err != nil {
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -24,6 +24,8 @@
 		{"missing domain", `"domain":"north"`, `"domain":""`, []string{"domain: must be given"}},
 		{"invalid address", `"127.0.0.1:3"`, `"here"`, []string{"guide: must be host:port"}},
 		{"negative apply", `"apply":2000`, `"apply":-1`, []string{"apply: must be above 0"}},
+		{"cores", `"memory":284`, `"cores":0.8`, nil},
+		{"negative cores", `"memory":284`, `"cores":-1`, []string{"cores: must not be below 0"}},
 		{"zero revoke", `"revoke":5000`, `"revoke":0`, []string{"revoke: must be above 0"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -3,7 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
-	"strings"
+	"sort"
 	"time"
 
 	"clementinehead.example/chead/site"
@@ -41,9 +41,9 @@
 }
 
 // Relays returns the relays of this daemon's failure domain, or none if it is one of
-// them: the first relaysPerDomain daemons by ID among those that the store lists, are not
-// known to leave or to have lost the store, and were heard when they were last
-// followed. The one that this daemon prefers comes first; the preference differs
+// them: the first relaysPerDomain daemons, by site.Daemon.Precedes, among those that the
+// store lists, are not known to leave or to have lost the store, and were heard when they
+// were last followed. The one that this daemon prefers comes first; the preference differs
 // between daemons, to share the load.
 func (g *Gossip) Relays() []site.Daemon {
 	self := g.options.Self
@@ -63,17 +63,17 @@
 			candidates = append(candidates, d)
 		}
 	}
-	relays := firstByID(candidates)
+	relays := first(candidates)
 	if slices.Contains(relays, self) || len(relays) == 0 {
 		return nil
 	}
-	first := int(hashID(self.ID) % uint32(len(relays)))
-	return append(slices.Clone(relays[first:]), relays[:first]...)
+	preferred := int(hashID(self.ID) % uint32(len(relays)))
+	return append(slices.Clone(relays[preferred:]), relays[:preferred]...)
 }
 
-// firstByID returns the first relaysPerDomain daemons by ID.
-func firstByID(daemons []site.Daemon) []site.Daemon {
-	slices.SortFunc(daemons, func(a, b site.Daemon) int { return strings.Compare(a.ID, b.ID) })
+// first returns the first relaysPerDomain daemons by site.Daemon.Precedes.
+func first(daemons []site.Daemon) []site.Daemon {
+	sort.Slice(daemons, func(i, j int) bool { return daemons[i].Precedes(daemons[j]) })
 	return daemons[:min(relaysPerDomain, len(daemons))]
 }
 
@@ -191,7 +191,7 @@
 		domains[d.Domain] = append(domains[d.Domain], d)
 	}
 	for _, daemons := range domains {
-		likely = append(likely, firstByID(daemons)...)
+		likely = append(likely, first(daemons)...)
 	}
 	for _, d := range likely {
 		if !known[d.Peer] {
--- a/gossip/relay_test.go
+++ b/gossip/relay_test.go
@@ -221,3 +221,24 @@
 	is.Equal(rest.Queues["m"], Queue{InTime: 1})
 	is.Equal(sum.Endpoints["a"].Running, 3) // unchanged
 }
+
+// A relay works for its whole failure domain, so a small instance must not be one beside
+// larger ones.
+func TestSmallInstancesAreRelays(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(60, 1)
+	for _, id := range []string{"d030", "d050"} {
+		d := f.listed[id]
+		d.Cores = 0.8
+		f.listed[id] = d
+		f.add(d)
+	}
+	f.run(6 * time.Second)
+	f.check(t)
+	followed := map[string]int{}
+	for _, g := range f.daemons {
+		followed[g.relay]++
+	}
+	is.Equal(followed[""], relaysPerDomain)
+	is.Equal(followed["d030"]+followed["d050"], 60-relaysPerDomain)
+}
--- a/groups/election.go
+++ b/groups/election.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"clementinehead.example/chead/gossip"
@@ -54,7 +53,10 @@
 func (k *Keeper) campaign(ctx context.Context, stored *watch.Snapshot) {
 	now := k.options.Boot()
 	present := presentKeeper(stored)
-	if k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || present != k.options.Self.ID && !k.firstCandidate() {
+	if k.candidateSince == 0 {
+		k.candidateSince = now
+	}
+	if k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || present != k.options.Self.ID && !k.firstCandidate(stored, now) {
 		k.keeperGoneSince = 0
 		return
 	}
@@ -103,10 +105,18 @@
 }
 
 // firstCandidate reports whether no other candidate, that is a daemon that is ready,
-// reaches the store and is not shutting down, has a lower ID than this one.
-func (k *Keeper) firstCandidate() bool {
+// reaches the store and is not shutting down, precedes this one. For yieldTime a daemon
+// that the store lists counts too, since others have hardly been heard by then.
+func (k *Keeper) firstCandidate(stored *watch.Snapshot, now time.Duration) bool {
+	if now-k.candidateSince < yieldTime {
+		for _, d := range stored.Daemons {
+			if d.Precedes(k.options.Self) {
+				return false
+			}
+		}
+	}
 	for _, m := range k.options.Alive() {
-		if m.Fresh && m.Ready && strings.Compare(m.From.ID, k.options.Self.ID) < 0 {
+		if m.Fresh && m.Ready && m.From.Precedes(k.options.Self) {
 			return false
 		}
 	}
--- a/groups/era_test.go
+++ b/groups/era_test.go
@@ -47,7 +47,7 @@
 	k.options.Alive = func() []gossip.Message {
 		return []gossip.Message{{From: site.Daemon{ID: "d0"}, Ready: true, Fresh: true}}
 	}
-	is.True(!k.firstCandidate())
+	is.True(!k.firstCandidate(&watch.Snapshot{}, time.Minute))
 }
 
 // A keeper may begin another term, after the store came back from an older copy, while
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -29,6 +29,7 @@
 	checkDuration      = 3 * time.Second         // for which an endpoint is checked after it was reported as stalled or did not answer
 	takeoverWait       = 200 * time.Millisecond  // time for which the keeper must be seen gone before another daemon becomes keeper
 	startWait          = 300 * time.Millisecond  // after the start, before this daemon may become keeper
+	yieldTime          = 500 * time.Millisecond  // for which a daemon that could become keeper for the first time leaves it to listed ones that precede it
 	maxOrders          = 16                      // orders in progress, but for those older than longCall; more would wait for this process, at the cost of their timeouts
 	maxReports         = 16                      // the same of requests for reports
 	lateLogInterval    = time.Second             // least time between two log lines about silences that don't count
@@ -74,6 +75,7 @@
 	hadTraffic      bool                     // traffic was seen at some daemon while this one was the keeper
 	startedAt       time.Duration            // boot clock: when the Keeper was made
 	nextLateLog     time.Duration            // boot clock: until then, silences that don't count are not logged
+	candidateSince  time.Duration            // boot clock: when this daemon could first have become keeper, 0 before that
 	keeperGoneSince time.Duration            // boot clock: when the elected keeper was first seen gone, 0 while it is there
 }
 
--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -63,10 +63,28 @@
 		return []gossip.Message{{From: site.Daemon{ID: "d0"}, Ready: true, Fresh: fresh}}
 	}
 	is.True(k.heardFresh("d0"))
-	is.True(!k.firstCandidate())
+	is.True(!k.firstCandidate(&watch.Snapshot{}, time.Minute))
 	fresh = false
 	is.True(!k.heardFresh("d0"))
-	is.True(k.firstCandidate())
+	is.True(k.firstCandidate(&watch.Snapshot{}, time.Minute))
+}
+
+// A keeper works for the whole fleet, so a small instance must not become keeper before a
+// larger one, nor at the start, when none has been heard.
+func TestSmallInstanceBecomesKeeper(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper()
+	k.options.Self.Cores = 0.2
+	large := site.Daemon{ID: "d2", Cores: 0.8}
+	var heard []gossip.Message
+	k.options.Alive = func() []gossip.Message { return heard }
+	listed := &watch.Snapshot{Daemons: map[string]site.Daemon{"d2": large}}
+	is.True(!k.firstCandidate(listed, 0))
+	is.True(k.firstCandidate(listed, yieldTime)) // it may be dead
+	heard = []gossip.Message{{From: large, Ready: true, Fresh: true}}
+	is.True(!k.firstCandidate(listed, yieldTime))
+	heard[0].From.Cores = 0.2
+	is.True(k.firstCandidate(listed, yieldTime))
 }
 
 // If another daemon reports an endpoint as stalled, all members of its group must be
