--- a/edge/edge.go
+++ b/edge/edge.go
@@ -83,7 +83,7 @@
 	d.watcher = watch.New(watch.Options{
 		Store: d.store, Do: client.Do, Relays: d.storeRelays, Boot: clock.Boot, Log: o.Log,
 		Pause: func() time.Duration { return d.settings().watchPause() },
-		Quick: func() bool { return d.keeper.IsKeeper() },
+		Quick: func() bool { return d.keeper.IsKeeper() }, Others: d.othersReachStore,
 	})
 	d.gossip = gossip.New(gossip.Options{
 		Self: d.self, Conn: conn, Boot: clock.Boot, Log: o.Log, Report: d.gossipMessage, Receive: func(gossip.Message) {},
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -5,6 +5,19 @@
 // fresh reports whether this daemon reaches the store and does not shut down.
 func (d *Daemon) fresh() bool { return !d.leaving.Load() && d.watcher.Age() < maxReadyAge }
 
+// othersReachStore reports whether most of the other daemons that are heard reach the store
+// and don't shut down.
+func (d *Daemon) othersReachStore() bool {
+	heard, fresh := 0, 0
+	for _, m := range d.gossip.Alive() {
+		heard++
+		if m.Fresh {
+			fresh++
+		}
+	}
+	return 2*fresh > heard
+}
+
 // mayFollow reports whether changes need not be in force before a relay that lost the
 // store is noticed.
 func (s Settings) mayFollow() bool { return s.apply() >= watch.MinRelayedApply }
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -64,11 +64,18 @@
 }
 
 func runWatcher(t *testing.T, store string, relays []string) *Watcher {
+	t.Helper()
+	return runWatcherBeside(t, store, relays, func() bool { return false })
+}
+
+// runWatcherBeside is like runWatcher, with the answer to whether other daemons reach the
+// store.
+func runWatcherBeside(t *testing.T, store string, relays []string, others func() bool) *Watcher {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{}}
 	w := New(Options{
 		Store: platform.NewStore(store, client.Do), Do: client.Do, Relays: func() []string { return relays }, Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true },
+		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true }, Others: others,
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -31,6 +31,7 @@
 	Relays func() []string                             // addresses of the relays to follow, in order of preference; none if this daemon is to read the store itself
 	Boot   func() time.Duration                        // boot clock
 	Pause  func() time.Duration                        // after a watch that returned changes, so that further changes arrive in batches
+	Others func() bool                                 // whether most of the other daemons reach the store
 	Quick  func() bool                                 // whether a shorter pause is needed, as for the keeper
 	Log    logr.Logger
 }
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -93,6 +93,23 @@
 	f.await(t, "endpoint dropped", func(s *Snapshot) bool { return len(s.Endpoints) == 0 })
 }
 
+// The store turns a daemon away while it serves the others, so that no entry can have
+// lapsed. An endpoint that leaves meanwhile must not be kept for the grace period: with the
+// time until the daemon hears of it that is longer than the endpoint may be used.
+func TestEndpointThatLeftIsKeptSinceACallFailed(t *testing.T) {
+	is := is.New(t)
+	store := simul.NewStore()
+	w := runWatcherBeside(t, serveTest(t, store.ServeHTTP), nil, func() bool { return true })
+	store.Put("servers/e", []byte(entryReady))
+	awaitSnapshot(t, w, "e", func(s *Snapshot) bool { return len(s.Endpoints) == 1 })
+	store.SetDown(true)
+	time.Sleep(2 * answerMargin)
+	store.Remove("servers/e")
+	store.SetDown(false)
+	awaitSnapshot(t, w, "the removal", func(s *Snapshot) bool { return len(s.Lapsed) == 1 || len(s.Endpoints) == 0 })
+	is.Equal(len(w.Snapshot().Endpoints), 0)
+}
+
 // While the store is reachable, the age of the snapshot stays bounded whenever
 // changes arrive; otherwise the daemon would stop accepting callers.
 func TestAgeIsBounded(t *testing.T) {
@@ -128,7 +145,7 @@
 	defer client.CloseIdleConnections()
 	watcher := New(Options{
 		Store: platform.NewStore(server.Listener.Addr().String(), client.Do), Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return time.Hour }, Quick: func() bool { return false }, Relays: func() []string { return nil },
+		Pause: func() time.Duration { return time.Hour }, Quick: func() bool { return false }, Others: func() bool { return true }, Relays: func() []string { return nil },
 	})
 	ctx, stop := context.WithTimeout(t.Context(), maxWait+answerMargin+time.Second)
 	defer stop()
