--- a/watch/apply.go
+++ b/watch/apply.go
@@ -166,11 +166,11 @@
 }
 
 // removeEndpoint deletes an endpoint, or marks it as lapsed if it was not draining
-// and a call to the store failed within outageWindow.
+// and the store was in an outage within outageWindow.
 func (w *Watcher) removeEndpoint(s *Snapshot, id string, item platform.Item) {
 	now := w.options.Boot()
 	endpoint, known := s.Endpoints[id]
-	lapsed := known && !endpoint.Draining && now-time.Duration(w.failedAt.Load()) < outageWindow
+	lapsed := known && !endpoint.Draining && now-time.Duration(w.outageAt.Load()) < outageWindow
 	w.options.Log.Info("endpoint gone", "endpoint", id, "revision", item.Revision, "lapse", lapsed)
 	if lapsed {
 		s.Lapsed[id] = now + lapseGrace
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -35,7 +35,7 @@
 	listing platform.Listing
 	full    bool
 	freshAt time.Duration // boot clock of this daemon at which the relay's snapshot was confirmed, or earlier
-	failed  time.Duration // since the relay's last failed call to the store
+	outage  time.Duration // since the relay last found the store in an outage
 }
 
 var (
@@ -88,7 +88,7 @@
 		return false
 	}
 	w.options.Store.ObserveEra(got.listing.Era)
-	w.failedAt.Store(max(w.failedAt.Load(), int64(w.options.Boot()-got.failed)))
+	w.outageAt.Store(max(w.outageAt.Load(), int64(w.options.Boot()-got.outage)))
 	if got.full {
 		w.replace(got.listing)
 	} else {
@@ -128,7 +128,7 @@
 // it answered no sooner than the time for which it held the request.
 func decodeRelayed(response *http.Response, sent time.Duration) (relayed, error) {
 	numbers := map[string]int64{}
-	for _, name := range []string{headerEra, headerRevision, headerAge, headerHeld, headerFailed} {
+	for _, name := range []string{headerEra, headerRevision, headerAge, headerHeld, headerOutage} {
 		n, err := strconv.ParseInt(response.Header.Get(name), 10, 64)
 		if err != nil || n < 0 {
 			return relayed{}, fmt.Errorf("header %s: %q", name, response.Header.Get(name))
@@ -140,7 +140,7 @@
 		listing: platform.Listing{Era: numbers[headerEra], Revision: numbers[headerRevision]},
 		full:    response.Header.Get(headerFull) == "1",
 		freshAt: sent + duration(headerHeld) - duration(headerAge),
-		failed:  duration(headerFailed),
+		outage:  duration(headerOutage),
 	}
 	items, err := decodeItems(response.Body)
 	got.listing.Items = items
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -22,7 +22,7 @@
 	headerFull     = "Watch-Full"   // 1 if the items are all keys rather than changes
 	headerAge      = "Watch-Age"    // age of the relay's snapshot, in microseconds
 	headerHeld     = "Watch-Held"   // time from the request to the response, in microseconds
-	headerFailed   = "Watch-Failed" // time since the relay's last failed call to the store, in microseconds
+	headerOutage   = "Watch-Outage" // time since the relay last found the store in an outage, in microseconds
 )
 
 // maxHold is the longest time for which a relay holds a request while it has nothing
@@ -57,7 +57,7 @@
 	h.Set(headerRevision, strconv.FormatInt(listing.Revision, 10))
 	h.Set(headerAge, microseconds(now-freshAt))
 	h.Set(headerHeld, microseconds(now-received))
-	h.Set(headerFailed, microseconds(now-time.Duration(w.failedAt.Load())))
+	h.Set(headerOutage, microseconds(now-time.Duration(w.outageAt.Load())))
 	if full {
 		h.Set(headerFull, "1")
 	}
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -202,7 +202,7 @@
 func relayAnswer(era, revision, age, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(10 * time.Millisecond)
-		for name, value := range map[string]string{headerEra: era, headerRevision: revision, headerAge: age, headerHeld: "0", headerFailed: "3600000000"} {
+		for name, value := range map[string]string{headerEra: era, headerRevision: revision, headerAge: age, headerHeld: "0", headerOutage: "3600000000"} {
 			w.Header().Set(name, value)
 		}
 		_, _ = w.Write([]byte(body))
--- a/watch/rewind.go
+++ b/watch/rewind.go
@@ -65,7 +65,7 @@
 	s.Revision = 0
 	s.Keeper.Revision = 0
 	w.rewind.copyRevision = listing.Revision
-	w.failedAt.Store(int64(now))
+	w.outageAt.Store(int64(now))
 	for key := range w.revisions {
 		w.revisions[key] = 0
 	}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -21,7 +21,7 @@
 	retryPause   = 300 * time.Millisecond  // after a failed call
 	maxAge       = 2100 * time.Millisecond // watches end before the snapshot is older, unless the store is unreachable
 	lapseGrace   = 1800 * time.Millisecond // how long a lapsed endpoint is kept, since it may register again
-	outageWindow = 2500 * time.Millisecond // within this time after a failed call to the store, removals may be lapses
+	outageWindow = 2500 * time.Millisecond // within this time after an outage of the store, removals may be lapses
 )
 
 // Options configures a Watcher.
@@ -41,7 +41,7 @@
 	options     Options
 	snapshot    atomic.Pointer[Snapshot]
 	freshAt     atomic.Int64 // boot clock when the last successful read was sent
-	failedAt    atomic.Int64 // boot clock of the last failed call
+	outageAt    atomic.Int64 // boot clock when the store was last known to be in an outage
 	unreachable bool         // the last call failed
 	listed      bool         // a listing was applied
 	missed      bool         // changes were missed, so that a listing is needed
@@ -63,7 +63,7 @@
 	w := &Watcher{options: o, changed: make(chan struct{}), read: make(chan struct{}), badUntil: map[string]time.Duration{}, daemonIDs: map[string]string{}, revisions: map[string]int64{}, rewind: rewind{departed: map[string]departure{}}}
 	w.snapshot.Store((&Snapshot{}).clone())
 	w.freshAt.Store(int64(-time.Hour))
-	w.failedAt.Store(int64(-time.Hour))
+	w.outageAt.Store(int64(-time.Hour))
 	return w
 }
 
@@ -117,15 +117,19 @@
 }
 
 // recordFailure records a failed call, logs the first of a series, and sleeps for
-// retryPause.
+// retryPause. The store is in an outage only if most other daemons don't reach it either:
+// it may turn single daemons away, or the path to it may be cut.
 func (w *Watcher) recordFailure(ctx context.Context, op string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	w.failedAt.Store(int64(w.options.Boot()))
+	outage := !w.options.Others()
+	if outage {
+		w.outageAt.Store(int64(w.options.Boot()))
+	}
 	if !w.unreachable {
 		w.unreachable = true
-		w.options.Log.Info("store lost", "op", op, "error", err.Error(), "age", w.Age().String())
+		w.options.Log.Info("store lost", "op", op, "error", err.Error(), "age", w.Age().String(), "outage", outage)
 	}
 	w.nextDirect = w.options.Boot() + directPause
 	clock.Sleep(ctx, retryPause)
