--- a/front/front.go
+++ b/front/front.go
@@ -67,6 +67,7 @@
 	model      string        // empty for a plain service
 	size       platform.Size // as stated by the caller, for a model
 	digest     string        // identifies the request in Crashes
+	parts      []string      // of its prompt, those that other requests may share
 	priority   int           // 0 is the most urgent
 	header     http.Header   // of the request to endpoints
 	body       []byte
@@ -146,6 +147,7 @@
 	if s := v.Config.Services[j.service]; s.Engine != nil {
 		j.model = j.r.Header.Get(platform.HeaderModel)
 		j.size = platform.ParseSize(j.r.Header)
+		j.parts = platform.SharedParts(j.r.Header)
 		j.header.Set(platform.HeaderPriority, strconv.Itoa(min(9, max(0, j.priority))))
 	}
 	return f.readBody(j, v.Config.Limits)
--- a/front/send.go
+++ b/front/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"clementinehead.example/chead/conns"
@@ -160,7 +161,7 @@
 	if j.r.Context().Err() != nil || j.remaining() <= 0 || f.reached(ending) {
 		return
 	}
-	id, digest, endpoint := j.id, j.digest, slot.Endpoint
+	id, digest, endpoint, parts, events := j.id, j.digest, slot.Endpoint, strings.Join(j.parts, ","), j.progress.events.Load()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
@@ -169,7 +170,7 @@
 			return
 		}
 		n := f.options.Crashes.Add(digest, endpoint.ID)
-		f.options.Log.Info("endpoint crashed", "id", id, "endpoint", endpoint.ID, "crashes", n, "error", err.Error())
+		f.options.Log.Info("endpoint crashed", "id", id, "endpoint", endpoint.ID, "crashes", n, "parts", parts, "events", events, "error", err.Error())
 	}()
 }
 
