--- a/edge/edge.go
+++ b/edge/edge.go
@@ -57,6 +57,7 @@
 	placer  *pick.Placer
 	pool    *conns.Pool
 	crashes *front.Crashes
+	parts   *front.Parts
 	front   *front.Front
 	keeper  *groups.Keeper
 	guide   *guide.Guide
@@ -66,7 +67,7 @@
 // The error is of kind Address.
 func New(o Options) (*Daemon, error) {
 	s := o.Settings
-	d := &Daemon{options: o, crashes: &front.Crashes{}, started: time.Now()}
+	d := &Daemon{options: o, crashes: &front.Crashes{}, parts: front.NewParts(o.Log), started: time.Now()}
 	d.current.Store(&s)
 	d.catchUp.startedAt = clock.Boot()
 	d.pulse = pulse.New(pulse.Options{Boot: clock.Boot, Log: o.Log, Registry: o.Registry})
@@ -97,7 +98,7 @@
 	d.front = front.New(front.Options{
 		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool,
 		MaxKeyAge: d.maxKeyAge,
-		Crashes:   d.crashes, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
+		Crashes:   d.crashes, Parts: d.parts, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: platform.NewEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
@@ -190,6 +191,7 @@
 		m.Version = c.Version
 	}
 	m.Crashes = d.crashes.Counts()
+	m.Parts = d.parts.Counts()
 	return m
 }
 
@@ -215,6 +217,7 @@
 			}
 		}
 		d.crashes.SetRemote(crashCounts)
+		d.parts.Update(gossip.SumParts(alive))
 	}
 }
 
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -30,6 +30,9 @@
 	givenUp atomic.Bool   // broken off by this daemon, which says nothing of the endpoint
 	opened  chan struct{} // closed by open, which sets the fields below
 
+	firstAt  time.Time // when the first event came
+	survived bool      // events came for survivalTime
+
 	result  result          // answered if there is an answer to be passed on
 	cause   string          // why it failed, or the answer's status
 	errText string          // text of the error that cause stands for, if any
@@ -141,10 +144,23 @@
 	e, err := readEvent(x.reader)
 	if err == nil {
 		x.slot.Progress(true)
+		x.noteSurvival(time.Now())
 	}
 	return e, err
 }
 
+// noteSurvival records the request's survival at the endpoint once events have come for
+// survivalTime.
+func (x *exchange) noteSurvival(now time.Time) {
+	if x.firstAt.IsZero() {
+		x.firstAt = now
+	}
+	if !x.survived && now.Sub(x.firstAt) >= survivalTime {
+		x.survived = true
+		x.front.options.Parts.Survived(x.job.parts)
+	}
+}
+
 // follows reports whether an event is the one that follows a point, and logs one that
 // is not.
 func (x *exchange) follows(p point, e event) bool {
@@ -169,7 +185,7 @@
 // is unknown.
 func (x *exchange) breaksOff(cause string, err error) result {
 	if !x.givenUp.Load() {
-		x.front.checkCrash(x.job, x.slot)
+		x.front.checkCrash(x.job, x.slot, x.survived)
 	}
 	return x.fail(unknown, cause, err)
 }
--- a/front/finish.go
+++ b/front/finish.go
@@ -21,6 +21,9 @@
 		return
 	}
 	f.options.Crashes.Clear(j.digest)
+	if resp.status < http.StatusMultipleChoices {
+		f.options.Parts.Survived(j.parts)
+	}
 	f.logEnd(j, "served", resp.status, "")
 }
 
@@ -68,5 +71,9 @@
 	if errors.Is(err, errStale) {
 		r.reason = errStale.Error()
 	}
+	if errors.Is(err, errPart) {
+		r.reason = errPart.Error()
+		r.retryAfter = 0
+	}
 	return r
 }
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -202,7 +202,7 @@
 	placer := newPlacer(func() *watch.Snapshot { return snapshot }, pick.Budget{Ratio: 0.2, Extra: 20, Window: 10 * time.Second})
 	f.front = New(Options{
 		Snapshot: func() *watch.Snapshot { return snapshot }, SnapshotAge: func() time.Duration { return f.age }, MaxKeyAge: func() time.Duration { return 3 * time.Second },
-		Placer: placer, Pool: conns.New(conns.Dial), Crashes: &Crashes{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
+		Placer: placer, Pool: conns.New(conns.Dial), Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
 	})
 	f.http = httptest.NewServer(f.front)
 	t.Cleanup(f.http.Close)
--- a/front/front.go
+++ b/front/front.go
@@ -36,6 +36,7 @@
 	Placer      *pick.Placer
 	Pool        *conns.Pool
 	Crashes     *Crashes
+	Parts       *Parts
 	Metrics     *Metrics
 	Log         logr.Logger
 }
--- a/front/hurdle_string.go
+++ b/front/hurdle_string.go
@@ -18,11 +18,12 @@
 	_ = x[noSlot-7]
 	_ = x[viewTooOld-8]
 	_ = x[stopping-9]
+	_ = x[partRefused-10]
 }
 
-const _hurdle_name = "allowedcaller lefttoo little time lefttoo many endpoints triedmay not be repeatedroute's attempts used upbudget of repeats used upno free slot elsewhereview too olddaemon stops"
+const _hurdle_name = "allowedcaller lefttoo little time lefttoo many endpoints triedmay not be repeatedroute's attempts used upbudget of repeats used upno free slot elsewhereview too olddaemon stopsa part of its prompt crashes endpoints"
 
-var _hurdle_index = [...]uint8{0, 7, 18, 38, 62, 81, 105, 130, 152, 164, 176}
+var _hurdle_index = [...]uint8{0, 7, 18, 38, 62, 81, 105, 130, 152, 164, 176, 214}
 
 func (i hurdle) String() string {
 	idx := int(i) - 0
--- a/front/parts_test.go
+++ b/front/parts_test.go
@@ -9,9 +9,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+
+	"clementinehead.example/chead/gossip"
 )
 
 // frail is an endpoint that streams and, for a prompt with the part "bad", ends in the
@@ -233,4 +237,95 @@
 // second, until the test ends.
 func exchangeParts(t *testing.T, daemons []*fixture) {
 	t.Helper()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		tick := time.NewTicker(100 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+			}
+			for _, d := range daemons {
+				var others []gossip.Message
+				for _, other := range daemons {
+					if other != d {
+						others = append(others, gossip.Message{Parts: other.front.options.Parts.Counts()})
+					}
+				}
+				d.front.options.Parts.Update(gossip.SumParts(others))
+			}
+		}
+	}()
+}
+
+// What Parts believes of two parts after a number of crashes and survivals.
+func TestParts(t *testing.T) {
+	type step struct {
+		wait     time.Duration
+		crash    []string
+		survived []string
+		others   map[string]gossip.PromptPart
+	}
+	bad := step{wait: 300 * time.Millisecond, crash: []string{"a", "bad"}}
+	for _, c := range []struct {
+		name    string
+		steps   []step
+		refused string
+	}{
+		{"a part beside one that survives", []step{{survived: []string{"a"}}, bad, bad, bad, bad, {wait: 2 * time.Second}}, "bad"},
+		{"too few crashes", []step{{survived: []string{"a"}}, bad, bad, bad, {wait: 2 * time.Second}}, ""},
+		{"both survive", []step{bad, bad, bad, bad, {survived: []string{"a", "bad"}}, {wait: 2 * time.Second}}, ""},
+		{"crashes that are long past", []step{bad, bad, {wait: partMemory}, bad, bad, {wait: 2 * time.Second}}, ""},
+		{"a loss of power", []step{{crash: []string{"bad"}}, {crash: []string{"bad"}}, {crash: []string{"bad"}}, {crash: []string{"bad"}}, {crash: []string{"bad"}}, {wait: 2 * time.Second}}, ""},
+		{"crashes at others", []step{bad, {wait: 2 * time.Second, others: map[string]gossip.PromptPart{"bad": {Crashes: 3}}}, {wait: 2 * time.Second, others: map[string]gossip.PromptPart{"bad": {Crashes: 3}}}}, "bad"},
+		{"survival at others", []step{bad, bad, bad, bad, {wait: 2 * time.Second, others: map[string]gossip.PromptPart{"bad": {Survived: 1}, "a": {Survived: 1}}}}, ""},
+		{"refused elsewhere", []step{{others: map[string]gossip.PromptPart{"bad": {Refused: 300}}}}, "bad"},
+		{"refused elsewhere, long ago", []step{{others: map[string]gossip.PromptPart{"bad": {Refused: 300}}}, {wait: 301 * time.Second, others: map[string]gossip.PromptPart{"bad": {Refused: 3}}}}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := NewParts(logr.Discard())
+				for i, s := range c.steps {
+					time.Sleep(s.wait)
+					if s.crash != nil {
+						p.Crash(s.crash, fmt.Sprint("r", i), time.Now())
+					}
+					if s.survived != nil {
+						p.Survived(s.survived)
+					}
+					p.Update(s.others)
+				}
+				is.Equal(p.Refused([]string{"x", "a", "bad"}), c.refused)
+			})
+		})
+	}
+}
+
+// A daemon that starts later must refuse a part that the others refuse, without a crash of
+// its own.
+func TestRefusedPartIsUnknownToANewDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		old, started := NewParts(logr.Discard()), NewParts(logr.Discard())
+		for i := range partCrashes {
+			time.Sleep(time.Second)
+			old.Crash([]string{"bad"}, fmt.Sprint("r", i), time.Now())
+			old.Update(nil)
+		}
+		time.Sleep(2 * suspicionTime)
+		old.Update(nil)
+		time.Sleep(5 * time.Minute) // all crashes are long past
+		old.Update(nil)
+		started.Update(old.Counts())
+		is.Equal(started.Refused([]string{"bad"}), "bad")
+		time.Sleep(refusalTime)
+		old.Update(started.Counts())
+		started.Update(old.Counts())
+		is.Equal(started.Refused([]string{"bad"}), "") // they don't prolong each other's refusal
+		is.Equal(old.Refused([]string{"bad"}), "")
+	})
 }
--- a/front/place.go
+++ b/front/place.go
@@ -9,7 +9,7 @@
 )
 
 // place returns a slot for a try of a request, after a wait if none is free. The error
-// is that of pick.Placer.Acquire, or errStale.
+// is that of pick.Placer.Acquire, errStale or errPart.
 func (f *Front) place(ctx context.Context, j *job) (*pick.Slot, error) {
 	start := time.Now()
 	slot, err := f.options.Placer.Acquire(ctx, j.placement())
@@ -27,6 +27,10 @@
 		slot.Cancel()
 		return nil, errStale
 	}
+	if f.options.Parts.Refused(j.parts) != "" {
+		slot.Cancel()
+		return nil, errPart
+	}
 	f.options.Metrics.observeWait(j.model, "placed", waited)
 	return slot, nil
 }
@@ -44,6 +48,9 @@
 // the snapshot became too old while the request waited for a slot.
 var errStale = errors.New("view too old")
 
+// errPart is the error of a try whose prompt has a part that crashes endpoints.
+var errPart = errors.New("endpoints crashed running a part of it")
+
 // placement returns what a try of a request needs.
 func (j *job) placement() pick.Request {
 	return pick.Request{
--- a/front/retry.go
+++ b/front/retry.go
@@ -15,6 +15,7 @@
 	noSlot                      // no free slot elsewhere
 	viewTooOld                  // view too old
 	stopping                    // daemon stops
+	partRefused                 // a part of its prompt crashes endpoints
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=hurdle -linecomment -output=hurdle_string.go
@@ -36,6 +37,8 @@
 		return notRepeatable
 	case got != notRun && ran >= j.route.Attempts:
 		return noAttempts
+	case f.options.Parts.Refused(j.parts) != "":
+		return partRefused
 	case j.progress.sends.Load() == 0: // a retry uses the budget only after a send that got a connection
 		return allowed
 	}
--- a/front/send.go
+++ b/front/send.go
@@ -49,6 +49,10 @@
 		f.refuse(j, &refusal{http.StatusServiceUnavailable, "endpoints crashed running it", 0})
 		return
 	}
+	if part := f.options.Parts.Refused(j.parts); part != "" {
+		f.refuse(j, &refusal{http.StatusServiceUnavailable, errPart.Error(), 0})
+		return
+	}
 	ctx, cancel := j.context()
 	defer j.successors.Wait()
 	defer cancel()
@@ -156,12 +160,14 @@
 // records a crash if it accepts no connections. An endpoint that does has not
 // crashed: the path to it was cut, or it lost a single response. There is no probe
 // if this daemon broke off the request itself, when the caller disconnected, the
-// deadline passed or the daemon stops.
-func (f *Front) checkCrash(j *job, slot *pick.Slot) {
+// deadline passed or the daemon stops. A request that had survived there is no suspect for
+// its parts.
+func (f *Front) checkCrash(j *job, slot *pick.Slot, survived bool) {
 	if j.r.Context().Err() != nil || j.remaining() <= 0 || f.reached(ending) {
 		return
 	}
-	id, digest, endpoint, parts, events := j.id, j.digest, slot.Endpoint, strings.Join(j.parts, ","), j.progress.events.Load()
+	id, digest, endpoint, parts, events := j.id, j.digest, slot.Endpoint, j.parts, j.progress.events.Load()
+	brokeOff := time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
@@ -170,7 +176,10 @@
 			return
 		}
 		n := f.options.Crashes.Add(digest, endpoint.ID)
-		f.options.Log.Info("endpoint crashed", "id", id, "endpoint", endpoint.ID, "crashes", n, "parts", parts, "events", events, "error", err.Error())
+		if !survived {
+			f.options.Parts.Crash(parts, id, brokeOff)
+		}
+		f.options.Log.Info("endpoint crashed", "id", id, "endpoint", endpoint.ID, "crashes", n, "parts", strings.Join(parts, ","), "events", events, "error", err.Error())
 	}()
 }
 
--- a/front/silence.go
+++ b/front/silence.go
@@ -164,6 +164,8 @@
 		return noTime
 	case w.front.isStaleFor(j):
 		return viewTooOld
+	case w.front.options.Parts.Refused(j.parts) != "":
+		return partRefused
 	}
 	return allowed
 }
--- a/front/stream.go
+++ b/front/stream.go
@@ -81,6 +81,7 @@
 		f.sendHead(j, resp)
 	}
 	f.options.Crashes.Clear(j.digest)
+	f.options.Parts.Survived(j.parts)
 	f.logEnd(j, "served", resp.StatusCode, "")
 	return answered
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -29,6 +29,7 @@
 	Demand    map[string]int          `json:"demand,omitempty"`  // slots that its requests would take if each was served on arrival, by "service/model"
 	Queues    map[string]Queue        `json:"lines,omitempty"`   // waiting requests, by "service/model"
 	Crashes   map[string]int          `json:"strikes,omitempty"` // crashes of endpoints, by digest of the request
+	Parts     map[string]PromptPart   `json:"parts,omitempty"`   // parts of prompts that may crash endpoints, by ID
 	Groups    map[string]Group        `json:"groups,omitempty"`  // the keeper's groups, by leader; only those that changed lately unless Full or of Scope Own
 	Members   []Member                `json:"members,omitempty"` // daemons of the scope, if Full
 	Full      bool                    `json:"full,omitempty"`    // a relay's message that has Members and all Groups
@@ -60,6 +61,13 @@
 	ArrivalRate float64 `json:"came,omitempty"`  // requests arriving per second, without retries
 }
 
+// PromptPart is what daemons know of a part of prompts that may crash endpoints.
+type PromptPart struct {
+	Crashes  int `json:"crashes,omitempty"`  // crashes that it is suspected of
+	Survived int `json:"survived,omitempty"` // daemons at which a request with it survived lately
+	Refused  int `json:"refused,omitempty"`  // in seconds: for how long requests with it are refused
+}
+
 // Group is the keeper's announcement of a group.
 type Group struct {
 	Name  string `json:"name"`
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -16,6 +16,9 @@
 	for digest, n := range other.Crashes {
 		m.Crashes[digest] += n
 	}
+	for id, part := range other.Parts {
+		m.Parts[id] = m.Parts[id].plus(part, 1)
+	}
 	for leader, g := range other.Groups {
 		if known, ok := m.Groups[leader]; !ok || g.Epoch >= known.Epoch {
 			m.Groups[leader] = g
@@ -23,6 +26,17 @@
 	}
 }
 
+// SumParts returns what several daemons know of parts, together.
+func SumParts(messages []Message) map[string]PromptPart {
+	parts := map[string]PromptPart{}
+	for _, m := range messages {
+		for id, part := range m.Parts {
+			parts[id] = parts[id].plus(part, 1)
+		}
+	}
+	return parts
+}
+
 // without returns a sum less the loads of one of its messages. That message may have
 // changed since the sum was made, so counts don't go below 0.
 func (m Message) without(own Message) Message {
@@ -43,6 +57,9 @@
 	for key, q := range own.Queues {
 		rest.Queues[key] = rest.Queues[key].plus(q, -1)
 	}
+	for id, part := range own.Parts {
+		rest.Parts[id] = rest.Parts[id].plus(part, -1)
+	}
 	for digest, n := range own.Crashes {
 		rest.Crashes[digest] = max(0, rest.Crashes[digest]-n)
 	}
@@ -55,6 +72,7 @@
 	m.Demand = map[string]int{}
 	m.Queues = map[string]Queue{}
 	m.Crashes = map[string]int{}
+	m.Parts = map[string]PromptPart{}
 	m.Groups = map[string]Group{}
 	return m
 }
@@ -78,3 +96,13 @@
 		ArrivalRate: max(0, q.ArrivalRate+float64(sign)*other.ArrivalRate),
 	}
 }
+
+// plus returns the sum of the counts of a part, the second ones times a sign, and the
+// longer refusal. Nothing goes below 0.
+func (p PromptPart) plus(other PromptPart, sign int) PromptPart {
+	return PromptPart{
+		Crashes:  max(0, p.Crashes+sign*other.Crashes),
+		Survived: max(0, p.Survived+sign*other.Survived),
+		Refused:  max(p.Refused, other.Refused),
+	}
+}
