--- a/conns/conn.go
+++ b/conns/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -49,6 +50,39 @@
 	reader  *bufio.Reader
 	served  int       // requests that it has carried
 	expires time.Time // no reuse after this time
+	inHead  bool      // a response's head is being read
+	head    int       // bytes that may still be read meanwhile
+}
+
+// newLink returns a link over a new connection.
+func newLink(c net.Conn, address string) *link {
+	l := &link{Conn: c, address: address}
+	l.reader = bufio.NewReaderSize(l, readBufferSize)
+	return l
+}
+
+// maxHead is the size limit in bytes of a response's head, with the informational ones
+// before it, to within readBufferSize.
+const maxHead = 64 << 10
+
+var errHeadTooLarge = errors.New("response's head too large")
+
+// beginHead limits what may be read until endHead.
+func (l *link) beginHead() {
+	l.inHead = true
+	l.head = maxHead
+}
+
+func (l *link) endHead() { l.inHead = false }
+
+// Read reads from the connection. It fails once the head of a response is too large.
+func (l *link) Read(p []byte) (int, error) {
+	if l.inHead && l.head <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Conn.Read(p)
+	l.head -= n
+	return n, err
 }
 
 // reusable reports whether the connection is open and has no unread bytes.
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -1,7 +1,6 @@
 package conns
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -68,7 +67,7 @@
 		return nil, &Error{Op: "dial", Address: address, Kind: Unsent, Err: err}
 	}
 	p.Opened.Add(1)
-	return newConn(&link{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}), nil
+	return newConn(newLink(raw, address)), nil
 }
 
 // Probe opens and closes a connection to check that an address accepts
--- a/conns/send.go
+++ b/conns/send.go
@@ -59,8 +59,10 @@
 }
 
 // readHead reads the next response on the connection up to its body, skipping
-// informational ones. On an error r is as before.
+// informational ones, all of them of at most maxHead bytes. On an error r is as before.
 func (r *Response) readHead() error {
+	r.conn.link.beginHead()
+	defer r.conn.link.endHead()
 	for {
 		parsed, err := http.ReadResponse(r.conn.link.reader, &http.Request{Method: r.method})
 		if err != nil {
