--- a/front/exchange.go
+++ b/front/exchange.go
@@ -32,6 +32,7 @@
 
 	firstAt  time.Time // when the first event came
 	survived bool      // events came for survivalTime
+	idle     int       // bytes since the last event with content
 
 	result  result          // answered if there is an answer to be passed on
 	cause   string          // why it failed, or the answer's status
@@ -139,14 +140,24 @@
 	return answered
 }
 
-// next returns the next event of a stream. The error is that of readEvent.
+// next returns the next event of a stream. The error is that of readEvent, or errNoEvents
+// if over idleLimit bytes came without an event that has content: these are no progress.
 func (x *exchange) next() (event, error) {
 	e, err := readEvent(x.reader)
-	if err == nil {
-		x.slot.Progress(true)
-		x.noteSurvival(time.Now())
+	switch {
+	case err != nil:
+		return e, err
+	case !e.content:
+		x.idle += len(e.raw)
+		if x.idle > idleLimit {
+			return event{}, errNoEvents
+		}
+		return e, nil
 	}
-	return e, err
+	x.idle = 0
+	x.slot.Progress(true)
+	x.noteSurvival(time.Now())
+	return e, nil
 }
 
 // noteSurvival records the request's survival at the endpoint once events have come for
--- a/front/handover.go
+++ b/front/handover.go
@@ -83,7 +83,7 @@
 }
 
 // accept records the arrival of an event, which is to be forwarded, and gives up the
-// successor: it would go on from an earlier point. It reports false if the watched send
+// successor if it has content: it would go on from an earlier point. It reports false if the watched send
 // was left.
 func (w *watchdog) accept(e event) bool {
 	w.mu.Lock()
@@ -91,6 +91,9 @@
 	if w.left {
 		return false
 	}
+	if !e.content {
+		return true // no progress
+	}
 	w.giveUp("the watched send goes on")
 	w.point = w.point.after(e)
 	w.lastEvent = time.Now()
--- a/front/stream.go
+++ b/front/stream.go
@@ -45,8 +45,9 @@
 func (p point) precedes(e event) bool { return p.nextID == 0 || e.id == "" || e.number == p.nextID }
 
 const (
-	eventLimit      = 1 << 20 // bytes of one event
-	eventBufferSize = 2 << 10 // bytes of the buffer for reading events
+	eventLimit      = 1 << 20  // bytes of one event
+	eventBufferSize = 2 << 10  // bytes of the buffer for reading events
+	idleLimit       = 64 << 10 // bytes without an event, such as empty lines and comments, after which a stream is broken off
 )
 
 // forwardStream forwards a stream to the caller, event by event. An incomplete
@@ -129,41 +130,60 @@
 	s.forwarded++
 }
 
-// event is one server-sent event. Raw includes the empty line that ends it.
+// event is one server-sent event, or a comment. Raw includes the empty line that ends it
+// and any before it.
 type event struct {
-	raw    []byte
-	id     string
-	number int64
+	raw     []byte
+	id      string
+	number  int64
+	content bool // it has an id or data
 }
 
+var (
+	errLargeEvent = errors.New("event too large")
+	errNoEvents   = errors.New("no events among many bytes")
+)
+
 // readEvent reads one event of at most eventLimit bytes. The error is io.EOF at
 // the end of the stream, and io.ErrUnexpectedEOF if the stream ends within an
-// event.
+// event. Empty lines at the end of a stream are returned as an event without content.
 func readEvent(r *bufio.Reader) (event, error) {
 	var e event
+	empty := true // there were only empty lines so far
 	for {
 		line, err := r.ReadSlice('\n')
 		for errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < eventLimit {
 			e.raw = append(e.raw, line...)
+			empty = false
 			line, err = r.ReadSlice('\n')
 		}
 		e.raw = append(e.raw, line...)
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
-				return event{}, io.ErrUnexpectedEOF
-			}
+		blank := len(bytes.TrimRight(line, "\r\n")) == 0
+		empty = empty && blank
+		switch {
+		case errors.Is(err, io.EOF) && len(e.raw) > 0 && !empty:
+			return event{}, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+			return e, nil
+		case err != nil:
 			return event{}, err
-		}
-		if len(e.raw) > eventLimit {
-			return event{}, errors.New("event too large")
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		case len(e.raw) > eventLimit:
+			return event{}, errLargeEvent
+		case empty && len(e.raw) > idleLimit:
+			return event{}, errNoEvents
+		case blank && !empty:
 			return e, nil
 		}
-		e.parseID(line)
+		e.parseLine(line)
 	}
 }
 
+// parseLine sets what a line of the event states.
+func (e *event) parseLine(line []byte) {
+	e.content = e.content || bytes.HasPrefix(line, []byte("data")) || bytes.HasPrefix(line, []byte("id"))
+	e.parseID(line)
+}
+
 // parseID sets the event's id if the line is an id field with a number.
 func (e *event) parseID(line []byte) {
 	value, found := bytes.CutPrefix(line, []byte("id:"))
