--- a/cmd/chfake/site.go
+++ b/cmd/chfake/site.go
@@ -52,6 +52,7 @@
 	Event   time.Duration `default:"20ms" help:"Shortest time until the first event, between two events, and of a plain call."`
 	Longest time.Duration `help:"Longest such time, drawn for each; as --event where it is shorter."`
 	Events  int           `default:"30" help:"Events of a stream."`
+	Crash   string        `help:"Part of prompts at which the process ends."`
 	Trace   bool          `help:"Print a line for each act (run, answer, end of either), before it."`
 
 	simul.Faults `embed:""`
@@ -72,7 +73,7 @@
 	runner := simul.NewRunner(simul.RunnerOptions{
 		ID: c.ID, Service: c.Service, Address: c.Address, Domain: c.Domain, Fabric: c.Fabric, Slots: c.Slots,
 		Join: c.Join, Event: c.Event, EventMax: c.Longest, Events: c.Events, Named: true, Faults: c.Faults,
-		PutEntry: entry.put, OnAct: onAct,
+		PutEntry: entry.put, OnAct: onAct, Crash: c.Crash, OnCrash: func() { os.Exit(crashCode) },
 	})
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -82,6 +83,9 @@
 	return simul.Serve(listener, runner, readHeaderTimeout)
 }
 
+// crashCode is the exit status of a runner that crashes at a prompt.
+const crashCode = 7
+
 // entryWriter writes a runner's entry to the store. It repeats a failed write with
 // the newest entry until the store accepts it.
 type entryWriter struct {
--- a/simul/answer.go
+++ b/simul/answer.go
@@ -66,7 +66,23 @@
 	}
 	conn, _ := ctx.Value(connKey{}).(*runnerConn)
 	received, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
-	r.answer(ctx, &run{id: id, fault: fault, chances: chances, w: w, conn: conn, last: received})
+	u := &run{id: id, fault: fault, chances: chances, w: w, conn: conn, last: received}
+	if r.crashesAt(q.Header.Get(promptHeader)) {
+		crashTime := r.options.Event + minCrashTime + time.Duration(chances.Int64N(int64(maxCrashTime-minCrashTime)))
+		time.AfterFunc(crashTime, r.options.OnCrash)
+	}
+	r.answer(ctx, u)
+}
+
+// Times from about the first event of an answer to the crash of its runner.
+const (
+	minCrashTime = 20 * time.Millisecond
+	maxCrashTime = 90 * time.Millisecond
+)
+
+// crashesAt reports whether a prompt has the part at which the runner crashes.
+func (r *Runner) crashesAt(prompt string) bool {
+	return r.options.Crash != "" && strings.Contains(","+prompt, ","+r.options.Crash+":")
 }
 
 // refuse answers that a request has not run.
--- a/simul/caller.go
+++ b/simul/caller.go
@@ -17,13 +17,14 @@
 	ID       string
 	Model    string
 	Key      string        // API key of the client account, sent as a bearer token
+	Prompt   string        // parts of the prompt, sent as X-Prompt-Prefix; empty for none, and then all bodies are alike
 	Deadline time.Duration // sent in milliseconds as X-Deadline-Ms
 }
 
 // Request returns the HTTP request of the call. Its body cannot be read twice, so
 // that no HTTP client repeats the request by itself.
 func (c Call) Request(ctx context.Context) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+c.Path, io.NopCloser(strings.NewReader("x")))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+c.Path, io.NopCloser(strings.NewReader(c.Body())))
 	if err != nil {
 		return nil, err
 	}
@@ -32,9 +33,22 @@
 	r.Header.Set("X-Model", c.Model)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.Deadline.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Bearer "+c.Key)
+	if c.Prompt != "" {
+		r.Header.Set(promptHeader, c.Prompt)
+	}
 	return r, nil
 }
 
+// Body returns the body of the request.
+func (c Call) Body() string {
+	if c.Prompt == "" {
+		return "x"
+	}
+	return "x" + c.ID
+}
+
+const promptHeader = "X-Prompt-Prefix"
+
 // Signature returns the endpoint's signature of a response, or an empty string if there
 // is none.
 func Signature(response *http.Response) string { return response.Header.Get(signatureHeader) }
--- a/simul/runner.go
+++ b/simul/runner.go
@@ -22,6 +22,8 @@
 	Events   int                            // number of events of a stream
 	Named    bool                           // whether the bodies of answers name their requests
 	Faults   Faults                         // none by default
+	Crash    string                         // part of prompts at which the runner crashes, empty for none
+	OnCrash  func()                         // ends the runner, if Crash is not empty
 	PutEntry func(key string, value []byte) // writes the entry of the runner to the store
 	OnRun    func(id string)                // called with the request id before each run, may be nil
 	OnAct    func(Act)                      // called before each act takes effect, may be nil
--- a/soak/client.go
+++ b/soak/client.go
@@ -98,7 +98,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
-	return record{id: fmt.Sprintf("%s%d", strings.Trim(path, "/"), c.count), path: path, key: key, daemon: d.index, deadline: deadline, sent: time.Now()}
+	rec := record{id: fmt.Sprintf("%s%d", strings.Trim(path, "/"), c.count), path: path, key: key, daemon: d.index, deadline: deadline, sent: time.Now()}
+	if c.cluster.traits.crashes && routes[path].stream {
+		rec.prompt = soundPrompt(c.count)
+	}
+	return rec
 }
 
 // finish records the result of a request.
@@ -139,7 +143,7 @@
 
 // call returns the request of a record, to an address.
 func (r record) call(address string) simul.Call {
-	return simul.Call{Address: address, Path: r.path, ID: r.id, Model: "m", Key: r.key, Deadline: r.deadline}
+	return simul.Call{Address: address, Path: r.path, ID: r.id, Model: "m", Key: r.key, Prompt: r.prompt, Deadline: r.deadline}
 }
 
 // sendUntilServed sends a request up to maxTries times, with the retry delay of
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -54,7 +54,8 @@
 	acts       map[string][]simul.Act // of the runners, by request id
 	given      map[string]simul.Act   // answers of the runners, by signature
 	faults     []faultSpan
-	violations []string // broken promises that were seen during the load
+	crashes    []time.Time // when endpoints ended at a prompt
+	violations []string    // broken promises that were seen during the load
 }
 
 // daemon is a daemon process with its paths.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -106,6 +106,12 @@
 func (c *cluster) killRunner(r *runner, down time.Duration) {
 	r.signal(syscall.SIGKILL)
 	r.awaitEnd(time.Second)
+	c.startAgain(r, down)
+}
+
+// startAgain starts a runner that has ended again after the downtime. Once it has been
+// dead for entryTTL, its entry is removed from the store.
+func (c *cluster) startAgain(r *runner, down time.Duration) {
 	time.Sleep(min(down, entryTTL))
 	if down > entryTTL {
 		c.store.RemoveRunner(r.name)
--- a/soak/kept.go
+++ b/soak/kept.go
@@ -93,13 +93,14 @@
 // exchange sends a request, fills in its result and reports whether the connection is
 // to be closed.
 func (k *keptCaller) exchange(conn net.Conn, reader *bufio.Reader, rec *record) (ends bool) {
-	request, err := rec.call(k.daemon.caller).Request(context.Background())
+	call := rec.call(k.daemon.caller)
+	request, err := call.Request(context.Background())
 	if err != nil {
 		rec.end(err)
 		return true
 	}
 	if k.chances.IntN(2) == 0 {
-		request.ContentLength = 1 // of the body of a simul.Call; otherwise it goes in chunks
+		request.ContentLength = int64(len(call.Body())) // otherwise it goes in chunks
 	}
 	_ = conn.SetDeadline(time.Now().Add(rec.deadline + callerSlack))
 	if err := request.Write(conn); err != nil {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -74,7 +74,7 @@
 
 // plan returns the faults of a soak.
 func (o Options) plan() []Step {
-	if o.Profile == Stops {
+	if o.Profile != Mixed {
 		return planStops(o.Seed, o.Length, o.Daemons, o.Runners)
 	}
 	return Plan(o.Seed, o.Length, o.Daemons, o.Runners)
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -16,13 +16,15 @@
 	// Stops stops daemons while callers stay with them, with endpoints that are slow,
 	// stutter and break off.
 	Stops
+	// Crashes is Stops with prompts that crash endpoints.
+	Crashes
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Profile -output=profile_string.go
 
 // Profiles returns all profiles by name.
 func Profiles() map[string]Profile {
-	return map[string]Profile{"mixed": Mixed, "stops": Stops}
+	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes}
 }
 
 // traits are the properties of a profile.
@@ -32,6 +34,7 @@
 	fileInterval   time.Duration
 	plainShare     int  // one runner in so many, but two at least, serves plain calls
 	kept           bool // whether there are callers that stay with a daemon
+	crashes        bool // whether there are prompts that crash endpoints
 	faults         simul.Faults
 }
 
@@ -44,6 +47,12 @@
 			faults: simul.Faults{Stutter: 0.08, Lose: 0.01, Reset: 0.01, Truncate: 0.01, Unsized: 0.05, Fail: 0.02, Expire: 0.01, Busy: 0.02},
 		}
 	}
+	if p == Crashes {
+		return traits{
+			events: 8, streamInterval: 100 * time.Millisecond, fileInterval: 200 * time.Millisecond, plainShare: 3, kept: true, crashes: true,
+			faults: simul.Faults{Lose: 0.01, Reset: 0.01, Unsized: 0.05},
+		}
+	}
 	return traits{events: 20, streamInterval: 50 * time.Millisecond, fileInterval: 40 * time.Millisecond, plainShare: 1 << 30}
 }
 
@@ -62,9 +71,12 @@
 // pace is the range of the times between two events of an endpoint.
 type pace struct{ shortest, longest time.Duration }
 
-// pace returns the pace of an endpoint. In Stops no, a third or all of the endpoints,
+// pace returns the pace of an endpoint. In Crashes it is the usual one. In Stops no, a third or all of the endpoints,
 // by seed, are far slower than usual, but sound.
 func (p Profile) pace(seed uint64, runner int, plain bool) pace {
+	if p == Crashes && !plain {
+		return pace{20 * time.Millisecond, 120 * time.Millisecond}
+	}
 	slow := seed%3 == 2 || seed%3 == 1 && runner%3 == 0
 	switch {
 	case p == Mixed && plain:
--- a/soak/profile_string.go
+++ b/soak/profile_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[Mixed-0]
 	_ = x[Stops-1]
+	_ = x[Crashes-2]
 }
 
-const _Profile_name = "MixedStops"
+const _Profile_name = "MixedStopsCrashes"
 
-var _Profile_index = [...]uint8{0, 5, 10}
+var _Profile_index = [...]uint8{0, 5, 10, 17}
 
 func (i Profile) String() string {
 	idx := int(i) - 0
--- a/soak/record.go
+++ b/soak/record.go
@@ -31,6 +31,8 @@
 	id         string
 	path       string
 	key        string
+	prompt     string // parts of its prompt, for a stream of the profile Crashes
+	crashes    bool   // it crashes endpoints
 	daemon     int
 	deadline   time.Duration
 	kept       bool // sent by a caller that stays with its daemon, not through a Path
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,7 @@
 	Refused  int
 	Lost     int            // without an answer, or cut off
 	Excused  map[string]int // of those lost, by excuse, empty for none
+	Crashes  int            // of endpoints, at a prompt
 	Failures []string       // broken promises, each with the request or daemon
 }
 
@@ -52,12 +53,18 @@
 	if c.traits.kept {
 		senders.Go(func() { runKept(load, caller) })
 	}
+	if c.traits.crashes {
+		senders.Go(func() { runCrashes(load, caller) })
+	}
 	c.inject(ctx, report.Steps)
+	awaitEnd(ctx, c.began.Add(o.Length))
 	stop()
 	senders.Wait()
 	report.Failures = append(report.Failures, c.checkRecovery(caller)...)
+	report.Crashes = len(c.crashes)
 	report.Failures = append(report.Failures, p.broken()...)
 	report.check(c, caller.records())
+	report.Failures = append(report.Failures, c.checkCrashes(caller.records())...)
 	return report, nil
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,10 @@
 	4, // some are
 }
 
+// crashSeeds are seeds of the profile Crashes that failed in the past: requests with one
+// part in their prompts went on crashing endpoints.
+var crashSeeds = []uint64{1}
+
 // Seeds that failed in the past break no promise any more.
 func TestFailedSeeds(t *testing.T) {
 	runSeeds(t, failedSeeds, Options{Daemons: 3, Runners: 8, Length: 10 * time.Second})
@@ -125,3 +129,9 @@
 	p.checkApplied(0, 1, now, missing)
 	is.Equal(len(p.broken()), 1)
 }
+
+// Prompts that share one part crash the endpoints that begin to answer them. They must soon
+// reach none any more, and sound ones must be served.
+func TestPartThatCrashesEndpointsGoesOnCrashing(t *testing.T) {
+	runSeeds(t, crashSeeds, Options{Profile: Crashes, Daemons: 3, Runners: 16, Length: 16 * time.Second})
+}
--- a/soak/start.go
+++ b/soak/start.go
@@ -27,6 +27,10 @@
 		return &Error{Op: "path", Kind: Start, Err: err}
 	}
 	path.onBytes = func(data []byte) { c.recordPassed(name, data) }
+	address := path.Address()
+	if c.traits.crashes {
+		address = listen // a path accepts connections even while its runner is dead
+	}
 	service, fabric := "engines", "f1"
 	plain := i >= c.options.Runners-max(minPlain, c.options.Runners/c.traits.plainShare)
 	if plain {
@@ -34,12 +38,15 @@
 	}
 	p, f := c.options.Profile.pace(c.options.Seed, i, plain), c.traits.faults
 	r := &runner{path: path, proc: proc{name: name, log: log, onLine: c.recordAct, command: []string{
-		c.options.Chfake, "runner", "--id", name, "--listen", listen, "--address", path.Address(), "--store", store, "--service", service,
+		c.options.Chfake, "runner", "--id", name, "--listen", listen, "--address", address, "--store", store, "--service", service,
 		"--domain", "north", "--fabric", fabric, "--slots", "8", "--join", "50ms", "--event", p.shortest.String(), "--longest", p.longest.String(),
 		"--events", fmt.Sprint(c.traits.events), "--trace", "--seed", fmt.Sprint(c.options.Seed),
 		"--stutter", fmt.Sprint(f.Stutter), "--lose", fmt.Sprint(f.Lose), "--reset", fmt.Sprint(f.Reset), "--truncate", fmt.Sprint(f.Truncate),
 		"--unsized", fmt.Sprint(f.Unsized), "--fail", fmt.Sprint(f.Fail), "--expire", fmt.Sprint(f.Expire), "--busy", fmt.Sprint(f.Busy),
 	}}}
+	if c.traits.crashes && !plain {
+		r.command = append(r.command, "--crash", crashingPart)
+	}
 	c.runners = append(c.runners, r)
 	return r.start()
 }
