--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -29,6 +29,7 @@
 	servers     map[string]*httptest.Server
 	runners     map[string]*simul.Runner
 	daemons     []Settings
+	started     []*Daemon // by the same index
 	cancels     []context.CancelFunc
 	running     sync.WaitGroup
 	lastID      int
@@ -107,6 +108,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	c.daemons = append(c.daemons, s)
+	c.started = append(c.started, d)
 	c.cancels = append(c.cancels, stop)
 	c.running.Go(func() {
 		if err := d.Run(ctx); err != nil {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -217,7 +217,7 @@
 			}
 		}
 		d.crashes.SetRemote(crashCounts)
-		d.parts.Update(gossip.SumParts(alive))
+		d.parts.Update(d.knownParts(alive))
 	}
 }
 
@@ -249,7 +249,7 @@
 		}
 		group.Go(func() error { return server.run(partsCtx, listener) })
 	}
-	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.pulse.Run, d.applyGossip, d.sweepConns} {
+	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.pulse.Run, d.applyGossip, d.sweepConns, d.recordParts} {
 		group.Go(func() error { return partError(partsCtx, run(partsCtx)) })
 	}
 	reg := &registration{instance: s.ID, self: d.self, store: d.store, log: d.options.Log, removeTimeout: d.removeTimeout}
--- a/front/parts.go
+++ b/front/parts.go
@@ -101,6 +101,20 @@
 	return ""
 }
 
+// AllRefused returns the parts that are refused, and for how long from now on.
+func (p *Parts) AllRefused() map[string]time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	refused := map[string]time.Duration{}
+	for part, r := range p.records {
+		if now.Before(r.refusedUntil) {
+			refused[part] = r.refusedUntil.Sub(now)
+		}
+	}
+	return refused
+}
+
 // Counts returns what the other daemons are to know: the parts that are suspected here or
 // elsewhere, and those that are refused.
 func (p *Parts) Counts() map[string]gossip.PromptPart {
@@ -185,7 +199,7 @@
 // be held.
 func (p *Parts) refuse(part string, r *partRecord, now time.Time, d time.Duration) {
 	p.log.Info("part refused", "parts", part, "crashes", r.count(now), "others", r.remote.Crashes, "for_ms", d.Milliseconds())
-	r.refusedUntil = now.Add(d)
+	r.refusedUntil = now.Add(min(d, refusalTime))
 	r.told = r.refusedUntil.Add(refusalSlack)
 	for _, other := range p.records {
 		if !now.Before(other.refusedUntil) {
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -105,9 +105,29 @@
 		w.applyDaemon(s, name, item)
 	case platform.KeeperTermKey:
 		w.applyKeeper(s, item)
+	case platform.PartKey:
+		w.applyPart(s, name, item)
 	}
 }
 
+// RefusedPart is the record of a part of prompts that is refused.
+type RefusedPart struct {
+	Until time.Time `json:"until"` // by the time of day
+}
+
+func (w *Watcher) applyPart(s *Snapshot, part string, item platform.Item) {
+	delete(s.Parts, part)
+	if item.Removed {
+		return
+	}
+	var record RefusedPart
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		w.options.Log.Info("cannot decode record of a part", "parts", part, "error", err.Error())
+		return
+	}
+	s.Parts[part] = record.Until
+}
+
 // applyConfig sets the configuration. One that cannot be decoded or has a lower
 // version than the current one is ignored.
 func (w *Watcher) applyConfig(s *Snapshot, item platform.Item) {
--- a/watch/snapshot.go
+++ b/watch/snapshot.go
@@ -18,6 +18,7 @@
 	KeptOut      map[string]time.Duration // of these, domains that the present era doesn't list, and until when they are kept, on the boot clock
 	Daemons      map[string]site.Daemon   // by ID
 	Keeper       Term
+	Parts        map[string]time.Time // parts of prompts that are refused, and until when, by the time of day
 }
 
 // Term is one term of the keeper, the daemon that sends orders to the endpoints of
@@ -61,6 +62,7 @@
 	next.OutOfService = cloneMap(s.OutOfService)
 	next.KeptOut = cloneMap(s.KeptOut)
 	next.Daemons = cloneMap(s.Daemons)
+	next.Parts = cloneMap(s.Parts)
 	return &next
 }
 
