--- a/front/parts.go
+++ b/front/parts.go
@@ -15,7 +15,7 @@
 	partRequests   = 2                     // least number of requests with the part among these
 	partMemory     = 60 * time.Second      // a crash counts for this long
 	survivalMemory = 10 * time.Second      // a part with which a request survived so recently is not refused
-	suspicionTime  = time.Second           // for which a part must look guilty before it is refused, so that survivals at other daemons are known
+	suspicionTime  = time.Second           // for which a part must be due to be refused before it is, so that survivals at other daemons are known
 	survivalTime   = time.Second           // a request that has been answered for so long has survived, and does not explain a crash any more
 	sameCrash      = 50 * time.Millisecond // crashes so close together have one cause, such as a loss of power, and count once
 	refusalTime    = 10 * time.Minute      // for which a part is refused
@@ -41,7 +41,7 @@
 	crashes      []partCrash       // seen by this daemon, oldest first
 	survivedAt   time.Time         // when a request with the part last survived at this daemon
 	remote       gossip.PromptPart // sum over the other daemons
-	guiltySince  time.Time         // since when it is to be refused if that lasts; zero if it is not
+	dueSince     time.Time         // since when it is to be refused if that lasts; zero if it is not
 	refusedUntil time.Time
 	told         time.Time // from when on another daemon's refusal counts; some refuse it a little longer than this one
 }
@@ -146,7 +146,7 @@
 		}
 	}
 	for _, part := range p.byCrashes(now) {
-		p.judge(part, p.records[part], now)
+		p.decide(part, p.records[part], now)
 	}
 	p.sweep(now)
 }
@@ -171,8 +171,8 @@
 	return parts
 }
 
-// judge decides whether a part is refused. The lock must be held.
-func (p *Parts) judge(part string, r *partRecord, now time.Time) {
+// decide decides whether a part is refused. The lock must be held.
+func (p *Parts) decide(part string, r *partRecord, now time.Time) {
 	if now.Before(r.refusedUntil) {
 		return
 	}
@@ -180,15 +180,15 @@
 		p.refuse(part, r, now, time.Duration(r.remote.Refused)*time.Second)
 		return
 	}
-	if !r.guilty(now) {
-		r.guiltySince = time.Time{}
+	if !r.due(now) {
+		r.dueSince = time.Time{}
 		return
 	}
-	if r.guiltySince.IsZero() {
-		r.guiltySince = now
+	if r.dueSince.IsZero() {
+		r.dueSince = now
 		p.log.Info("part suspected", "parts", part, "crashes", r.count(now)+r.remote.Crashes)
 	}
-	if now.Sub(r.guiltySince) < suspicionTime {
+	if now.Sub(r.dueSince) < suspicionTime {
 		return
 	}
 	p.refuse(part, r, now, refusalTime)
@@ -204,11 +204,11 @@
 	for _, other := range p.records {
 		if !now.Before(other.refusedUntil) {
 			other.crashes = nil
-			other.guiltySince = time.Time{}
+			other.dueSince = time.Time{}
 		}
 	}
 	r.crashes = nil
-	r.guiltySince = time.Time{}
+	r.dueSince = time.Time{}
 }
 
 // record returns the record of a part, which it makes on first use. The lock must be held.
@@ -250,8 +250,8 @@
 	return 0
 }
 
-// guilty reports whether the part is to be refused, as far as is known.
-func (r *partRecord) guilty(now time.Time) bool {
+// due reports whether the part is to be refused, as far as is known.
+func (r *partRecord) due(now time.Time) bool {
 	if r.survived(now)+r.remote.Survived > 0 || r.count(now)+r.remote.Crashes < partCrashes {
 		return false
 	}
