--- a/front/endless_test.go
+++ b/front/endless_test.go
@@ -73,3 +73,28 @@
 	is.Equal(got.body, body)
 	is.True(!got.truncated)
 }
+
+// A stream without a length ends with its connection, whole between two events and cut in
+// one.
+func TestStreamThatEndsWithItsConnectionIsTakenForWhole(t *testing.T) {
+	const whole = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+	for _, c := range []struct {
+		name, body, got string
+		truncated       bool
+	}{
+		{"whole", whole, whole, false},
+		{"cut in an event's first line", whole + "id", whole, true},
+		{"cut behind a line of an event", whole + "id: 3\ndata: x\n", whole, true},
+		{"cut before the first event ends", "id: 1\n", "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, "engines", newStub(t, "a", raw(streamHead+c.body, false)))
+			got := f.call(t, "POST", "/tell/", nil)
+			is.Equal(got.truncated || got.status != http.StatusOK, c.truncated)
+			if got.status == http.StatusOK {
+				is.Equal(got.body, c.got)
+			}
+		})
+	}
+}
