--- a/gossip/age_test.go
+++ b/gossip/age_test.go
@@ -34,8 +34,10 @@
 		Listed: func() map[string]site.Daemon { return map[string]site.Daemon{"off": off} }, Log: logr.Discard(),
 	})
 	relay := site.Daemon{ID: "r", Domain: "south", Peer: "127.0.0.1:2"}
-	g.handle(Message{From: relay, Scope: Part, Full: true, Ready: true, Members: []Member{{ID: "r", Ready: true}, {ID: "off", Ready: true}},
-		Groups: map[string]Group{"e": {Name: "g", Epoch: 1, Open: true}}})
+	g.handle(Message{
+		From: relay, Scope: Part, Full: true, Ready: true, Members: []Member{{ID: "r", Ready: true}, {ID: "off", Ready: true}},
+		Groups: map[string]Group{"e": {Name: "g", Epoch: 1, Open: true}},
+	})
 	is.Equal(len(g.Alive()), 2)
 	now += 10 * time.Second
 	g.handle(Message{From: relay, Scope: Part, Ready: true})
