engine: an event that comes after the timeout doesn't make a stream whole

When a stream's timeout closes its connection, the endpoint notices and may still send; if its last event came before the read failed, Next returned it and the stream counted as whole.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -25,6 +25,9 @@
 // passed without an event.
 var errTimeout = errors.New("the connection went silent")
 
+// errLate is the error of an event that came after the timeout.
+var errLate = errors.New("event after the timeout")
+
 // Stream is the response to one request, read event by event. First and Gap are
 // the timeouts of Next; both may be set before the first call of Next. Open and
 // Resume set them from the limits of the client, of which First also limits their
@@ -130,6 +133,9 @@
 	stop := s.startTimeout(s.timeout())
 	chunk, err := s.readEvent()
 	stop()
+	if err == nil && s.timedOut.Load() {
+		err = errLate // the endpoint may have sent it since the connection was closed
+	}
 	if err != nil {
 		return Chunk{}, s.call.newError(Broken, http.StatusOK, s.cause(err))
 	}
