--- a/front/exchange.go
+++ b/front/exchange.go
@@ -86,7 +86,7 @@
 	} else if err != nil {
 		return x.breaksOff("no answer", err)
 	}
-	recordNotices(x.slot, resp)
+	x.recordNotices()
 	x.cause = strconv.Itoa(resp.StatusCode)
 	switch {
 	case platform.NotRun(resp.StatusCode, resp.Header):
--- a/front/send.go
+++ b/front/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -134,15 +135,32 @@
 	return answered
 }
 
-// recordNotices records what a response states of its endpoint: that it leaves, or
-// that it wants no requests for a time. It comes before the response is passed on,
-// since callers count from then on.
-func recordNotices(slot *pick.Slot, resp *conns.Response) {
-	if platform.Leaving(resp.Header) {
-		slot.Leave()
+// recordNotices records what the response states of its endpoint: that it leaves, that
+// it wants no requests for a time, or how many it takes. It comes before the response is
+// passed on, since callers count from then on.
+func (x *exchange) recordNotices() {
+	h := x.resp.Header
+	if platform.Leaving(h) {
+		x.slot.Leave()
 	}
-	if pause := platform.Pause(resp.StatusCode, resp.Header); pause > 0 {
-		slot.Pause(pause)
+	if pause := platform.Pause(x.resp.StatusCode, h); pause > 0 {
+		x.slot.Pause(pause)
+	}
+	x.recordLimit()
+}
+
+// recordLimit records the limit that the response states. That it states none counts only
+// if the endpoint made the response, and not in a response that refuses the request.
+func (x *exchange) recordLimit() {
+	h := x.resp.Header
+	rate, err := platform.Limit(h)
+	switch {
+	case err != nil:
+		x.front.options.Log.Info("limit not understood", "id", x.job.id, "endpoint", x.slot.Endpoint.ID, "error", err.Error())
+	case !math.IsInf(rate, 1):
+		x.slot.Limit(rate)
+	case platform.Signed(h) && !platform.NotRun(x.resp.StatusCode, h):
+		x.slot.EndLimit(x.began)
 	}
 }
 
--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -28,6 +28,8 @@
 	unanswered           []*Slot   // of this daemon's requests that have had no event and no answer, by age
 	unread               int       // prompt tokens of this daemon's requests whose responses have had no event yet
 	othersUnread         int       // the same of the other daemons
+	limit                limit
+	sends                []time.Time // by this daemon within limitWindow
 }
 
 const (
@@ -70,6 +72,7 @@
 	}
 	s.running++
 	s.lastBegin = now
+	s.sends = append(trim(s.sends, now.Add(-limitWindow)), now)
 }
 
 // event records progress, and the interval since the previous event of the same
