--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -33,6 +33,18 @@
 	cancels     []context.CancelFunc
 	running     sync.WaitGroup
 	lastID      int
+	mu          sync.Mutex
+	came        map[string][]time.Time // requests by runner
+}
+
+// noteAct records the arrival of a request at a runner.
+func (c *cluster) noteAct(a simul.Act) {
+	if a.Deed != simul.Came {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.came[a.Runner] = append(c.came[a.Runner], a.Time())
 }
 
 // nextID returns a new request id.
@@ -70,7 +82,7 @@
 
 func newCluster(t *testing.T, engines, daemons int) *cluster {
 	t.Helper()
-	c := &cluster{store: simul.NewStore(), servers: map[string]*httptest.Server{}, runners: map[string]*simul.Runner{}}
+	c := &cluster{store: simul.NewStore(), servers: map[string]*httptest.Server{}, runners: map[string]*simul.Runner{}, came: map[string][]time.Time{}}
 	c.storeServer = httptest.NewServer(c.store)
 	c.configure(1, "good-key")
 	for i := range engines {
@@ -89,7 +101,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, q *http.Request) { r.ServeHTTP(out, q) }))
 	r = simul.NewRunner(simul.RunnerOptions{
 		ID: id, Service: service, Address: server.Listener.Addr().String(), Domain: "north", Fabric: fabric, Slots: 8,
-		Join: 50 * time.Millisecond, Event: 20 * time.Millisecond, Events: 30, PutEntry: c.store.Put,
+		Join: 50 * time.Millisecond, Event: 20 * time.Millisecond, Events: 30, PutEntry: c.store.Put, OnAct: c.noteAct,
 	})
 	c.servers[id] = server
 	c.runners[id] = r
--- a/simul/act.go
+++ b/simul/act.go
@@ -10,6 +10,7 @@
 
 // The deeds.
 const (
+	Came  Deed = "came"  // got a request, which it may refuse
 	Ran   Deed = "ran"   // began to run a request
 	Gave  Deed = "gave"  // began an answer, with Status and Signature
 	Broke Deed = "broke" // broke off an answer
--- a/simul/answer.go
+++ b/simul/answer.go
@@ -32,6 +32,7 @@
 // ends at the request's deadline, or when its connection ends.
 func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Request-Id")
+	r.act(Came, id, 0, "")
 	r.mu.Lock()
 	if r.options.Fabric != "" && (r.group == nil || r.group.State != "open" || r.group.Rank != 0) {
 		r.mu.Unlock()
@@ -99,7 +100,11 @@
 	r.mu.Lock()
 	r.given++
 	signature := fmt.Sprintf("%s.%x.%d", r.options.ID, r.born, r.given)
+	limit := r.limit
 	r.mu.Unlock()
+	if limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	h.Set("X-Request-Id", id)
 	h.Set(signatureHeader, signature)
 	r.act(Gave, id, status, signature)
--- a/simul/runner.go
+++ b/simul/runner.go
@@ -44,6 +44,7 @@
 	active   int            // requests in progress
 	runs     map[string]int // number of runs by request id
 	given    int            // number of answers begun
+	limit    float64        // requests per second that answers state as the limit, 0 for none
 	mux      *http.ServeMux
 }
 
@@ -89,6 +90,14 @@
 	return out
 }
 
+// SetLimit sets the limit that the runner's answers state from now on, in requests per
+// second of all daemons together; 0 for none. The runner takes more all the same.
+func (r *Runner) SetLimit(rate float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = rate
+}
+
 // Publish writes the runner's entry to the store.
 func (r *Runner) Publish() {
 	r.mu.Lock()
