--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,8 +92,11 @@
 	})
 	d.placer = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, Snapshot: d.watcher.Snapshot, Alive: d.gossip.Alive,
-		Budget: d.budget, Daemons: d.daemonCount, Random: rand.Float64, Log: o.Log,
+		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Random: rand.Float64, Log: o.Log,
 	})
+	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
+	}, func() float64 { return float64(d.placer.Limited()) }))
 	d.pool = conns.New(conns.Dial)
 	d.front = front.New(front.Options{
 		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool,
@@ -155,16 +158,24 @@
 	return peers
 }
 
-// daemonCount returns the number of daemons that the budget is divided among: all
-// that the store lists, including those not heard by gossip, since they may still
-// serve.
+// daemonCount returns the number of daemons that the budget is divided among.
 func (d *Daemon) daemonCount() int {
 	return countDaemons(d.self.ID, d.watcher.Snapshot().Daemons, d.gossip.Alive())
 }
 
-// countDaemons returns the number of daemons that are listed in the store or heard by
-// gossip, including this one, or minDaemons if that is larger.
+// listedCount returns the number of daemons that may serve.
+func (d *Daemon) listedCount() int {
+	return countListed(d.self.ID, d.watcher.Snapshot().Daemons, d.gossip.Alive())
+}
+
+// countDaemons is countListed, or minDaemons if that is larger.
 func countDaemons(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
+	return max(minDaemons, countListed(self, listed, heard))
+}
+
+// countListed returns the number of daemons that are listed in the store or heard by
+// gossip, including this one. Those that are listed and not heard may still serve.
+func countListed(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
 	known := map[string]bool{self: true}
 	for id := range listed {
 		known[id] = true
@@ -172,7 +183,7 @@
 	for _, m := range heard {
 		known[m.From.ID] = true
 	}
-	return max(minDaemons, len(known))
+	return len(known)
 }
 
 // demand returns the demand that this daemon reports.
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -213,7 +213,7 @@
 func newPlacer(snapshot func() *watch.Snapshot, budget pick.Budget) *pick.Placer {
 	return pick.New(pick.Options{
 		Domain: "north", Boot: func() time.Duration { return time.Hour }, Snapshot: snapshot,
-		Alive: func() []gossip.Message { return nil }, Daemons: func() int { return 1 }, Log: logr.Discard(), Random: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
+		Alive: func() []gossip.Message { return nil }, Daemons: func() int { return 1 }, Listed: func() int { return 1 }, Log: logr.Discard(), Random: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
 	})
 }
 
--- a/gossip/merge.go
+++ b/gossip/merge.go
@@ -43,6 +43,24 @@
 	return present
 }
 
+// aged returns a message that was received some time ago, with the present ages of the
+// limits in it.
+func (m Message) aged(passed time.Duration) Message {
+	cloned := false
+	for id, load := range m.Endpoints {
+		if !load.Limit.known() {
+			continue
+		}
+		if !cloned {
+			m.Endpoints = maps.Clone(m.Endpoints)
+			cloned = true
+		}
+		load.Limit.Age += int(passed.Milliseconds()) + 1 // rounded up
+		m.Endpoints[id] = load
+	}
+	return m
+}
+
 // tenths returns a time in tenths of a second, rounded up.
 func tenths(d time.Duration) int {
 	const tenth = 100 * time.Millisecond
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -51,8 +51,22 @@
 	Leaving      int64 `json:"leaving,omitempty"` // site.State.Started of the endpoint if it stated that it leaves
 	Slow         bool  `json:"slow,omitempty"`    // its events are much further apart than expected
 	Stalled      bool  `json:"stuck,omitempty"`   // it observed no progress there, or could not reach it
+	Sent         int   `json:"sent,omitempty"`    // requests sent there lately, if it states a limit
+	Limit        Limit `json:"limit,omitzero"`
 }
 
+// Limit is what an endpoint stated in an answer of the requests that it takes. The zero
+// value means that nothing is known of it.
+type Limit struct {
+	Started int64   `json:"started,omitempty"` // site.State.Started of the endpoint
+	Rate    float64 `json:"rate,omitempty"`    // requests per second of all daemons together
+	Ended   bool    `json:"ended,omitempty"`   // it states no limit any more
+	Age     int     `json:"age,omitempty"`     // of the answer, in milliseconds, at least 1
+}
+
+// known reports whether the endpoint stated anything.
+func (l Limit) known() bool { return l.Age > 0 }
+
 // Queue describes the requests that wait at daemons for a model or a plain service.
 type Queue struct {
 	InTime      int     `json:"soon,omitempty"`  // requests that can still be answered within their latency target
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -139,7 +139,7 @@
 		if p.message.Scope != Own || p.message.Relay != own.From.ID || now-p.lastHeard >= p.silenceLimit() {
 			continue
 		}
-		part.add(p.message)
+		part.add(p.message.aged(now - p.lastHeard))
 		part.Members = append(part.Members, Member{ID: id, Ready: p.message.Ready, Fresh: p.message.Fresh, Age: tenths(now - p.lastHeard)})
 	}
 	all = emptySum(own)
@@ -151,7 +151,7 @@
 		if p.message.Scope != Part || now-p.lastHeard >= p.silenceLimit() {
 			continue
 		}
-		all.add(p.message)
+		all.add(p.message.aged(now - p.lastHeard))
 		all.Members = append(all.Members, p.members(now)...)
 	}
 	return part, all
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -49,6 +49,7 @@
 		}
 		l.Running = max(0, l.Running-load.Running)
 		l.UnreadTokens = max(0, l.UnreadTokens-load.UnreadTokens)
+		l.Sent = max(0, l.Sent-load.Sent)
 		rest.Endpoints[id] = l
 	}
 	for key, n := range own.Demand {
@@ -84,9 +85,25 @@
 		Leaving:      max(l.Leaving, other.Leaving),
 		Slow:         l.Slow || other.Slow,
 		Stalled:      l.Stalled || other.Stalled,
+		Sent:         l.Sent + other.Sent,
+		Limit:        l.Limit.newest(other.Limit),
 	}
 }
 
+// newest returns the limit that was stated last: in the later life of the endpoint, or
+// by the younger answer.
+func (l Limit) newest(other Limit) Limit {
+	switch {
+	case !other.known():
+		return l
+	case !l.known(), other.Started > l.Started:
+		return other
+	case other.Started == l.Started && other.Age < l.Age:
+		return other
+	}
+	return l
+}
+
 // plus returns the sum of two queues, the second one times a sign. Nothing goes below 0.
 func (q Queue) plus(other Queue, sign int) Queue {
 	return Queue{
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -43,7 +43,7 @@
 			}
 		}
 		if following == nil && g.counts(p.message) {
-			loads = append(loads, p.message)
+			loads = append(loads, p.message.aged(now-p.lastHeard))
 		}
 	}
 	return append(loads, g.stubs(loads, members, now)...)
@@ -61,7 +61,8 @@
 	if !known || p.message.Scope != All || now-p.lastHeard >= p.silenceLimit() {
 		return nil
 	}
-	return &p.message
+	sum := p.message.aged(now - p.lastHeard)
+	return &sum
 }
 
 // stubs returns a message without load for each daemon that is alive and whose own
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -12,7 +12,7 @@
 	FailureRate float64       // share of recent requests that failed there
 	SameDomain  bool          // whether it is in this daemon's failure domain
 	Stalled     bool          // whether no request there makes progress
-	RateLimited bool          // whether it is cold and this daemon's share of its rate is used up
+	RateLimited bool          // whether this daemon's share of its rate is used up, as it is cold or states a limit
 	Paused      bool          // whether it asked for no requests from this daemon for now
 }
 
@@ -99,6 +99,7 @@
 	Begun       bool          // whether it may have run, so that to refuse it is to fail it
 	Resumed     bool          // whether its caller has received a part of the stream already
 	Paused      time.Duration // until the first endpoint that serves it takes requests again; 0 if one does now
+	Limited     int           // endpoints whose stated limit leaves nothing for this daemon now
 }
 
 // Decision says whether a request for which no slot is free waits or is refused.
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -10,7 +10,7 @@
 )
 
 // candidate returns an endpoint with the load and health on which Choose decides.
-func (p *Placer) candidate(e site.Endpoint, request Request, now time.Time) Candidate {
+func (p *Placer) candidate(e site.Endpoint, request Request, q *queue, now time.Time) Candidate {
 	s := p.endpoint(e.ID)
 	c := Candidate{
 		ID: e.ID, Load: s.running + s.othersRunning, Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(now),
@@ -33,6 +33,9 @@
 		interval := time.Duration(float64(time.Second) * float64(p.options.Daemons()) / service.ColdRate)
 		c.RateLimited = s.rateLimited(now, e.Seen+e.Cold > p.options.Boot(), interval, p.options.Random)
 	}
+	if p.limitWait(s, e, q, now) > 0 {
+		c.RateLimited = true
+	}
 	return c
 }
 
--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"clementinehead.example/chead/site"
@@ -29,7 +30,9 @@
 	unread               int       // prompt tokens of this daemon's requests whose responses have had no event yet
 	othersUnread         int       // the same of the other daemons
 	limit                limit
+	bucket               bucket      // of this daemon's share of the limit
 	sends                []time.Time // by this daemon within limitWindow
+	othersSent           int         // the same of the other daemons
 }
 
 const (
@@ -73,6 +76,16 @@
 	s.running++
 	s.lastBegin = now
 	s.sends = append(trim(s.sends, now.Add(-limitWindow)), now)
+	s.bucket.tokens--
+}
+
+// unsend takes back that a request acquired a slot at the given time, as it was not sent.
+func (s *endpointState) unsend(acquired time.Time) {
+	s.running--
+	if i := slices.IndexFunc(s.sends, acquired.Equal); i >= 0 {
+		s.sends = slices.Delete(s.sends, i, i+1)
+		s.bucket.tokens++
+	}
 }
 
 // event records progress, and the interval since the previous event of the same
--- a/pick/notice.go
+++ b/pick/notice.go
@@ -81,12 +81,26 @@
 	return 0
 }
 
-// pausedFor returns the time until the first of the endpoints takes requests again, or
-// 0 if one does now or there are none.
-func (p *Placer) pausedFor(endpoints []site.Endpoint, now time.Time) time.Duration {
+// addLimits adds to the state of a queue what the endpoints that serve it have asked for:
+// for how long all are paused or their limits leave nothing, and the slots that their
+// limits let be freed.
+func (p *Placer) addLimits(state *QueueState, endpoints []site.Endpoint, q *queue, now time.Time) {
+	if len(endpoints) == 0 {
+		return
+	}
+	state.Paused = p.unavailableFor(endpoints, q, now)
+	rate, used := p.limitedRate(endpoints, q, now)
+	state.Limited = used
+	state.FreeRate = min(state.FreeRate, rate)
+}
+
+// unavailableFor returns the time until the first of the endpoints takes requests again
+// after a pause or by its limit, or 0 if one does now or there are none.
+func (p *Placer) unavailableFor(endpoints []site.Endpoint, q *queue, now time.Time) time.Duration {
 	shortest := time.Duration(0)
 	for _, e := range endpoints {
-		left := p.endpoint(e.ID).pausedUntil.Sub(now)
+		s := p.endpoint(e.ID)
+		left := max(s.pausedUntil.Sub(now), min(maxRetryAfter, p.limitWait(s, e, q, now)))
 		if left <= 0 {
 			return 0
 		}
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -19,6 +19,7 @@
 	Alive    func() []gossip.Message // newest message of each other daemon that is alive
 	Budget   func() Budget           // current budget of each service; only its Extra is for all daemons together
 	Daemons  func() int              // daemons that share Budget.Extra and the rate of a cold endpoint, whether heard or not
+	Listed   func() int              // daemons that may serve, whether heard or not
 	Random   func() float64          // returns random numbers in [0, 1)
 	Log      logr.Logger
 }
@@ -34,6 +35,8 @@
 	leaving   map[string]leaving // endpoints that stated that they leave
 	cache     servingCache
 	announced map[string]gossip.Group // groups that the keeper announced, by the endpoint that leads them
+	heard     int                     // daemons heard at the latest Update, with this one
+	listed    int                     // the same with those that are only listed
 }
 
 // Request is a request that needs a slot.
@@ -57,6 +60,7 @@
 	return &Placer{
 		options: o, endpoints: map[string]*endpointState{}, queues: map[string]*queue{},
 		budgets: map[string]*Budget{}, leaving: map[string]leaving{}, announced: map[string]gossip.Group{},
+		heard: 1, listed: 1,
 	}
 }
 
@@ -78,7 +82,7 @@
 	}
 	endpoints := p.eligible(request)
 	eligible := len(endpoints)
-	state.Paused = p.pausedFor(endpoints, began)
+	p.addLimits(&state, endpoints, q, began)
 	decision := Admit(state)
 	if !decision.Wait {
 		p.mu.Unlock()
@@ -163,7 +167,7 @@
 	eligible := p.eligible(request)
 	candidates := make([]Candidate, len(eligible))
 	for i, e := range eligible {
-		candidates[i] = p.candidate(e, request, now)
+		candidates[i] = p.candidate(e, request, q, now)
 	}
 	i := ChooseSampled(candidates, p.options.Random)
 	if i < 0 {
@@ -194,7 +198,10 @@
 	m := gossip.Message{Endpoints: map[string]gossip.EndpointLoad{}, Demand: map[string]int{}, Queues: map[string]gossip.Queue{}}
 	v := p.options.Snapshot()
 	for id, s := range p.endpoints {
-		load := gossip.EndpointLoad{Running: s.running, UnreadTokens: s.unread, Stalled: s.locallyStalled(now) && !p.isPlain(v, id), Leaving: p.reportLeaving(v, id), Slow: p.isSlow(v, s)}
+		load := gossip.EndpointLoad{Running: s.running, UnreadTokens: s.unread, Stalled: s.locallyStalled(now) && !p.isPlain(v, id), Leaving: p.reportLeaving(v, id), Slow: p.isSlow(v, s), Limit: p.reportLimit(s)}
+		if s.limit.inForce() {
+			load.Sent = s.recentSends(now)
+		}
 		if load != (gossip.EndpointLoad{}) {
 			m.Endpoints[id] = load
 		}
@@ -224,7 +231,10 @@
 	for _, s := range p.endpoints {
 		s.othersRunning = 0
 		s.othersUnread = 0
+		s.othersSent = 0
 	}
+	p.heard = 1 + len(messages)
+	p.listed = max(p.heard, p.options.Listed())
 	for _, q := range p.queues {
 		q.others = gossip.Queue{}
 	}
@@ -238,6 +248,8 @@
 			s := p.endpoint(id)
 			s.othersRunning += other.Running
 			s.othersUnread += other.UnreadTokens
+			s.othersSent += other.Sent
+			p.adoptLimit(s, other.Limit, m.From.ID)
 			if other.Leaving != 0 {
 				p.recordLeaving(id, other.Leaving, m.From.ID)
 			}
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -138,7 +138,7 @@
 // release returns a slot that was granted to a request that no longer needs it. It
 // counts neither a result nor a freed slot.
 func (p *Placer) release(s *Slot, now time.Time) {
-	s.state.running--
+	s.state.unsend(s.acquired)
 	s.finish(now)
 }
 
