--- a/cmd/chfake/site.go
+++ b/cmd/chfake/site.go
@@ -53,6 +53,8 @@
 	Longest time.Duration `help:"Longest such time, drawn for each; as --event where it is shorter."`
 	Events  int           `default:"30" help:"Events of a stream."`
 	Crash   string        `help:"Part of prompts at which the process ends."`
+	Limit   float64       `help:"Requests per second that answers state as the limit, in turn with none and twice as many; 0 for none at all."`
+	Period  time.Duration `default:"5s" help:"For which answers state the same limit."`
 	Trace   bool          `help:"Print a line for each act (run, answer, end of either), before it."`
 
 	simul.Faults `embed:""`
@@ -74,6 +76,7 @@
 		ID: c.ID, Service: c.Service, Address: c.Address, Domain: c.Domain, Fabric: c.Fabric, Slots: c.Slots,
 		Join: c.Join, Event: c.Event, EventMax: c.Longest, Events: c.Events, Named: true, Faults: c.Faults,
 		PutEntry: entry.put, OnAct: onAct, Crash: c.Crash, OnCrash: func() { os.Exit(crashCode) },
+		Limit: c.Limit, LimitPeriod: c.Period,
 	})
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
--- a/simul/act.go
+++ b/simul/act.go
@@ -21,12 +21,13 @@
 // Act is something that a Runner did for a request. Tests compare acts with what
 // callers got.
 type Act struct {
-	Deed      Deed   `json:"deed"`
-	Runner    string `json:"runner"`
-	ID        string `json:"id"`
-	At        int64  `json:"at"` // microseconds since 1970
-	Status    int    `json:"status,omitempty"`
-	Signature string `json:"signature,omitempty"` // unique for each answer
+	Deed      Deed    `json:"deed"`
+	Runner    string  `json:"runner"`
+	ID        string  `json:"id"`
+	At        int64   `json:"at"` // microseconds since 1970
+	Status    int     `json:"status,omitempty"`
+	Signature string  `json:"signature,omitempty"` // unique for each answer
+	Limit     float64 `json:"limit,omitempty"`     // that the answer states, in requests per second
 }
 
 // Time returns when the act took place.
@@ -50,7 +51,15 @@
 
 // act reports an act of the runner.
 func (r *Runner) act(deed Deed, id string, status int, signature string) {
-	if r.options.OnAct != nil {
-		r.options.OnAct(Act{Deed: deed, Runner: r.options.ID, ID: id, At: time.Now().UnixMicro(), Status: status, Signature: signature})
+	r.note(Act{Deed: deed, ID: id, Status: status, Signature: signature})
+}
+
+// note reports an act of the runner, which happens now.
+func (r *Runner) note(a Act) {
+	if r.options.OnAct == nil {
+		return
 	}
+	a.Runner = r.options.ID
+	a.At = time.Now().UnixMicro()
+	r.options.OnAct(a)
 }
--- a/simul/answer.go
+++ b/simul/answer.go
@@ -100,14 +100,14 @@
 	r.mu.Lock()
 	r.given++
 	signature := fmt.Sprintf("%s.%x.%d", r.options.ID, r.born, r.given)
-	limit := r.limit
+	limit := r.statedLimit()
 	r.mu.Unlock()
 	if limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 	}
 	h.Set("X-Request-Id", id)
 	h.Set(signatureHeader, signature)
-	r.act(Gave, id, status, signature)
+	r.note(Act{Deed: Gave, ID: id, Status: status, Signature: signature, Limit: limit})
 }
 
 // answer answers a run, as its fault has it.
--- a/simul/runner.go
+++ b/simul/runner.go
@@ -10,23 +10,25 @@
 
 // RunnerOptions are the properties of a Runner.
 type RunnerOptions struct {
-	ID       string
-	Service  string
-	Address  string
-	Domain   string                         // failure domain
-	Fabric   string                         // fabric domain, empty for a plain service
-	Slots    int                            // maximum number of concurrent requests
-	Join     time.Duration                  // time to join a group, and to open it
-	Event    time.Duration                  // shortest time until the first event of a stream, between two, and of a plain call
-	EventMax time.Duration                  // longest such time, Event if it is shorter
-	Events   int                            // number of events of a stream
-	Named    bool                           // whether the bodies of answers name their requests
-	Faults   Faults                         // none by default
-	Crash    string                         // part of prompts at which the runner crashes, empty for none
-	OnCrash  func()                         // ends the runner, if Crash is not empty
-	PutEntry func(key string, value []byte) // writes the entry of the runner to the store
-	OnRun    func(id string)                // called with the request id before each run, may be nil
-	OnAct    func(Act)                      // called before each act takes effect, may be nil
+	ID          string
+	Service     string
+	Address     string
+	Domain      string                         // failure domain
+	Fabric      string                         // fabric domain, empty for a plain service
+	Slots       int                            // maximum number of concurrent requests
+	Join        time.Duration                  // time to join a group, and to open it
+	Event       time.Duration                  // shortest time until the first event of a stream, between two, and of a plain call
+	EventMax    time.Duration                  // longest such time, Event if it is shorter
+	Events      int                            // number of events of a stream
+	Named       bool                           // whether the bodies of answers name their requests
+	Faults      Faults                         // none by default
+	Crash       string                         // part of prompts at which the runner crashes, empty for none
+	OnCrash     func()                         // ends the runner, if Crash is not empty
+	Limit       float64                        // requests per second that answers state as the limit, in turn with none and twice as many; 0 for none
+	LimitPeriod time.Duration                  // for which answers state the same
+	PutEntry    func(key string, value []byte) // writes the entry of the runner to the store
+	OnRun       func(id string)                // called with the request id before each run, may be nil
+	OnAct       func(Act)                      // called before each act takes effect, may be nil
 }
 
 // Runner simulates a model runner, or an application runner if it has no fabric
@@ -44,7 +46,7 @@
 	active   int            // requests in progress
 	runs     map[string]int // number of runs by request id
 	given    int            // number of answers begun
-	limit    float64        // requests per second that answers state as the limit, 0 for none
+	limit    float64        // as SetLimit has it
 	mux      *http.ServeMux
 }
 
@@ -98,6 +100,16 @@
 	r.limit = rate
 }
 
+// statedLimit returns the limit that an answer states now, 0 for none. The caller holds
+// the lock.
+func (r *Runner) statedLimit() float64 {
+	if r.options.Limit <= 0 {
+		return r.limit
+	}
+	turn := time.Since(time.UnixMilli(r.born)) / r.options.LimitPeriod
+	return r.options.Limit * float64(turn%3)
+}
+
 // Publish writes the runner's entry to the store.
 func (r *Runner) Publish() {
 	r.mu.Lock()
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -55,6 +55,7 @@
 	given      map[string]simul.Act   // answers of the runners, by signature
 	faults     []faultSpan
 	crashes    []time.Time // when endpoints ended at a prompt
+	limited    int         // spans in which an endpoint stated a limit
 	violations []string    // broken promises that were seen during the load
 }
 
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -18,13 +18,15 @@
 	Stops
 	// Crashes is Stops with prompts that crash endpoints.
 	Crashes
+	// Limits is Stops with more requests than endpoints take by the limits that they state.
+	Limits
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Profile -output=profile_string.go
 
 // Profiles returns all profiles by name.
 func Profiles() map[string]Profile {
-	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes}
+	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits}
 }
 
 // traits are the properties of a profile.
@@ -35,6 +37,7 @@
 	plainShare     int  // one runner in so many, but two at least, serves plain calls
 	kept           bool // whether there are callers that stay with a daemon
 	crashes        bool // whether there are prompts that crash endpoints
+	limits         bool // whether endpoints state limits
 	faults         simul.Faults
 }
 
@@ -53,6 +56,12 @@
 			faults: simul.Faults{Lose: 0.01, Reset: 0.01, Unsized: 0.05},
 		}
 	}
+	if p == Limits {
+		return traits{
+			events: 5, streamInterval: 30 * time.Millisecond, fileInterval: 30 * time.Millisecond, plainShare: 3, kept: true, limits: true,
+			faults: simul.Faults{Stutter: 0.02, Reset: 0.01, Fail: 0.01, Busy: 0.02},
+		}
+	}
 	return traits{events: 20, streamInterval: 50 * time.Millisecond, fileInterval: 40 * time.Millisecond, plainShare: 1 << 30}
 }
 
@@ -71,10 +80,10 @@
 // pace is the range of the times between two events of an endpoint.
 type pace struct{ shortest, longest time.Duration }
 
-// pace returns the pace of an endpoint. In Crashes it is the usual one. In Stops no, a third or all of the endpoints,
-// by seed, are far slower than usual, but sound.
+// pace returns the pace of an endpoint. In Crashes and Limits it is the usual one. In Stops
+// no, a third or all of the endpoints, by seed, are far slower than usual, but sound.
 func (p Profile) pace(seed uint64, runner int, plain bool) pace {
-	if p == Crashes && !plain {
+	if p == Limits || p == Crashes && !plain {
 		return pace{20 * time.Millisecond, 120 * time.Millisecond}
 	}
 	slow := seed%3 == 2 || seed%3 == 1 && runner%3 == 0
--- a/soak/profile_string.go
+++ b/soak/profile_string.go
@@ -11,11 +11,12 @@
 	_ = x[Mixed-0]
 	_ = x[Stops-1]
 	_ = x[Crashes-2]
+	_ = x[Limits-3]
 }
 
-const _Profile_name = "MixedStopsCrashes"
+const _Profile_name = "MixedStopsCrashesLimits"
 
-var _Profile_index = [...]uint8{0, 5, 10, 17}
+var _Profile_index = [...]uint8{0, 5, 10, 17, 23}
 
 func (i Profile) String() string {
 	idx := int(i) - 0
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -17,6 +17,7 @@
 	Lost     int            // without an answer, or cut off
 	Excused  map[string]int // of those lost, by excuse, empty for none
 	Crashes  int            // of endpoints, at a prompt
+	Limited  int            // spans in which an endpoint stated a limit
 	Failures []string       // broken promises, each with the request or daemon
 }
 
@@ -65,6 +66,8 @@
 	report.Failures = append(report.Failures, p.broken()...)
 	report.check(c, caller.records())
 	report.Failures = append(report.Failures, c.checkCrashes(caller.records())...)
+	report.Failures = append(report.Failures, c.checkLimits(caller.records())...)
+	report.Limited = c.limited
 	return report, nil
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,6 +40,10 @@
 // part in their prompts went on crashing endpoints.
 var crashSeeds = []uint64{1}
 
+// limitSeeds are seeds of the profile Limits that failed in the past: endpoints got up to
+// eleven times what they took.
+var limitSeeds = []uint64{1}
+
 // Seeds that failed in the past break no promise any more.
 func TestFailedSeeds(t *testing.T) {
 	runSeeds(t, failedSeeds, Options{Daemons: 3, Runners: 8, Length: 10 * time.Second})
@@ -135,3 +139,9 @@
 func TestPartThatCrashesEndpointsGoesOnCrashing(t *testing.T) {
 	runSeeds(t, crashSeeds, Options{Profile: Crashes, Daemons: 3, Runners: 16, Length: 16 * time.Second})
 }
+
+// Endpoints that state a limit get hardly more, while daemons are stopped and endpoints
+// restarted.
+func TestEndpointsGetMoreThanTheLimitTheyState(t *testing.T) {
+	runSeeds(t, limitSeeds, Options{Profile: Limits, Daemons: 3, Runners: 10, Length: 16 * time.Second})
+}
--- a/soak/start.go
+++ b/soak/start.go
@@ -47,6 +47,9 @@
 	if c.traits.crashes && !plain {
 		r.command = append(r.command, "--crash", crashingPart)
 	}
+	if c.traits.limits {
+		r.command = append(r.command, "--limit", fmt.Sprint(statedLimit(c.options.Seed, i)), "--period", limitPeriod.String())
+	}
 	c.runners = append(c.runners, r)
 	return r.start()
 }
