--- a/conns/pool.go
+++ b/conns/pool.go
@@ -29,8 +29,19 @@
 // Dial opens a TCP connection over IPv4. The connection fails soon after the
 // other end stops acknowledging what is sent.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return DialFrom(nil)(ctx, address)
+}
+
+// DialFrom returns a Dialer like Dial whose connections come from an address of this host;
+// nil leaves it to the system.
+func DialFrom(source net.IP) Dialer {
 	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAlive: -1}
-	return d.DialContext(ctx, "tcp4", address)
+	if source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp4", address)
+	}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket. It is a Control function of a
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/pulse"
+	"clementinehead.example/chead/reach"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
@@ -56,6 +57,7 @@
 	gossip  *gossip.Gossip
 	placer  *pick.Placer
 	pool    *conns.Pool
+	reach   *reach.Reach
 	crashes *front.Crashes
 	parts   *front.Parts
 	front   *front.Front
@@ -78,7 +80,8 @@
 	if err != nil {
 		return nil, &Error{Op: "listen peer", Kind: Address, Err: err}
 	}
-	transport := newTransport()
+	dial := conns.DialFrom(net.ParseIP(s.Source))
+	transport := newTransport(dial)
 	client := &http.Client{Transport: transport}
 	d.store = platform.NewStore(s.Store, client.Do)
 	d.watcher = watch.New(watch.Options{
@@ -97,9 +100,13 @@
 	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
 	}, func() float64 { return float64(d.placer.Limited()) }))
-	d.pool = conns.New(conns.Dial)
+	d.pool = conns.New(dial)
+	d.reach = reach.New(reach.Options{
+		Boot: clock.Boot, Late: d.pulse.Late, Endpoints: d.probedEndpoints, Silence: d.placer.Silence, Probe: d.probe,
+		Log: o.Log, Registry: o.Registry,
+	})
 	d.front = front.New(front.Options{
-		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool,
+		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool, Reach: d.reach,
 		MaxKeyAge: d.maxKeyAge,
 		Crashes:   d.crashes, Parts: d.parts, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
@@ -114,9 +121,9 @@
 // newTransport returns the transport to the store and to engines. It keeps
 // few idle connections, and those only for a short time, since a connection may stop
 // passing data without being closed.
-func newTransport() *http.Transport {
+func newTransport(dial conns.Dialer) *http.Transport {
 	return &http.Transport{
-		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return conns.Dial(ctx, address) },
+		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     4 * time.Second,
 		DisableCompression:  true,
@@ -260,7 +267,7 @@
 		}
 		group.Go(func() error { return server.run(partsCtx, listener) })
 	}
-	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.pulse.Run, d.applyGossip, d.sweepConns, d.recordParts} {
+	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.pulse.Run, d.reach.Run, d.applyGossip, d.sweepConns, d.recordParts} {
 		group.Go(func() error { return partError(partsCtx, run(partsCtx)) })
 	}
 	reg := &registration{instance: s.ID, self: d.self, store: d.store, log: d.options.Log, removeTimeout: d.removeTimeout}
--- /dev/null
+++ b/edge/reach.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+
+	"clementinehead.example/chead/conns"
+	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/site"
+)
+
+// probedEndpoints returns the endpoints that are asked whether they are reached: the
+// engines, whose reports need no slot, or all where there are none.
+func (d *Daemon) probedEndpoints() []site.Endpoint {
+	v := d.watcher.Snapshot()
+	if v.Config == nil {
+		return nil
+	}
+	var engines, plain []site.Endpoint
+	for _, e := range v.Endpoints {
+		service, known := v.Config.Services[e.Service]
+		switch {
+		case !known || !v.Usable(e):
+		case service.Engine != nil:
+			engines = append(engines, e)
+		default:
+			plain = append(plain, e)
+		}
+	}
+	if len(engines) > 0 {
+		return engines
+	}
+	return plain
+}
+
+// probe gets any answer from an endpoint over a new connection.
+func (d *Daemon) probe(ctx context.Context, e site.Endpoint) error {
+	path := platform.ReportPath
+	if c := d.watcher.Snapshot().Config; c != nil && c.Services[e.Service].Engine == nil {
+		path = c.Services[e.Service].Health
+	}
+	conn, err := d.pool.Get(ctx, e.Address, true)
+	if err != nil {
+		return err
+	}
+	resp, err := d.pool.Send(ctx, conn, conns.Request{Method: http.MethodGet, Target: path, Host: e.Address, Header: http.Header{}})
+	if err != nil {
+		return err
+	}
+	resp.Close()
+	return nil
+}
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -37,6 +37,7 @@
 		{"peer", a.Peer == b.Peer},
 		{"metrics", a.Metrics == b.Metrics},
 		{"store", a.Store == b.Store},
+		{"source", a.Source == b.Source},
 		{"cores", a.Cores == b.Cores},
 	} {
 		if !f.same {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -26,6 +26,7 @@
 	Ratio   float64 `json:"ratio"`   // retries per request, all daemons together
 	Extra   float64 `json:"extra"`   // retries in a window, in addition to those by Ratio
 	Window  float64 `json:"window"`  // in seconds: window for Ratio and Extra
+	Source  string  `json:"source"`  // address of this host that connections are made from, empty for any
 	Cores   float64 `json:"cores"`   // processor cores that the daemon may use, 0 if that is not known; those with more do more of the common work
 	Memory  int64   `json:"memory"`  // in megabytes: memory limit; the daemon itself does not use it
 }
@@ -78,6 +79,9 @@
 	if s.Ratio < 0 || s.Extra < 0 || s.Window <= 0 {
 		faults = append(faults, errors.New("ratio, extra, window: must not be below 0, and window above 0"))
 	}
+	if s.Source != "" && net.ParseIP(s.Source).To4() == nil {
+		faults = append(faults, errors.New("source: must be an IPv4 address, is \""+s.Source+"\""))
+	}
 	if s.Cores < 0 {
 		faults = append(faults, errors.New("cores: must not be below 0"))
 	}
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -26,6 +26,8 @@
 		{"negative apply", `"apply":2000`, `"apply":-1`, []string{"apply: must be above 0"}},
 		{"cores", `"memory":284`, `"cores":0.8`, nil},
 		{"negative cores", `"memory":284`, `"cores":-1`, []string{"cores: must not be below 0"}},
+		{"source", `"memory":284`, `"source":"127.0.0.9"`, nil},
+		{"no source address", `"memory":284`, `"source":"here"`, []string{"source: must be an IPv4 address"}},
 		{"zero revoke", `"revoke":5000`, `"revoke":0`, []string{"revoke: must be above 0"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		if x.ctx.Err() == nil {
 			x.slot.Suspect()
+			f.options.Reach.Failed(x.slot.Endpoint.ID)
 		}
 		return x.fail(notRun, "no connection", err)
 	}
@@ -78,9 +79,13 @@
 	x.record.served = conn.Served
 	resp, err := f.options.Pool.Send(x.ctx, conn, f.request(j, x.slot.Endpoint, x.from))
 	if err != nil {
+		x.noteUnanswered()
 		return x.breaksOff("no answer", err)
 	}
 	x.resp = resp
+	if conn.Served == 0 {
+		f.options.Reach.Reached()
+	}
 	if err := x.ownAnswer(); errors.Is(err, errOtherAnswer) {
 		return x.fail(unknown, errOtherAnswer.Error(), nil)
 	} else if err != nil {
@@ -100,6 +105,14 @@
 	return x.readBody()
 }
 
+// noteUnanswered records that a new connection ended without an answer, unless this daemon
+// ended it.
+func (x *exchange) noteUnanswered() {
+	if x.record.served == 0 && x.ctx.Err() == nil && !x.givenUp.Load() {
+		x.front.options.Reach.Failed(x.slot.Endpoint.ID)
+	}
+}
+
 // readFirst reads the first event of a stream.
 func (x *exchange) readFirst() result {
 	if !platform.Signed(x.resp.Header) {
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -19,6 +19,7 @@
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/pick"
+	"clementinehead.example/chead/reach"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
@@ -202,13 +203,21 @@
 	placer := newPlacer(func() *watch.Snapshot { return snapshot }, pick.Budget{Ratio: 0.2, Extra: 20, Window: 10 * time.Second})
 	f.front = New(Options{
 		Snapshot: func() *watch.Snapshot { return snapshot }, SnapshotAge: func() time.Duration { return f.age }, MaxKeyAge: func() time.Duration { return 3 * time.Second },
-		Placer: placer, Pool: conns.New(conns.Dial), Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
+		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(), Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
 	})
 	f.http = httptest.NewServer(f.front)
 	t.Cleanup(f.http.Close)
 	return f
 }
 
+// newReach returns a Reach that never finds the path to the endpoints at fault.
+func newReach() *reach.Reach {
+	return reach.New(reach.Options{
+		Boot: func() time.Duration { return time.Hour }, Endpoints: func() []site.Endpoint { return make([]site.Endpoint, 100) },
+		Silence: func() (int, int) { return 0, 0 }, Log: logr.Discard(), Registry: prometheus.NewRegistry(),
+	})
+}
+
 // newPlacer returns the pick.Placer of the only daemon of a cluster.
 func newPlacer(snapshot func() *watch.Snapshot, budget pick.Budget) *pick.Placer {
 	return pick.New(pick.Options{
--- a/front/front.go
+++ b/front/front.go
@@ -18,6 +18,7 @@
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/reach"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
@@ -35,6 +36,7 @@
 	MaxKeyAge   func() time.Duration // the greatest age of a snapshot by which keys are accepted
 	Placer      *pick.Placer
 	Pool        *conns.Pool
+	Reach       *reach.Reach
 	Crashes     *Crashes
 	Parts       *Parts
 	Metrics     *Metrics
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -55,6 +55,23 @@
 	return s.state.stalled(time.Now())
 }
 
+// Silence returns the number of endpoints at which requests of this daemon are in
+// progress, and of those of them that make no progress.
+func (p *Placer) Silence() (silent, used int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, s := range p.endpoints {
+		if s.running > 0 {
+			used++
+		}
+		if s.noProgress(now) {
+			silent++
+		}
+	}
+	return silent, used
+}
+
 // Patience returns how long a request may receive nothing from an endpoint that
 // makes progress with others before it is sent to another one: several times the
 // mean time to the first event, and longer than is usual at the endpoint. While
--- /dev/null
+++ b/reach/doc.go
@@ -0,0 +1,6 @@
+// Package reach tells whether this daemon reaches endpoints at all. An endpoint that can't
+// be reached says little: it may be dead. If several can't, and none was reached since, the
+// daemon is in doubt, and asks some endpoints over new connections. If none answers it is
+// cut off: the path is at fault, not the endpoints. The package does not decide what
+// follows from it, and does not judge single endpoints.
+package reach
--- /dev/null
+++ b/reach/reach.go
@@ -0,0 +1,238 @@
+package reach
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/site"
+)
+
+// State is whether endpoints are reached. The line comments are the names in the log.
+type State int
+
+// The states.
+const (
+	Sound State = iota // reached
+	Doubt              // in doubt
+	Cut                // cut off
+)
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=State -linecomment -output=state_string.go
+
+const (
+	period      = 100 * time.Millisecond  // between two looks
+	memory      = 1500 * time.Millisecond // for which a failure counts
+	suspicious  = 2                       // endpoints that fail, or that are silent while all are, from which there is doubt
+	probed      = 3                       // endpoints asked in a round
+	pause       = 500 * time.Millisecond  // between two rounds while cut off
+	maxLate     = 200 * time.Millisecond  // lateness of the process from which a round without an answer says nothing
+	soundRounds = 2                       // rounds in a row that reach endpoints, from which the daemon is no longer cut off
+	// ProbeTimeout limits one Options.Probe.
+	ProbeTimeout = 500 * time.Millisecond
+)
+
+// Options are the dependencies of a Reach.
+type Options struct {
+	Boot      func() time.Duration                             // boot clock
+	Late      func(since time.Duration) time.Duration          // longest time for which this process ran late since a reading of the boot clock
+	Endpoints func() []site.Endpoint                           // those that may be asked
+	Silence   func() (silent, used int)                        // endpoints with requests of this daemon in progress, and those of them without progress
+	Probe     func(ctx context.Context, e site.Endpoint) error // gets any answer over a new connection
+	Log       logr.Logger
+	Registry  prometheus.Registerer
+}
+
+// Reach holds what is known of the path to the endpoints. Use New to make one; its methods
+// may be called concurrently.
+type Reach struct {
+	options Options
+	wake    chan struct{} // holds a value while a look is due
+
+	state atomic.Int32 // a State; set with the lock held, read without
+
+	mu      sync.Mutex
+	since   time.Duration            // boot clock: of the state
+	failed  map[string]time.Duration // endpoints that failed since one was reached, and when, on the boot clock
+	reached time.Duration            // boot clock: when one was reached last over a new connection
+	sound   int                      // rounds in a row that reached endpoints
+}
+
+// New returns a Reach that takes the endpoints to be reached.
+func New(o Options) *Reach {
+	r := &Reach{options: o, wake: make(chan struct{}, 1), failed: map[string]time.Duration{}, reached: o.Boot(), since: o.Boot()}
+	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "chead_reach", Help: "Whether endpoints are reached: 0 reached, 1 in doubt, 2 cut off.",
+	}, func() float64 { return float64(r.State()) }))
+	return r
+}
+
+// State returns whether endpoints are reached. It waits for no lock, so that it may be
+// called with the locks held that Options.Silence takes.
+func (r *Reach) State() State { return State(r.state.Load()) }
+
+// Failed records that a new connection to an endpoint was not opened, or ended before a
+// byte of an answer.
+func (r *Reach) Failed(endpoint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed[endpoint] = r.options.Boot()
+	if r.State() == Sound && r.recentFailures() >= r.needed() {
+		r.doubt()
+		r.wakeUp()
+	}
+}
+
+// Reached records that an endpoint answered over a new connection.
+func (r *Reach) Reached() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reached = r.options.Boot()
+	clear(r.failed)
+	if r.State() == Doubt {
+		r.set(Sound)
+	}
+}
+
+// Run looks at the path until the context ends.
+func (r *Reach) Run(ctx context.Context) error {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-r.wake:
+		}
+		r.look(ctx)
+	}
+}
+
+// look begins to doubt if all endpoints in use are silent, and asks endpoints if that is due.
+func (r *Reach) look(ctx context.Context) {
+	silent, used := r.options.Silence()
+	r.mu.Lock()
+	if r.State() == Sound && used >= suspicious && silent == used {
+		r.doubt()
+	}
+	state, since := r.State(), r.since
+	r.mu.Unlock()
+	if state == Sound || state == Cut && r.options.Boot()-since < pause {
+		return
+	}
+	r.judge(r.ask(ctx))
+}
+
+// round is what came of asking endpoints.
+type round struct {
+	asked, answered int
+	late            time.Duration // lateness of this process meanwhile
+}
+
+// ask asks some endpoints at random, all at once.
+func (r *Reach) ask(ctx context.Context) round {
+	began := r.options.Boot()
+	endpoints := r.options.Endpoints()
+	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
+	endpoints = endpoints[:min(probed, len(endpoints))]
+	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	answers := make(chan error, len(endpoints))
+	for _, e := range endpoints {
+		go func() { answers <- r.options.Probe(ctx, e) }()
+	}
+	got := round{asked: len(endpoints)}
+	for range endpoints {
+		if <-answers == nil {
+			got.answered++
+		}
+	}
+	got.late = r.options.Late(began)
+	return got
+}
+
+// judge sets the state by a round. A round in doubt ends it if any endpoint answered; while
+// cut off, most have to, since the path may come and go.
+func (r *Reach) judge(got round) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case got.asked == 0:
+		clear(r.failed)
+		r.set(Sound) // there is nothing to be reached
+	case r.State() == Doubt && got.answered > 0:
+		r.found()
+	case r.State() == Doubt && got.late >= maxLate:
+		return // asked again
+	case r.State() == Doubt:
+		r.log("cut off from endpoints", got)
+		r.set(Cut)
+	case r.State() == Cut && 2*got.answered > got.asked:
+		r.since = r.options.Boot()
+		if r.sound++; r.sound >= soundRounds {
+			r.log("endpoints reached again", got)
+			r.found()
+		}
+	case r.State() == Cut:
+		r.since = r.options.Boot()
+		r.sound = 0
+	}
+}
+
+// found sets the state that endpoints are reached. The lock must be held.
+func (r *Reach) found() {
+	clear(r.failed)
+	r.reached = r.options.Boot()
+	r.set(Sound)
+}
+
+// doubt sets the state of doubt. The lock must be held.
+func (r *Reach) doubt() {
+	r.log("endpoints in doubt", round{})
+	r.set(Doubt)
+}
+
+// set sets the state. The lock must be held.
+func (r *Reach) set(s State) {
+	r.state.Store(int32(s))
+	r.since = r.options.Boot()
+	r.sound = 0
+}
+
+// needed returns the number of endpoints that have to fail for a doubt. The lock must be
+// held.
+func (r *Reach) needed() int { return max(1, min(suspicious, len(r.options.Endpoints()))) }
+
+// recentFailures returns the number of endpoints that failed within memory. The lock must
+// be held.
+func (r *Reach) recentFailures() int {
+	now := r.options.Boot()
+	for endpoint, at := range r.failed {
+		if now-at > memory {
+			delete(r.failed, endpoint)
+		}
+	}
+	return len(r.failed)
+}
+
+// wakeUp makes Run look at once.
+func (r *Reach) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// log logs a change of the state with what it rests on. The lock must be held.
+func (r *Reach) log(line string, got round) {
+	silent, used := r.options.Silence()
+	now := r.options.Boot()
+	r.options.Log.Info(line, "before", r.State().String(), "failed", len(r.failed), "reached_ms", (now - r.reached).Milliseconds(),
+		"silent", silent, "used", used, "asked", got.asked, "answered", got.answered, "late_ms", got.late.Milliseconds())
+}
--- /dev/null
+++ b/reach/reach_test.go
@@ -0,0 +1,165 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/site"
+)
+
+// rig is a Reach that runs in front of endpoints of which some answer.
+type rig struct {
+	*Reach
+	endpoints    int
+	dead         int           // of the endpoints, the first ones don't answer
+	hangs        bool          // one that doesn't answer says nothing until the timeout
+	late         time.Duration // lateness of the process
+	silent, used int
+	probes       int
+}
+
+func newRig(t *testing.T, endpoints int) *rig {
+	t.Helper()
+	r := &rig{endpoints: endpoints}
+	began := time.Now()
+	r.Reach = New(Options{
+		Boot: func() time.Duration { return time.Since(began) }, Late: func(time.Duration) time.Duration { return r.late },
+		Endpoints: func() []site.Endpoint {
+			list := make([]site.Endpoint, r.endpoints)
+			for i := range list {
+				list[i].Slots = i
+			}
+			return list
+		},
+		Silence: func() (int, int) { return r.silent, r.used },
+		Probe: func(ctx context.Context, e site.Endpoint) error {
+			r.probes++
+			if e.Slots >= r.dead {
+				return nil
+			}
+			if r.hangs {
+				<-ctx.Done()
+			}
+			return errors.New("no answer")
+		},
+		Log: logr.Discard(), Registry: prometheus.NewRegistry(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() { _ = r.Run(ctx) }()
+	return r
+}
+
+// run runs a test in a bubble with a rig.
+func run(t *testing.T, name string, endpoints int, test func(is *is.I, r *rig)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { test(is.New(t), newRig(t, endpoints)) })
+	})
+}
+
+// A daemon is cut off once none of the endpoints that it asks answers, by whatever it came
+// to doubt that it reaches any.
+func TestCutOff(t *testing.T) {
+	run(t, "connections are refused", 60, func(is *is.I, r *rig) {
+		r.dead = 60
+		r.Failed("a")
+		time.Sleep(time.Second)
+		is.Equal(r.State(), Sound) // one endpoint may be dead
+		r.Failed("a")
+		r.Failed("b")
+		time.Sleep(time.Millisecond)
+		is.Equal(r.State(), Cut)
+	})
+	run(t, "everything is silent", 60, func(is *is.I, r *rig) {
+		r.dead, r.hangs = 60, true
+		r.silent, r.used = 5, 5
+		time.Sleep(period + time.Millisecond)
+		is.Equal(r.State(), Doubt)
+		time.Sleep(ProbeTimeout)
+		is.Equal(r.State(), Cut)
+	})
+	run(t, "the only endpoint", 1, func(is *is.I, r *rig) {
+		r.dead = 1
+		r.Failed("a")
+		time.Sleep(time.Millisecond)
+		is.Equal(r.State(), Cut)
+	})
+}
+
+// Dead endpoints, silent ones and a process that runs late are no cut.
+func TestNotCutOff(t *testing.T) {
+	run(t, "two endpoints are dead", 60, func(is *is.I, r *rig) {
+		r.dead = 2
+		r.Failed("a")
+		r.Failed("b")
+		time.Sleep(time.Millisecond)
+		is.Equal(r.State(), Sound)
+		is.Equal(r.probes, probed)
+	})
+	run(t, "another one was reached between", 60, func(is *is.I, r *rig) {
+		r.dead = 60
+		for range 20 {
+			r.Failed("a")
+			r.Reached()
+			r.Failed("b")
+			r.Reached()
+		}
+		time.Sleep(time.Second)
+		is.Equal(r.State(), Sound)
+		is.Equal(r.probes, 0)
+	})
+	run(t, "some are silent", 60, func(is *is.I, r *rig) {
+		r.silent, r.used = 4, 5
+		time.Sleep(time.Second)
+		is.Equal(r.probes, 0)
+	})
+	run(t, "the process runs late", 60, func(is *is.I, r *rig) {
+		r.dead, r.hangs, r.late = 60, true, time.Second
+		r.silent, r.used = 5, 5
+		time.Sleep(time.Second)
+		is.Equal(r.State(), Doubt)
+		r.dead, r.silent = 0, 0
+		time.Sleep(2 * ProbeTimeout)
+		is.Equal(r.State(), Sound)
+	})
+	run(t, "there are no endpoints", 0, func(is *is.I, r *rig) {
+		r.Failed("a")
+		time.Sleep(time.Second)
+		is.Equal(r.State(), Sound)
+	})
+}
+
+// A cut ends once endpoints answer twice in a row; one that comes and goes lasts.
+func TestCutEnds(t *testing.T) {
+	run(t, "for good", 60, func(is *is.I, r *rig) {
+		r.dead = 60
+		r.Failed("a")
+		r.Failed("b")
+		time.Sleep(5 * time.Second)
+		is.Equal(r.State(), Cut)
+		is.True(r.probes <= probed*12) // a round each half second
+		r.dead = 0
+		time.Sleep(2*pause + 3*period)
+		is.Equal(r.State(), Sound)
+	})
+	run(t, "comes and goes", 60, func(is *is.I, r *rig) {
+		r.dead = 60
+		r.Failed("a")
+		r.Failed("b")
+		for range 10 {
+			r.dead = 60
+			time.Sleep(pause + period)
+			r.dead = 0
+			time.Sleep(pause)
+			is.Equal(r.State(), Cut)
+		}
+	})
+}
