--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinehead.example/chead/simul"
+	"clementinehead.example/chead/soak"
 )
 
 // cluster is a deployment on loopback: a simulated store, simulated runners, daemons.
@@ -35,6 +36,26 @@
 	lastID      int
 	mu          sync.Mutex
 	came        map[string][]time.Time // requests by runner
+	paths       []*soak.Path           // to the runners, if they are reached by paths
+
+	throughPaths bool
+}
+
+// addPath makes a path to an address and returns its own.
+func (c *cluster) addPath(address string) string {
+	path, err := soak.NewPath(address)
+	if err != nil {
+		panic(err)
+	}
+	c.paths = append(c.paths, path)
+	return path.Address()
+}
+
+// cut cuts a daemon off from all runners, or with soak.Pass ends that.
+func (c *cluster) cut(daemon int, cut soak.Cut) {
+	for _, path := range c.paths {
+		path.SetFrom(daemon, cut, c.daemons[daemon].Source)
+	}
 }
 
 // noteAct records the arrival of a request at a runner.
@@ -82,7 +103,13 @@
 
 func newCluster(t *testing.T, engines, daemons int) *cluster {
 	t.Helper()
-	c := &cluster{store: simul.NewStore(), servers: map[string]*httptest.Server{}, runners: map[string]*simul.Runner{}, came: map[string][]time.Time{}}
+	return startCluster(t, &cluster{}, engines, daemons)
+}
+
+// startCluster starts a cluster with so many model runners, a plain one and daemons.
+func startCluster(t *testing.T, c *cluster, engines, daemons int) *cluster {
+	t.Helper()
+	*c = cluster{throughPaths: c.throughPaths, store: simul.NewStore(), servers: map[string]*httptest.Server{}, runners: map[string]*simul.Runner{}, came: map[string][]time.Time{}}
 	c.storeServer = httptest.NewServer(c.store)
 	c.configure(1, "good-key")
 	for i := range engines {
@@ -99,8 +126,12 @@
 func (c *cluster) startRunner(id, service, fabric string) {
 	var r *simul.Runner
 	server := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, q *http.Request) { r.ServeHTTP(out, q) }))
+	address := server.Listener.Addr().String()
+	if c.throughPaths {
+		address = c.addPath(address)
+	}
 	r = simul.NewRunner(simul.RunnerOptions{
-		ID: id, Service: service, Address: server.Listener.Addr().String(), Domain: "north", Fabric: fabric, Slots: 8,
+		ID: id, Service: service, Address: address, Domain: "north", Fabric: fabric, Slots: 8,
 		Join: 50 * time.Millisecond, Event: 20 * time.Millisecond, Events: 30, PutEntry: c.store.Put, OnAct: c.noteAct,
 	})
 	c.servers[id] = server
@@ -113,6 +144,7 @@
 	s := Settings{
 		ID: "d" + strconv.Itoa(i), Domain: "north", Region: "r", Caller: simul.Address(), Ready: simul.Address(), Guide: simul.Address(), Peer: simul.Address(),
 		Store: c.storeServer.Listener.Addr().String(), Revoke: 5000, Apply: 2000, Grace: 6, Ratio: 0.2, Extra: 100, Window: 10,
+		Source: fmt.Sprintf("127.0.1.%d", i+1),
 	}
 	d, err := New(Options{Settings: s, Log: testLog(t).WithValues("daemon", s.ID), Registry: prometheus.NewRegistry()})
 	if err != nil {
@@ -136,6 +168,9 @@
 	c.running.Wait()
 	c.storeServer.CloseClientConnections()
 	c.storeServer.Close()
+	for _, path := range c.paths {
+		path.Close()
+	}
 	for _, r := range c.servers {
 		r.CloseClientConnections()
 		r.Close()
--- a/soak/cut_string.go
+++ b/soak/cut_string.go
@@ -14,10 +14,10 @@
 	_ = x[There-3]
 	_ = x[Back-4]
 	_ = x[Silent-5]
-	_ = x[cutEnd-6]
+	_ = x[Refuse-6]
 }
 
-const _Cut_name = "PassDelayResetThereBackSilentcutEnd"
+const _Cut_name = "PassDelayResetThereBackSilentRefuse"
 
 var _Cut_index = [...]uint8{0, 4, 9, 14, 19, 23, 29, 35}
 
--- a/soak/path.go
+++ b/soak/path.go
@@ -22,17 +22,26 @@
 	listener net.Listener
 	onBytes  func([]byte) // called with the bytes to the target, may be nil; set before use
 	mu       sync.Mutex
-	cuts     map[int]Cut // in force, by the number of the step that set it
-	conns    map[net.Conn]bool
+	cuts     map[int]cutFrom     // in force, by the number of the step that set it
+	conns    map[net.Conn]string // by the address that they were accepted from
 }
 
+// cutFrom is a cut for the connections from one address, or from all if it is empty.
+type cutFrom struct {
+	cut    Cut
+	source string
+}
+
+// holds reports whether the cut is for connections from an address.
+func (c cutFrom) holds(source string) bool { return c.source == "" || c.source == source }
+
 // NewPath returns a path to a target. The error is that of the listener.
 func NewPath(target string) (*Path, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Path{target: target, listener: listener, cuts: map[int]Cut{}, conns: map[net.Conn]bool{}}
+	p := &Path{target: target, listener: listener, cuts: map[int]cutFrom{}, conns: map[net.Conn]string{}}
 	go p.accept()
 	return p, nil
 }
@@ -42,16 +51,19 @@
 
 // Set applies a cut on behalf of a step, or with Pass removes that of the same
 // step. If several are set, the one with the highest value of Cut is in force.
-func (p *Path) Set(step int, cut Cut) {
+func (p *Path) Set(step int, cut Cut) { p.SetFrom(step, cut, "") }
+
+// SetFrom is Set for the connections from one address alone, without a port.
+func (p *Path) SetFrom(step int, cut Cut, source string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if cut == Pass {
 		delete(p.cuts, step)
 		return
 	}
-	p.cuts[step] = cut
+	p.cuts[step] = cutFrom{cut, source}
 	if cut == Reset {
-		p.reset()
+		p.reset(p.cuts[step])
 	}
 }
 
@@ -60,13 +72,16 @@
 	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reset()
+	p.reset(cutFrom{})
 }
 
-// reset ends all connections by a TCP reset. It must be called with the lock
-// held.
-func (p *Path) reset() {
-	for c := range p.conns {
+// reset ends the connections that a cut is for by a TCP reset. It must be called with the
+// lock held.
+func (p *Path) reset(cut cutFrom) {
+	for c, source := range p.conns {
+		if !cut.holds(source) {
+			continue
+		}
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
 		}
@@ -75,13 +90,15 @@
 	}
 }
 
-// cut returns the cut in force.
-func (p *Path) cut() Cut {
+// cut returns the cut in force for connections from an address.
+func (p *Path) cut(source string) Cut {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	strongest := Pass
 	for _, c := range p.cuts {
-		strongest = max(strongest, c)
+		if c.holds(source) {
+			strongest = max(strongest, c.cut)
+		}
 	}
 	return strongest
 }
@@ -99,9 +116,10 @@
 // serve connects an accepted connection to the target and forwards bytes both
 // ways until both directions end.
 func (p *Path) serve(from net.Conn) {
-	p.add(from)
-	if p.cut() == Reset {
-		p.remove(from)
+	source, _, _ := net.SplitHostPort(from.RemoteAddr().String()) // of a TCP connection it is well-formed
+	p.add(from, source)
+	if c := p.cut(source); c == Reset || c == Refuse {
+		p.abort(from)
 		return
 	}
 	to, err := net.Dial("tcp4", p.target)
@@ -109,19 +127,27 @@
 		p.remove(from)
 		return
 	}
-	p.add(to)
+	p.add(to, source)
 	var both sync.WaitGroup
-	both.Go(func() { p.forward(from, to, There) })
-	both.Go(func() { p.forward(to, from, Back) })
+	both.Go(func() { p.forward(from, to, There, source) })
+	both.Go(func() { p.forward(to, from, Back, source) })
 	both.Wait()
 	p.remove(from)
 	p.remove(to)
 }
 
-func (p *Path) add(c net.Conn) {
+func (p *Path) add(c net.Conn, source string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c] = true
+	p.conns[c] = source
+}
+
+// abort ends a connection by a TCP reset.
+func (p *Path) abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	p.remove(c)
 }
 
 func (p *Path) remove(c net.Conn) {
@@ -133,14 +159,14 @@
 
 // forward copies bytes in one direction. While that direction is cut it holds
 // them back, as TCP would retransmit lost packets until they arrive.
-func (p *Path) forward(from, to net.Conn, direction Cut) {
+func (p *Path) forward(from, to net.Conn, direction Cut, source string) {
 	buffer := make([]byte, pathBuffer)
 	for {
 		n, err := from.Read(buffer)
-		for cut := p.cut(); cut == Silent || cut == direction; cut = p.cut() {
+		for cut := p.cut(source); cut == Silent || cut == direction; cut = p.cut(source) {
 			time.Sleep(pathPoll)
 		}
-		if p.cut() == Delay {
+		if p.cut(source) == Delay {
 			time.Sleep(pathDelay)
 		}
 		if n > 0 && direction == There && p.onBytes != nil {
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -74,3 +74,41 @@
 	_, arrived = exchange(dial())
 	is.True(arrived) // works again
 }
+
+// A cut for one address leaves the connections from others alone; one that refuses leaves
+// open connections alone.
+func TestPathFromOneAddress(t *testing.T) {
+	is := is.New(t)
+	p, err := NewPath(echo(t))
+	is.NoErr(err)
+	defer p.Close()
+	dial := func(source string) net.Conn {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+		c, err := d.Dial("tcp4", p.Address())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	passes := func(c net.Conn) bool {
+		_ = c.SetDeadline(time.Now().Add(2 * pathDelay))
+		_, err := c.Write([]byte("x\n"))
+		if err == nil {
+			_, err = bufio.NewReader(c).ReadString('\n')
+		}
+		return err == nil
+	}
+	a, b := dial("127.0.1.1"), dial("127.0.1.2")
+	is.True(passes(a) && passes(b))
+	for _, c := range []struct {
+		cut       Cut
+		open, new bool // whether connections from the address that is cut pass
+	}{{Refuse, true, false}, {Silent, false, false}, {Reset, false, false}} {
+		a := dial("127.0.1.1")
+		is.True(passes(a))
+		p.SetFrom(1, c.cut, "127.0.1.1")
+		is.Equal(passes(a), c.open)
+		is.Equal(passes(dial("127.0.1.1")), c.new)
+		is.True(passes(b) && passes(dial("127.0.1.2")))
+		p.SetFrom(1, Pass, "127.0.1.1")
+	}
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -46,9 +46,13 @@
 	There             // no bytes pass to the target
 	Back              // no bytes pass from the target
 	Silent            // no bytes pass in either direction
-	cutEnd            // number of cuts
+	Refuse            // new connections are reset, open ones pass
 )
 
+// mixedCuts is the number of cuts, with Pass, that the profile Mixed draws from. It stays as
+// it is, so that a seed keeps its plan.
+const mixedCuts = int(Silent) + 1
+
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Cut -output=cut_string.go
 
 // Step is one fault of a plan.
@@ -109,7 +113,7 @@
 			}
 			step.Cut = Pass
 			if step.Fault == CutStore || step.Fault == CutCallers || step.Fault == CutRunner {
-				step.Cut = Cut(1 + r.IntN(int(cutEnd)-1))
+				step.Cut = Cut(1 + r.IntN(mixedCuts-1))
 			}
 			steps = append(steps, step)
 		}
