--- a/edge/edge.go
+++ b/edge/edge.go
@@ -95,7 +95,7 @@
 	})
 	d.placer = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, Snapshot: d.watcher.Snapshot, Alive: d.gossip.Alive,
-		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Random: rand.Float64, Log: o.Log,
+		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Reached: func() bool { return d.reach.State() == reach.Sound }, Random: rand.Float64, Log: o.Log,
 	})
 	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
@@ -112,7 +112,7 @@
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: platform.NewEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
-		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
+		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Reached: d.reach.Confirm, Failed: d.reach.Failed, CutOff: d.cutOff, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
 	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Peers: d.peers})
 	return d, nil
@@ -204,6 +204,7 @@
 	m.Groups, m.Term = d.keeper.Announcement()
 	m.Ready = d.ready()
 	m.Fresh = d.fresh()
+	m.Cut = d.cutOff()
 	m.Revision = d.watcher.Snapshot().Revision
 	if c := d.watcher.Snapshot().Config; c != nil {
 		m.Version = c.Version
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -6,9 +6,13 @@
 
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/reach"
 	"clementinehead.example/chead/site"
 )
 
+// cutOff reports whether this daemon is cut off from endpoints.
+func (d *Daemon) cutOff() bool { return d.reach.State() == reach.Cut }
+
 // probedEndpoints returns the endpoints that are asked whether they are reached: the
 // engines, whose reports need no slot, or all where there are none.
 func (d *Daemon) probedEndpoints() []site.Endpoint {
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -222,7 +222,7 @@
 func newPlacer(snapshot func() *watch.Snapshot, budget pick.Budget) *pick.Placer {
 	return pick.New(pick.Options{
 		Domain: "north", Boot: func() time.Duration { return time.Hour }, Snapshot: snapshot,
-		Alive: func() []gossip.Message { return nil }, Daemons: func() int { return 1 }, Listed: func() int { return 1 }, Log: logr.Discard(), Random: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
+		Alive: func() []gossip.Message { return nil }, Daemons: func() int { return 1 }, Listed: func() int { return 1 }, Reached: func() bool { return true }, Log: logr.Discard(), Random: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
 	})
 }
 
--- a/gossip/age_test.go
+++ b/gossip/age_test.go
@@ -83,3 +83,22 @@
 		}
 	}
 }
+
+// That a daemon is cut off from endpoints is known to those that hear of it by a relay.
+func TestCutOffDaemonIsKnownByRelay(t *testing.T) {
+	is := is.New(t)
+	far := site.Daemon{ID: "far", Domain: "south", Peer: "127.0.0.1:3"}
+	g := New(Options{
+		Self: site.Daemon{ID: "a", Domain: "north"}, Boot: func() time.Duration { return time.Second }, Receive: func(Message) {},
+		Listed: func() map[string]site.Daemon { return map[string]site.Daemon{"far": far} }, Log: logr.Discard(),
+	})
+	g.handle(Message{
+		From: site.Daemon{ID: "r", Domain: "south", Peer: "127.0.0.1:2"}, Scope: Part, Full: true,
+		Members: []Member{{ID: "r"}, {ID: "far", Cut: true}},
+	})
+	cut := map[string]bool{}
+	for _, m := range g.Alive() {
+		cut[m.From.ID] = m.Cut
+	}
+	is.Equal(cut, map[string]bool{"r": false, "far": true})
+}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		known[id] = true
-		stubs = append(stubs, Message{From: p.message.From, Ready: p.message.Ready, Fresh: p.message.Fresh})
+		stubs = append(stubs, Message{From: p.message.From, Ready: p.message.Ready, Fresh: p.message.Fresh, Cut: p.message.Cut})
 	}
 	for id, member := range members {
 		from, ok := listed[id]
@@ -88,7 +88,7 @@
 			continue
 		}
 		known[id] = true
-		stubs = append(stubs, Message{From: from, Ready: member.Ready, Fresh: member.Fresh})
+		stubs = append(stubs, Message{From: from, Ready: member.Ready, Fresh: member.Fresh, Cut: member.Cut})
 	}
 	slices.SortFunc(stubs, func(a, b Message) int { return strings.Compare(a.From.ID, b.From.ID) })
 	return stubs
--- a/groups/election.go
+++ b/groups/election.go
@@ -18,8 +18,8 @@
 }
 
 // remainsKeeper reports whether this daemon is the keeper. It resigns if another
-// daemon has a newer term, or if the store came back from an older copy, in which
-// its term may be missing.
+// daemon has a newer term, if the store came back from an older copy, in which
+// its term may be missing, or if it is cut off from endpoints.
 func (k *Keeper) remainsKeeper(stored *watch.Snapshot) bool {
 	newest := stored.Keeper.Number
 	for _, m := range k.options.Alive() {
@@ -32,6 +32,8 @@
 		k.resign("another keeper has term", newest)
 	case k.term != 0 && stored.Era != k.termEra:
 		k.resign("store is in another era", 0)
+	case k.term != 0 && k.options.CutOff():
+		k.resign("cut off from endpoints", 0)
 	}
 	return k.term != 0
 }
@@ -56,7 +58,7 @@
 	if k.candidateSince == 0 {
 		k.candidateSince = now
 	}
-	if k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || present != k.options.Self.ID && !k.firstCandidate(stored, now) {
+	if k.options.CutOff() || k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || present != k.options.Self.ID && !k.firstCandidate(stored, now) {
 		k.keeperGoneSince = 0
 		return
 	}
@@ -93,19 +95,19 @@
 	return max(stored.Keeper.Number+1, stored.Era*termsPerEra)
 }
 
-// heardFresh reports whether a daemon is alive, reaches the store and is not
-// shutting down.
+// heardFresh reports whether a daemon is alive, reaches the store and endpoints, and is
+// not shutting down.
 func (k *Keeper) heardFresh(id string) bool {
 	for _, m := range k.options.Alive() {
 		if m.From.ID == id {
-			return m.Fresh
+			return m.Fresh && !m.Cut
 		}
 	}
 	return false
 }
 
 // firstCandidate reports whether no other candidate, that is a daemon that is ready,
-// reaches the store and is not shutting down, precedes this one. For yieldTime a daemon
+// reaches the store and endpoints and is not shutting down, precedes this one. For yieldTime a daemon
 // that the store lists counts too, since others have hardly been heard by then.
 func (k *Keeper) firstCandidate(stored *watch.Snapshot, now time.Duration) bool {
 	if now-k.candidateSince < yieldTime {
@@ -116,7 +118,7 @@
 		}
 	}
 	for _, m := range k.options.Alive() {
-		if m.Fresh && m.Ready && m.From.Precedes(k.options.Self) {
+		if m.Fresh && m.Ready && !m.Cut && m.From.Precedes(k.options.Self) {
 			return false
 		}
 	}
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -39,11 +39,14 @@
 	Store   *platform.Store
 	Engines *platform.Engines
 	Watcher *watch.Watcher
-	Alive   func() []gossip.Message                 // the latest message of each other daemon that is alive
-	Leaving func(site.Endpoint) bool                // whether an endpoint stated to any daemon that it leaves
-	Demand  func() map[string]int                   // this daemon's demand, by service and model, as in gossip.Message
-	Boot    func() time.Duration                    // reads the boot clock
-	Late    func(since time.Duration) time.Duration // longest time for which this process ran late since a reading of the boot clock
+	Alive   func() []gossip.Message                   // the latest message of each other daemon that is alive
+	Leaving func(site.Endpoint) bool                  // whether an endpoint stated to any daemon that it leaves
+	Demand  func() map[string]int                     // this daemon's demand, by service and model, as in gossip.Message
+	Boot    func() time.Duration                      // reads the boot clock
+	Late    func(since time.Duration) time.Duration   // longest time for which this process ran late since a reading of the boot clock
+	Reached func(context.Context, time.Duration) bool // whether endpoints are reached, as one was since a reading of the boot clock or some that are asked answer
+	Failed  func(endpoint string)                     // records that an endpoint was not reached
+	CutOff  func() bool                               // whether this daemon is cut off from endpoints
 	Log     logr.Logger
 	Metrics *Metrics
 }
--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -1,6 +1,7 @@
 package groups
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -23,7 +24,8 @@
 	return New(Options{
 		Self: site.Daemon{ID: "d1"}, Boot: func() time.Duration { return time.Minute }, Log: logr.Discard(),
 		Alive: func() []gossip.Message { return nil }, Demand: func() map[string]int { return nil }, Leaving: func(site.Endpoint) bool { return false },
-		Late: func(time.Duration) time.Duration { return 0 }, Metrics: NewMetrics(prometheus.NewRegistry()),
+		Late: func(time.Duration) time.Duration { return 0 }, Reached: func(context.Context, time.Duration) bool { return true },
+		Failed: func(string) {}, CutOff: func() bool { return false }, Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 }
 
@@ -173,3 +175,40 @@
 	status = http.StatusNotFound
 	is.Equal(fetch(20), 3)
 }
+
+// A keeper that is cut off from all endpoints finds each of them silent. It must not hold
+// that against them, and must leave its office to a daemon that reaches them.
+func TestCutOffKeeperGivesUpGroups(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper()
+	reached, cutOff := false, false
+	var failed []string
+	k.options.Reached = func(context.Context, time.Duration) bool { return reached }
+	k.options.CutOff = func() bool { return cutOff }
+	k.options.Failed = func(endpoint string) { failed = append(failed, endpoint) }
+	k.options.Engines = &platform.Engines{Do: func(*http.Request) (*http.Response, error) { return nil, io.ErrUnexpectedEOF }}
+	e := site.Endpoint{ID: "e", Address: "127.0.0.1:1"}
+	k.fetch(t.Context(), e)
+	is.Equal(k.reports["e"].misses, 0)
+	is.True(k.checks["e"] > k.options.Boot()) // asked again
+	is.Equal(failed, []string{"e"})
+	reached = true
+	k.fetch(t.Context(), e)
+	is.Equal(k.reports["e"].misses, 1)
+	k.term = 3
+	is.True(k.remainsKeeper(&watch.Snapshot{}))
+	cutOff = true
+	is.True(!k.remainsKeeper(&watch.Snapshot{}))
+}
+
+// A daemon that is cut off from endpoints neither counts as keeper nor keeps another
+// candidate from following.
+func TestCutOffDaemonIsNotCandidate(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper()
+	k.options.Alive = func() []gossip.Message {
+		return []gossip.Message{{From: site.Daemon{ID: "d0"}, Ready: true, Fresh: true, Cut: true}}
+	}
+	is.True(!k.heardFresh("d0"))
+	is.True(k.firstCandidate(&watch.Snapshot{}, time.Minute))
+}
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -118,7 +118,7 @@
 // fetch requests an endpoint's report once, as soon as fewer than maxReports are
 // requested, and records the result. An endpoint that does not answer is checked for
 // checkDuration. It is not held against an endpoint if this process ran so late that
-// less than secondRequestAfter was left of the timeout.
+// less than secondRequestAfter was left of the timeout, or if no endpoint is reached.
 func (k *Keeper) fetch(ctx context.Context, e site.Endpoint) {
 	defer k.wakeUp()
 	leave, entered := enter(ctx, k.reporting)
@@ -131,6 +131,11 @@
 	calls := len(k.orderings) + len(k.reporting)
 	now := k.options.Boot()
 	late := k.options.Late(requestedAt)
+	lost := platform.Is(err, platform.Lost)
+	if lost {
+		k.options.Failed(e.ID)
+	}
+	pathSound := !lost || k.options.Reached(ctx, requestedAt)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r := k.reports[e.ID]
@@ -138,9 +143,10 @@
 	switch {
 	case err == nil:
 		r.state, r.stateRequestedAt, r.hasState, r.misses, r.unusable = state, requestedAt, true, 0, ""
-	case platform.Is(err, platform.Lost) && late > reportTimeout-secondRequestAfter:
-		k.logUncounted(e.ID, now, late)
-	case platform.Is(err, platform.Lost) || platform.Is(err, platform.WrongEndpoint):
+	case lost && (late > reportTimeout-secondRequestAfter || !pathSound):
+		k.checks[e.ID] = now + checkDuration
+		k.logUncounted(e.ID, now, late, pathSound)
+	case lost || platform.Is(err, platform.WrongEndpoint):
 		r.misses++
 		k.checks[e.ID] = now + checkDuration
 		if r.misses == 1 {
@@ -155,12 +161,12 @@
 
 // logUncounted logs that an endpoint's missing answer doesn't count, one line each
 // lateLogInterval at the most. The lock must be held.
-func (k *Keeper) logUncounted(id string, now, late time.Duration) {
+func (k *Keeper) logUncounted(id string, now, late time.Duration, pathSound bool) {
 	if now < k.nextLateLog {
 		return
 	}
 	k.nextLateLog = now + lateLogInterval
-	k.options.Log.Info("silence not counted", "endpoint", id, "late_ms", late.Milliseconds())
+	k.options.Log.Info("silence not counted", "endpoint", id, "late_ms", late.Milliseconds(), "path_sound", pathSound)
 }
 
 // requestTwice requests an endpoint's report, and once more over another connection
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -20,6 +20,7 @@
 	Budget   func() Budget           // current budget of each service; only its Extra is for all daemons together
 	Daemons  func() int              // daemons that share Budget.Extra and the rate of a cold endpoint, whether heard or not
 	Listed   func() int              // daemons that may serve, whether heard or not
+	Reached  func() bool             // whether this daemon has no doubt that it reaches endpoints
 	Random   func() float64          // returns random numbers in [0, 1)
 	Log      logr.Logger
 }
@@ -27,16 +28,17 @@
 // Placer assigns requests to slots at endpoints, and queues them while none is free.
 // Use New to make one; its methods may be called concurrently.
 type Placer struct {
-	options   Options
-	mu        sync.Mutex
-	endpoints map[string]*endpointState
-	queues    map[string]*queue
-	budgets   map[string]*Budget
-	leaving   map[string]leaving // endpoints that stated that they leave
-	cache     servingCache
-	announced map[string]gossip.Group // groups that the keeper announced, by the endpoint that leads them
-	heard     int                     // daemons heard at the latest Update, with this one
-	listed    int                     // the same with those that are only listed
+	options    Options
+	mu         sync.Mutex
+	endpoints  map[string]*endpointState
+	queues     map[string]*queue
+	budgets    map[string]*Budget
+	leaving    map[string]leaving // endpoints that stated that they leave
+	cache      servingCache
+	announced  map[string]gossip.Group // groups that the keeper announced, by the endpoint that leads them
+	progressed time.Time               // when an endpoint last made progress with a request of this daemon
+	heard      int                     // daemons heard at the latest Update, with this one
+	listed     int                     // the same with those that are only listed
 }
 
 // Request is a request that needs a slot.
--- a/pick/report.go
+++ b/pick/report.go
@@ -37,15 +37,41 @@
 // reportLoad returns what this daemon reports of one endpoint.
 func (p *Placer) reportLoad(v *watch.Snapshot, s *endpointState, now time.Time) gossip.EndpointLoad {
 	load := gossip.EndpointLoad{
-		Running: s.running, UnreadTokens: s.unread, Stalled: s.locallyStalled(now) && !p.isPlain(v, s.id),
+		Running: s.running, UnreadTokens: s.unread, Stalled: p.reportsStalled(v, s, now),
 		Leaving: p.reportLeaving(v, s.id), Slow: p.isSlow(v, s), Limit: p.reportLimit(s),
 	}
+	if s.noProgress(now) && !p.options.Reached() {
+		load.Running, load.UnreadTokens = 0, 0 // what hangs at a path that may be cut is no load there
+	}
 	if s.limit.inForce() {
 		load.Sent = s.recentSends(now)
 	}
 	return load
 }
 
+// heardWithin is the time within which some endpoint made progress, if the path to them is
+// sound and requests are in progress.
+const heardWithin = 250 * time.Millisecond
+
+// reportsStalled reports whether this daemon tells the others that an endpoint is stalled.
+// It doesn't if all are silent, as far as it sees: then the path may be cut.
+func (p *Placer) reportsStalled(v *watch.Snapshot, s *endpointState, now time.Time) bool {
+	if !s.locallyStalled(now) || p.isPlain(v, s.id) || !p.options.Reached() {
+		return false
+	}
+	return now.Before(s.suspectedUntil) || now.Sub(p.progressed) < heardWithin || p.used() == 1
+}
+
+// used returns the number of endpoints at which requests of this daemon are in progress.
+func (p *Placer) used() (n int) {
+	for _, s := range p.endpoints {
+		if s.running > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Update replaces the load of the other daemons by that in their newest messages.
 // A reported stall counts until stallTimeout after the last Update that holds a
 // report of it. The argument own holds the groups that this daemon announces if it is
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -44,6 +44,7 @@
 		s.queue.firstEventSeconds += timeWeight * (now.Sub(s.lastProgress).Seconds() - s.queue.firstEventSeconds)
 	}
 	s.lastProgress = now
+	s.placer.progressed = now
 	s.state.answered(s, now)
 	s.state.event(now, gap)
 }
--- /dev/null
+++ b/pick/stalled_test.go
@@ -0,0 +1,53 @@
+package pick
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A daemon whose endpoints all fall silent at once tells the others of none: the path to
+// them may be cut. One that is silent while another one goes on is told of.
+func TestSilenceOfAllEndpointsIsNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a", "b", "c")
+		slots := map[string]*Slot{}
+		for len(slots) < 3 {
+			slot, err := p.Acquire(t.Context(), Request{Service: "s", Model: "m", Remaining: time.Second, MaxWait: time.Millisecond, Avoid: held(slots)})
+			is.NoErr(err)
+			slot.Progress(true)
+			slots[slot.Endpoint.ID] = slot
+		}
+		stalled := func() (ids int) {
+			for _, load := range p.Report().Endpoints {
+				if load.Stalled {
+					ids++
+				}
+			}
+			return ids
+		}
+		time.Sleep(stallTimeout + time.Millisecond)
+		is.Equal(stalled(), 0)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			slots["a"].Progress(true)
+		}
+		is.Equal(stalled(), 2)
+		slots["b"].Suspect() // can't be reached
+		is.Equal(stalled(), 2)
+		p.options.Reached = func() bool { return false }
+		is.Equal(stalled(), 0)
+	})
+}
+
+// held returns the endpoints of slots as those to avoid.
+func held(slots map[string]*Slot) map[string]bool {
+	avoid := map[string]bool{}
+	for id := range slots {
+		avoid[id] = true
+	}
+	return avoid
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -61,11 +61,13 @@
 	failed  map[string]time.Duration // endpoints that failed since one was reached, and when, on the boot clock
 	reached time.Duration            // boot clock: when one was reached last over a new connection
 	sound   int                      // rounds in a row that reached endpoints
+	settled chan struct{}            // closed unless there is doubt
 }
 
 // New returns a Reach that takes the endpoints to be reached.
 func New(o Options) *Reach {
-	r := &Reach{options: o, wake: make(chan struct{}, 1), failed: map[string]time.Duration{}, reached: o.Boot(), since: o.Boot()}
+	r := &Reach{options: o, wake: make(chan struct{}, 1), failed: map[string]time.Duration{}, reached: o.Boot(), since: o.Boot(), settled: make(chan struct{})}
+	close(r.settled)
 	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "chead_reach", Help: "Whether endpoints are reached: 0 reached, 1 in doubt, 2 cut off.",
 	}, func() float64 { return float64(r.State()) }))
@@ -88,6 +90,23 @@
 	}
 }
 
+// Confirm reports whether endpoints are reached: whether one was over a new connection
+// since a reading of the boot clock or, if none was, by asking some. It waits for that.
+func (r *Reach) Confirm(ctx context.Context, since time.Duration) bool {
+	r.mu.Lock()
+	if r.State() == Sound && r.reached < since {
+		r.doubt()
+		r.wakeUp()
+	}
+	settled := r.settled
+	r.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-settled:
+	}
+	return r.State() == Sound
+}
+
 // Reached records that an endpoint answered over a new connection.
 func (r *Reach) Reached() {
 	r.mu.Lock()
@@ -200,6 +219,12 @@
 
 // set sets the state. The lock must be held.
 func (r *Reach) set(s State) {
+	if r.State() == Doubt && s != Doubt {
+		close(r.settled)
+	}
+	if r.State() != Doubt && s == Doubt {
+		r.settled = make(chan struct{})
+	}
 	r.state.Store(int32(s))
 	r.since = r.options.Boot()
 	r.sound = 0
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -163,3 +163,27 @@
 		}
 	})
 }
+
+// Whoever wants to know whether endpoints are reached waits for those that are asked, unless
+// one was reached lately.
+func TestConfirm(t *testing.T) {
+	run(t, "reached lately", 60, func(is *is.I, r *rig) {
+		since := r.options.Boot()
+		time.Sleep(time.Second)
+		r.Reached()
+		is.True(r.Confirm(context.Background(), since))
+		is.Equal(r.probes, 0)
+	})
+	run(t, "endpoints answer", 60, func(is *is.I, r *rig) {
+		time.Sleep(time.Second)
+		is.True(r.Confirm(context.Background(), r.options.Boot()))
+		is.Equal(r.probes, probed)
+	})
+	run(t, "none answers", 60, func(is *is.I, r *rig) {
+		r.dead, r.hangs = 60, true
+		time.Sleep(time.Second)
+		began := time.Now()
+		is.True(!r.Confirm(context.Background(), r.options.Boot()))
+		is.Equal(time.Since(began), ProbeTimeout)
+	})
+}
