--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -116,6 +116,9 @@
 				system.cut(daemon, c.how)
 			}
 			time.Sleep(cutNotice)
+			for i := range system.daemons {
+				is.Equal(len(system.addresses(i)), 3-len(c.cut)) // new callers are sent to the others
+			}
 			load.count(true)
 			time.Sleep(cutDuration - cutNotice)
 			load.count(false)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -74,7 +75,7 @@
 	d.catchUp.startedAt = clock.Boot()
 	d.pulse = pulse.New(pulse.Options{Boot: clock.Boot, Log: o.Log, Registry: o.Registry})
 	d.self = site.Daemon{
-		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Caller: s.Caller, Peer: s.Peer, Cores: s.Cores,
+		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: s.Peer, Cores: s.Cores,
 	}
 	conn, err := net.ListenPacket("udp4", s.Peer)
 	if err != nil {
@@ -95,7 +96,8 @@
 	})
 	d.placer = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, Snapshot: d.watcher.Snapshot, Alive: d.gossip.Alive,
-		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Reached: func() bool { return d.reach.State() == reach.Sound }, Random: rand.Float64, Log: o.Log,
+		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Reached: func() bool { return d.reach.State() == reach.Sound },
+		CutOff: d.cutOff, Peers: d.relayPeers, Random: rand.Float64, Log: o.Log,
 	})
 	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
@@ -106,7 +108,7 @@
 		Log: o.Log, Registry: o.Registry,
 	})
 	d.front = front.New(front.Options{
-		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool, Reach: d.reach,
+		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool, Reach: d.reach, Self: d.self.ID,
 		MaxKeyAge: d.maxKeyAge,
 		Crashes:   d.crashes, Parts: d.parts, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
@@ -114,7 +116,7 @@
 		Self: d.self, Store: d.store, Engines: platform.NewEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
 		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Reached: d.reach.Confirm, Failed: d.reach.Failed, CutOff: d.cutOff, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
-	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Peers: d.peers})
+	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Offered: d.offersItself, Peers: d.peers})
 	return d, nil
 }
 
@@ -154,15 +156,32 @@
 	return site.Limits{}
 }
 
-// peers returns the other daemons that accept callers.
+// peers returns the other daemons that callers should connect to: those that accept them
+// and reach endpoints or, if this daemon knows of none that does, all that accept them.
 func (d *Daemon) peers() []site.Daemon {
-	var peers []site.Daemon
+	var reaching, ready []site.Daemon
 	for _, m := range d.gossip.Alive() {
-		if m.Ready {
-			peers = append(peers, m.From)
+		if !m.Ready {
+			continue
 		}
+		ready = append(ready, m.From)
+		if !m.Cut {
+			reaching = append(reaching, m.From)
+		}
+	}
+	if len(reaching) == 0 && d.cutOff() {
+		return ready
+	}
+	return reaching
+}
+
+// offersItself reports whether callers should connect to this daemon, as peers says of the
+// others.
+func (d *Daemon) offersItself() bool {
+	if !d.ready() || !d.cutOff() {
+		return d.ready()
 	}
-	return peers
+	return !slices.ContainsFunc(d.gossip.Alive(), func(m gossip.Message) bool { return m.Ready && !m.Cut })
 }
 
 // daemonCount returns the number of daemons that the budget is divided among.
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -13,6 +13,30 @@
 // cutOff reports whether this daemon is cut off from endpoints.
 func (d *Daemon) cutOff() bool { return d.reach.State() == reach.Cut }
 
+// relayPeers returns the daemons that requests may be sent through: those in this region
+// that accept callers and reach endpoints.
+func (d *Daemon) relayPeers() []site.Daemon {
+	var peers []site.Daemon
+	for _, m := range d.gossip.Alive() {
+		if m.Ready && !m.Cut && m.From.Region == d.self.Region {
+			peers = append(peers, m.From)
+		}
+	}
+	return peers
+}
+
+// servePeer serves the requests that other daemons send: callers' requests that they can't
+// send to endpoints, and those that others handle.
+func (d *Daemon) servePeer(others http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if relay, found := platform.ParseRelay(r.Header); found {
+			d.front.ServeRelayed(w, r, relay)
+			return
+		}
+		others.ServeHTTP(w, r)
+	})
+}
+
 // probedEndpoints returns the endpoints that are asked whether they are reached: the
 // engines, whose reports need no slot, or all where there are none.
 func (d *Daemon) probedEndpoints() []site.Endpoint {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -29,9 +29,11 @@
 // servers returns the daemon's HTTP servers, including the given one for callers.
 func (d *Daemon) servers(callerServer *http.Server) []httpServer {
 	s := d.options.Settings
+	peer := newServer("GET "+watch.RelayPath, http.HandlerFunc(d.watcher.Relay))
+	peer.Handler = d.servePeer(peer.Handler)
 	all := []httpServer{
 		{"caller", s.Caller, callerServer},
-		{"peer", s.Peer, newServer("GET "+watch.RelayPath, http.HandlerFunc(d.watcher.Relay))},
+		{"peer", s.Peer, peer},
 		{"ready", s.Ready, newServer("GET "+platform.ReadyPath, http.HandlerFunc(d.guide.Readiness))},
 		{"guide", s.Guide, newServer("GET "+platform.ResolvePath, http.HandlerFunc(d.guide.Resolve))},
 	}
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -66,6 +66,9 @@
 
 // receive does the work of open. Its result doesn't tell whether the caller left.
 func (x *exchange) receive() result {
+	if x.slot.Peer {
+		return x.receiveRelayed()
+	}
 	f, j := x.front, x.job
 	conn, err := f.options.Pool.Get(x.ctx, x.slot.Endpoint.Address, j.needsNewConnection())
 	if err != nil {
@@ -208,7 +211,10 @@
 // breaksOff records that the exchange ended with an error of its connection. The result
 // is unknown.
 func (x *exchange) breaksOff(cause string, err error) result {
-	if !x.givenUp.Load() {
+	switch {
+	case x.slot.Peer:
+		x.job.tries.useUp(x.job.route.Attempts)
+	case !x.givenUp.Load():
 		x.front.checkCrash(x.job, x.slot, x.survived)
 	}
 	return x.fail(unknown, cause, err)
--- a/front/finish.go
+++ b/front/finish.go
@@ -49,7 +49,7 @@
 	case f.reached(ending) && ran > 0:
 		f.refuse(j, &refusal{status: http.StatusBadGateway, reason: stopReason})
 	case f.reached(ending):
-		f.refuse(j, &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter})
+		f.refuse(j, &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter, true})
 	case ran > 0 && j.remaining() <= minRemaining:
 		f.refuse(j, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"})
 	case ran > 0:
@@ -62,7 +62,7 @@
 // refusalFor returns the refusal of a request that has not run. The argument is the
 // error of the last try, or nil if endpoints refused it.
 func refusalFor(err error) *refusal {
-	r := &refusal{http.StatusServiceUnavailable, "endpoints refused it", defaultRetryAfter}
+	r := &refusal{http.StatusServiceUnavailable, "endpoints refused it", defaultRetryAfter, false}
 	var refused *pick.Error
 	if errors.As(err, &refused) {
 		r.reason = refused.Kind.String()
@@ -70,6 +70,7 @@
 	}
 	if errors.Is(err, errStale) {
 		r.reason = errStale.Error()
+		r.elsewhere = true
 	}
 	if errors.Is(err, errPart) {
 		r.reason = errPart.Error()
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -166,6 +166,8 @@
 	front *Front
 	http  *httptest.Server
 	age   time.Duration
+	cut   bool          // whether it is cut off from the endpoints
+	peers []site.Daemon // that requests are sent through then
 }
 
 const testHost = "front.example"
@@ -200,10 +202,13 @@
 			State: site.State{Models: []string{"m"}, Member: site.Member{Group: "g" + b.id, Epoch: 1, Phase: site.Open}},
 		}
 	}
-	placer := newPlacer(func() *watch.Snapshot { return snapshot }, pick.Budget{Ratio: 0.2, Extra: 20, Window: 10 * time.Second})
+	o := placerOptions(func() *watch.Snapshot { return snapshot }, pick.Budget{Ratio: 0.2, Extra: 20, Window: 10 * time.Second})
+	o.CutOff = func() bool { return f.cut }
+	o.Peers = func() []site.Daemon { return f.peers }
+	placer := pick.New(o)
 	f.front = New(Options{
 		Snapshot: func() *watch.Snapshot { return snapshot }, SnapshotAge: func() time.Duration { return f.age }, MaxKeyAge: func() time.Duration { return 3 * time.Second },
-		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(), Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
+		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(), Self: service + "-daemon", Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
 	})
 	f.http = httptest.NewServer(f.front)
 	t.Cleanup(f.http.Close)
@@ -220,10 +225,15 @@
 
 // newPlacer returns the pick.Placer of the only daemon of a cluster.
 func newPlacer(snapshot func() *watch.Snapshot, budget pick.Budget) *pick.Placer {
-	return pick.New(pick.Options{
+	return pick.New(placerOptions(snapshot, budget))
+}
+
+// placerOptions returns the options of the pick.Placer of the only daemon of a cluster.
+func placerOptions(snapshot func() *watch.Snapshot, budget pick.Budget) pick.Options {
+	return pick.Options{
 		Domain: "north", Boot: func() time.Duration { return time.Hour }, Snapshot: snapshot,
-		Alive: func() []gossip.Message { return nil }, Daemons: func() int { return 1 }, Listed: func() int { return 1 }, Reached: func() bool { return true }, Log: logr.Discard(), Random: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
-	})
+		Alive: func() []gossip.Message { return nil }, Daemons: func() int { return 1 }, Listed: func() int { return 1 }, Reached: func() bool { return true }, CutOff: func() bool { return false }, Log: logr.Discard(), Random: func() float64 { return 0.5 }, Budget: func() pick.Budget { return budget },
+	}
 }
 
 // reply is the response that a caller received.
--- a/front/front.go
+++ b/front/front.go
@@ -37,6 +37,7 @@
 	Placer      *pick.Placer
 	Pool        *conns.Pool
 	Reach       *reach.Reach
+	Self        string // ID of this daemon
 	Crashes     *Crashes
 	Parts       *Parts
 	Metrics     *Metrics
@@ -51,6 +52,7 @@
 	jobs      jobs
 	refused   atomic.Int64 // requests that came too late in a shutdown
 	deadlines deadlines
+	newest    atomic.Int64 // newest version of the configuration by which a daemon that requests were sent through went
 }
 
 // New returns a Front.
@@ -88,7 +90,8 @@
 	successor  *exchange      // of the last send, for the next try
 	successors sync.WaitGroup // the opening of successors
 	progress   progress
-	unlogged   bool // the end isn't logged
+	unlogged   bool           // the end isn't logged
+	relay      platform.Relay // if another daemon sent the request here
 }
 
 // remaining returns the time until the deadline of a request.
@@ -99,6 +102,7 @@
 	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now()}
 	f.jobs.add(j)
 	defer f.jobs.remove(j)
+	f.awaitVersion(r.Context(), f.newest.Load())
 	if refusal := f.admitUnlessStopped(j); refusal != nil {
 		f.refuse(j, refusal)
 		return
@@ -112,6 +116,7 @@
 	status     int
 	reason     string
 	retryAfter time.Duration // lengthened by jitter; 0 for no Retry-After header
+	elsewhere  bool          // another daemon may take the request
 }
 
 // admit finds the route and the client account of a request and reads its body.
@@ -120,7 +125,7 @@
 	v := f.options.Snapshot()
 	age := f.options.SnapshotAge()
 	if v.Config == nil {
-		return &refusal{http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter}
+		return &refusal{http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter, true}
 	}
 	stale := age > f.options.MaxKeyAge()
 	route, found := v.Config.Route(hostOf(j.r), j.r.URL.Path)
@@ -153,6 +158,9 @@
 		j.parts = platform.SharedParts(j.r.Header)
 		j.header.Set(platform.HeaderPriority, strconv.Itoa(min(9, max(0, j.priority))))
 	}
+	if j.relay.Daemon != "" {
+		j.route.Attempts = min(j.route.Attempts, j.relay.Attempts)
+	}
 	return f.readBody(j, v.Config.Limits)
 }
 
@@ -183,7 +191,7 @@
 // to a stale snapshot if stale is set.
 func staleOr(stale bool, status int, reason string) *refusal {
 	if stale {
-		return &refusal{http.StatusServiceUnavailable, "view too old", defaultRetryAfter}
+		return &refusal{http.StatusServiceUnavailable, "view too old", defaultRetryAfter, true}
 	}
 	return &refusal{status: status, reason: reason}
 }
@@ -256,6 +264,9 @@
 	if j.id != "" {
 		h.Set(platform.HeaderRequest, j.id)
 	}
+	if r.elsewhere && j.relay.Daemon != "" {
+		platform.SetElsewhere(h)
+	}
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(jitter(r.retryAfter).Seconds(), 'f', 3, 64))
 	}
@@ -284,7 +295,7 @@
 		version = v.Config.Version
 	}
 	f.options.Log.Info("request "+outcome,
-		"id", j.id, "route", j.route.Name, "account", j.account, "model", j.model, "status", status, "reason", reason,
+		"id", j.id, "relayed_by", j.relay.Daemon, "route", j.route.Name, "account", j.account, "model", j.model, "status", status, "reason", reason,
 		"tried", j.tries.names(), "ran", ran, "served", j.served, "load", j.load, "read_ms", j.prefill.Milliseconds(),
 		"events", j.stream.forwarded, "first_ms", j.stream.first.Milliseconds(), "gap_ms", j.stream.longestGap.Milliseconds(),
 		"ahead", j.queue.InTime+j.queue.Late, "fit", j.eligible, "limited", j.queue.Limited, "freed", round(j.queue.FreeRate), "arrivals", round(j.queue.ArrivalRate),
--- a/front/send.go
+++ b/front/send.go
@@ -47,11 +47,11 @@
 // caller the final response. It refuses a request that has crashed endpoints.
 func (f *Front) serve(j *job) {
 	if f.options.Crashes.Blocked(j.digest) {
-		f.refuse(j, &refusal{http.StatusServiceUnavailable, "endpoints crashed running it", 0})
+		f.refuse(j, &refusal{http.StatusServiceUnavailable, "endpoints crashed running it", 0, false})
 		return
 	}
 	if part := f.options.Parts.Refused(j.parts); part != "" {
-		f.refuse(j, &refusal{http.StatusServiceUnavailable, errPart.Error(), 0})
+		f.refuse(j, &refusal{http.StatusServiceUnavailable, errPart.Error(), 0, false})
 		return
 	}
 	ctx, cancel := j.context()
--- a/front/silence.go
+++ b/front/silence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"clementinehead.example/chead/pick"
+	"clementinehead.example/chead/reach"
 )
 
 const (
@@ -39,10 +40,10 @@
 }
 
 // watchStall starts the watchdog of a send. It does nothing if the request is not
-// repeatable or is not for a model.
+// repeatable, or is sent through another daemon, which watches it itself.
 func (f *Front) watchStall(ctx context.Context, j *job, x *exchange) *watchdog {
 	w := &watchdog{front: f, ctx: ctx, job: j, watched: x, point: j.stream.point, lastEvent: x.began, denied: j.denied}
-	if !j.route.Repeatable() || j.model == "" {
+	if !j.route.Repeatable() || x.slot.Peer {
 		return w
 	}
 	w.request = j.placement()
@@ -125,13 +126,20 @@
 
 // overdue returns why a successor should be tried, or an empty text. The lock must be held.
 func (w *watchdog) overdue() string {
-	return overdue(w.watched.slot, time.Since(w.lastEvent))
+	silent := time.Since(w.lastEvent)
+	switch {
+	case silent >= stallAfter && w.front.options.Reach.State() == reach.Cut:
+		return "cut off from endpoints"
+	case w.job.model == "":
+		return "" // a plain answer may take any time
+	}
+	return overdue(w.watched.slot, silent)
 }
 
 // awaitsSuccessor reports whether there is a successor that isn't silent for too long. The
 // lock must be held.
 func (w *watchdog) awaitsSuccessor() bool {
-	return w.successor != nil && overdue(w.successor.slot, time.Since(w.successor.began)) == ""
+	return w.successor != nil && (w.successor.slot.Peer || overdue(w.successor.slot, time.Since(w.successor.began)) == "")
 }
 
 // overdue returns why a send is silent for too long, or an empty text. This covers an
--- a/front/stop.go
+++ b/front/stop.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	j.unlogged = f.refused.Add(1) > maxProgressLines // callers may come again at once, and the log's rate is limited
-	return &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter}
+	return &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter, true}
 }
 
 // Refused returns the number of requests that were refused since they came too late in
--- a/front/tries.go
+++ b/front/tries.go
@@ -31,6 +31,13 @@
 	t.ran--
 }
 
+// useUp records that as many tries as are allowed may have run.
+func (t *tries) useUp(attempts int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ran = max(t.ran, attempts)
+}
+
 // fail records an endpoint that failed the request.
 func (t *tries) fail(endpoint string) {
 	t.mu.Lock()
--- a/guide/guide.go
+++ b/guide/guide.go
@@ -17,9 +17,10 @@
 
 // Options configures a Guide.
 type Options struct {
-	Self  site.Daemon
-	Ready func() bool          // whether this daemon accepts callers
-	Peers func() []site.Daemon // other daemons that accept callers
+	Self    site.Daemon
+	Ready   func() bool          // whether this daemon accepts callers
+	Offered func() bool          // whether callers should connect to it
+	Peers   func() []site.Daemon // other daemons that callers should connect to
 }
 
 // Guide answers which daemons callers should connect to. Create it with New.
@@ -43,7 +44,7 @@
 // sorted.
 func (g *Guide) addresses() []string {
 	var addresses []string
-	if g.options.Ready() {
+	if g.options.Offered() {
 		addresses = append(addresses, g.options.Self.Caller)
 	}
 	for _, d := range g.options.Peers() {
--- a/pick/error.go
+++ b/pick/error.go
@@ -18,6 +18,9 @@
 	Late
 	// NoEndpoint means that no endpoint serves the model or service.
 	NoEndpoint // Nowhere
+	// CutOff means that this daemon is cut off from endpoints, and knows no other daemon
+	// that it could send the request through.
+	CutOff // Cut off
 	// Disconnected means that the caller disconnected, or the deadline passed.
 	Disconnected // Left
 )
--- a/pick/kind_string.go
+++ b/pick/kind_string.go
@@ -11,12 +11,13 @@
 	_ = x[Full-0]
 	_ = x[Late-1]
 	_ = x[NoEndpoint-2]
-	_ = x[Disconnected-3]
+	_ = x[CutOff-3]
+	_ = x[Disconnected-4]
 }
 
-const _Kind_name = "FullLateNowhereLeft"
+const _Kind_name = "FullLateNowhereCut offLeft"
 
-var _Kind_index = [...]uint8{0, 4, 8, 15, 19}
+var _Kind_index = [...]uint8{0, 4, 8, 15, 22, 26}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
 
@@ -21,6 +22,8 @@
 	Daemons  func() int              // daemons that share Budget.Extra and the rate of a cold endpoint, whether heard or not
 	Listed   func() int              // daemons that may serve, whether heard or not
 	Reached  func() bool             // whether this daemon has no doubt that it reaches endpoints
+	CutOff   func() bool             // whether this daemon is cut off from endpoints
+	Peers    func() []site.Daemon    // other daemons that requests may be sent through
 	Random   func() float64          // returns random numbers in [0, 1)
 	Log      logr.Logger
 }
@@ -32,6 +35,8 @@
 	mu         sync.Mutex
 	endpoints  map[string]*endpointState
 	queues     map[string]*queue
+	peers      map[string]*endpointState // daemons that requests were sent through, by ID
+	relayed    *queue                    // of the requests that are sent through other daemons; none waits in it
 	budgets    map[string]*Budget
 	leaving    map[string]leaving // endpoints that stated that they leave
 	cache      servingCache
@@ -52,7 +57,8 @@
 	Retried      bool            // whether its caller sent it before, as it may after a refusal
 	Begun        bool            // whether it may have run, so that to refuse it is to fail it
 	Resumed      bool            // whether its caller has received a part of the stream already
-	Avoid        map[string]bool // endpoints at which it failed
+	Avoid        map[string]bool // endpoints, and daemons that it was sent through, at which it failed
+	Relayed      bool            // whether another daemon sent it here, so that it goes through none
 }
 
 func (r Request) key() string { return r.Service + "/" + r.Model }
@@ -61,6 +67,7 @@
 func New(o Options) *Placer {
 	return &Placer{
 		options: o, endpoints: map[string]*endpointState{}, queues: map[string]*queue{},
+		peers: map[string]*endpointState{}, relayed: &queue{},
 		budgets: map[string]*Budget{}, leaving: map[string]leaving{}, announced: map[string]gossip.Group{},
 		heard: 1, listed: 1,
 	}
@@ -72,16 +79,21 @@
 	began := time.Now()
 	p.mu.Lock()
 	q := p.queue(request.key())
-	if !request.Retried && len(request.Avoid) == 0 {
-		q.arrivals.add(began)
+	cut := p.cutOffFor(request)
+	if !request.Retried && len(request.Avoid) == 0 && !cut {
+		q.arrivals.add(began) // one that is sent through another daemon arrives there
 	}
 	state := q.state(request, began)
-	if !q.hasInTime(began) || request.Resumed {
+	if !q.hasInTime(began) || request.Resumed || cut {
 		if slot := p.tryAcquire(request, q, began); slot != nil {
 			p.mu.Unlock()
 			return slot, nil
 		}
 	}
+	if cut && !request.Begun && !request.Resumed {
+		p.mu.Unlock()
+		return nil, &Error{Op: "acquire", Kind: CutOff, RetryAfter: minRetryAfter, State: state}
+	}
 	endpoints := p.eligible(request)
 	eligible := len(endpoints)
 	p.addLimits(&state, endpoints, q, began)
@@ -164,8 +176,12 @@
 	}
 }
 
-// tryAcquire returns a slot that is free now, or nil.
+// tryAcquire returns a slot that is free now, or nil. If this daemon is cut off from
+// endpoints it is at another daemon.
 func (p *Placer) tryAcquire(request Request, q *queue, now time.Time) *Slot {
+	if p.cutOffFor(request) {
+		return p.peerSlot(request, now)
+	}
 	eligible := p.eligible(request)
 	candidates := make([]Candidate, len(eligible))
 	for i, e := range eligible {
--- a/pick/report.go
+++ b/pick/report.go
@@ -101,6 +101,7 @@
 		}
 	}
 	p.dropUnlisted(now)
+	p.dropPeers(now)
 	p.dropLeaving(now)
 	p.dispatch(now)
 }
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -9,7 +9,8 @@
 
 // Slot is the right to have one request in progress at an endpoint, until Done.
 type Slot struct {
-	Endpoint     site.Endpoint
+	Endpoint     site.Endpoint // or, if Peer is set, the daemon that the request is sent through
+	Peer         bool
 	Load         int           // requests in progress there when it was chosen
 	ReadTime     time.Duration // expected time to read the prompt when it was chosen
 	placer       *Placer
--- a/site/daemon.go
+++ b/site/daemon.go
@@ -2,8 +2,9 @@
 
 // Daemon describes a daemon to the other daemons.
 type Daemon struct {
-	ID     string  `json:"id"`              // another one after each start
-	Domain string  `json:"domain"`          // failure domain
+	ID     string  `json:"id"`     // another one after each start
+	Domain string  `json:"domain"` // failure domain
+	Region string  `json:"region,omitempty"`
 	Caller string  `json:"caller"`          // host:port for callers
 	Peer   string  `json:"peer"`            // host:port for gossip from other daemons, UDP
 	Cores  float64 `json:"cores,omitempty"` // processor cores that it may use, 0 if that is not known
