--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -73,3 +73,28 @@
 	}
 	is.True(!c.Blocked("e")) // repeated reports of one endpoint count as one crash
 }
+
+// A daemon that is cut off from all endpoints finds none of those that broke off to accept
+// connections. That is no crash, of which the requests or parts of their prompts would be
+// suspected everywhere.
+func TestCutOffCountsAsCrashes(t *testing.T) {
+	is := is.New(t)
+	var stubs []*stub
+	for _, id := range []string{"a", "b", "c"} {
+		b := newStub(t, id, nil)
+		b.script = func(io.Writer, *http.Request) bool {
+			b.crash(150 * time.Millisecond)
+			return false
+		}
+		stubs = append(stubs, b)
+	}
+	f := newFixture(t, "plain", stubs...)
+	f.front.options.Reach = newReach(t, false)
+	for range 20 {
+		f.call(t, "POST", "/file/", nil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(2 * probeTimeout)
+	is.Equal(len(f.front.options.Crashes.Counts()), 0)
+	is.Equal(len(f.front.options.Parts.Counts()), 0)
+}
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -208,19 +208,32 @@
 	placer := pick.New(o)
 	f.front = New(Options{
 		Snapshot: func() *watch.Snapshot { return snapshot }, SnapshotAge: func() time.Duration { return f.age }, MaxKeyAge: func() time.Duration { return 3 * time.Second },
-		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(), Self: service + "-daemon", Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
+		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(t, true), Self: service + "-daemon", Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
 	})
 	f.http = httptest.NewServer(f.front)
 	t.Cleanup(f.http.Close)
 	return f
 }
 
-// newReach returns a Reach that never finds the path to the endpoints at fault.
-func newReach() *reach.Reach {
-	return reach.New(reach.Options{
-		Boot: func() time.Duration { return time.Hour }, Endpoints: func() []site.Endpoint { return make([]site.Endpoint, 100) },
-		Silence: func() (int, int) { return 0, 0 }, Log: logr.Discard(), Registry: prometheus.NewRegistry(),
+// newReach returns a Reach that finds endpoints reached whenever it asks, or none.
+func newReach(t *testing.T, reached bool) *reach.Reach {
+	t.Helper()
+	began := time.Now()
+	r := reach.New(reach.Options{
+		Boot: func() time.Duration { return time.Since(began) }, Late: func(time.Duration) time.Duration { return 0 },
+		Endpoints: func() []site.Endpoint { return make([]site.Endpoint, 100) }, Silence: func() (int, int) { return 0, 0 },
+		Probe: func(context.Context, site.Endpoint) error {
+			if reached {
+				return nil
+			}
+			return io.ErrUnexpectedEOF
+		},
+		Log: logr.Discard(), Registry: prometheus.NewRegistry(),
 	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = r.Run(ctx) }()
+	return r
 }
 
 // newPlacer returns the pick.Placer of the only daemon of a cluster.
--- a/front/send.go
+++ b/front/send.go
@@ -40,6 +40,7 @@
 	waitDivisor    = 3                       // a try waits for a slot for at most the remaining time divided by this, unless it may have run
 	maxWait        = 1200 * time.Millisecond // longest wait of a try for a slot, unless it may have run
 	deadlineMargin = 20 * time.Millisecond   // subtracted from the deadline sent to endpoints, for the response's way back
+	confirmTimeout = 2 * time.Second         // longest wait for it to be known whether endpoints are reached
 	probeTimeout   = 400 * time.Millisecond  // for the connection that shows whether an endpoint crashed
 )
 
@@ -174,9 +175,24 @@
 	return r
 }
 
+// probe returns an error if an endpoint accepts no connections.
+func (f *Front) probe(e site.Endpoint) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return f.options.Pool.Probe(ctx, e.Address)
+}
+
+// confirmPath reports whether endpoints are reached, since a reading of reach.Reach.Now.
+func (f *Front) confirmPath(since time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	return f.options.Reach.Confirm(ctx, since)
+}
+
 // checkCrash probes in the background an endpoint that broke off a request, and
 // records a crash if it accepts no connections. An endpoint that does has not
-// crashed: the path to it was cut, or it lost a single response. There is no probe
+// crashed: the path to it was cut, or it lost a single response. Nor has one while this
+// daemon reaches no other endpoint either. There is no probe
 // if this daemon broke off the request itself, when the caller disconnected, the
 // deadline passed or the daemon stops. A request that had survived there is no suspect for
 // its parts.
@@ -185,14 +201,16 @@
 		return
 	}
 	id, digest, endpoint, parts, events := j.id, j.digest, slot.Endpoint, j.parts, j.progress.events.Load()
-	brokeOff := time.Now()
+	brokeOff, since := time.Now(), f.options.Reach.Now()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		err := f.options.Pool.Probe(ctx, endpoint.Address)
+		err := f.probe(endpoint)
 		if err == nil {
 			return
 		}
+		if !f.confirmPath(since) {
+			f.options.Log.Info("crash not counted", "id", id, "endpoint", endpoint.ID, "error", err.Error())
+			return
+		}
 		n := f.options.Crashes.Add(digest, endpoint.ID)
 		if !survived {
 			f.options.Parts.Crash(parts, id, brokeOff)
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// Now returns a reading of the boot clock, for Confirm.
+func (r *Reach) Now() time.Duration { return r.options.Boot() }
+
 // Confirm reports whether endpoints are reached: whether one was over a new connection
 // since a reading of the boot clock or, if none was, by asking some. It waits for that.
 func (r *Reach) Confirm(ctx context.Context, since time.Duration) bool {
