--- a/edge/edge.go
+++ b/edge/edge.go
@@ -97,7 +97,7 @@
 	d.placer = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, Snapshot: d.watcher.Snapshot, Alive: d.gossip.Alive,
 		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Reached: func() bool { return d.reach.State() == reach.Sound },
-		CutOff: d.cutOff, Peers: d.relayPeers, Random: rand.Float64, Log: o.Log,
+		Late: d.pulse.Late, CutOff: d.cutOff, Peers: d.relayPeers, Random: rand.Float64, Log: o.Log,
 	})
 	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -72,7 +73,7 @@
 	f, j := x.front, x.job
 	conn, err := f.options.Pool.Get(x.ctx, x.slot.Endpoint.Address, j.needsNewConnection())
 	if err != nil {
-		if x.ctx.Err() == nil {
+		if x.ctx.Err() == nil && !x.ranLate(err) {
 			x.slot.Suspect()
 			f.options.Reach.Failed(x.slot.Endpoint.ID)
 		}
@@ -108,6 +109,13 @@
 	return x.readBody()
 }
 
+// ranLate reports whether this process may have run out of time by itself where a
+// connection timed out.
+func (x *exchange) ranLate(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout() && x.slot.Late() >= maxLate
+}
+
 // noteUnanswered records that a new connection ended without an answer, unless this daemon
 // ended it.
 func (x *exchange) noteUnanswered() {
--- a/front/send.go
+++ b/front/send.go
@@ -40,6 +40,7 @@
 	waitDivisor    = 3                       // a try waits for a slot for at most the remaining time divided by this, unless it may have run
 	maxWait        = 1200 * time.Millisecond // longest wait of a try for a slot, unless it may have run
 	deadlineMargin = 20 * time.Millisecond   // subtracted from the deadline sent to endpoints, for the response's way back
+	maxLate        = 200 * time.Millisecond  // lateness of this process from which a connection that timed out says nothing of the endpoint
 	confirmTimeout = 2 * time.Second         // longest wait for it to be known whether endpoints are reached
 	probeTimeout   = 400 * time.Millisecond  // for the connection that shows whether an endpoint crashed
 )
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -145,7 +145,7 @@
 func (p *Placer) endpoint(id string) *endpointState {
 	s, ok := p.endpoints[id]
 	if !ok {
-		s = &endpointState{id: id}
+		s = &endpointState{id: id, late: p.lateSince}
 		p.endpoints[id] = s
 	}
 	return s
--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -11,11 +11,12 @@
 // and from the reports of the other daemons.
 type endpointState struct {
 	id                   string
-	running              int       // requests of this daemon in progress
-	streams              int       // of these, streams that have sent an event
-	lastProgress         time.Time // time of the latest response or event, or of the first slot acquired while none was in use
-	gapSeconds           float64   // mean interval between events of a stream, smoothed; 0 before the first
-	failureRate          float64   // share of requests that failed, smoothed
+	late                 func(since time.Time) time.Duration // longest time for which this process ran late since
+	running              int                                 // requests of this daemon in progress
+	streams              int                                 // of these, streams that have sent an event
+	lastProgress         time.Time                           // time of the latest response or event, or of the first slot acquired while none was in use
+	gapSeconds           float64                             // mean interval between events of a stream, smoothed; 0 before the first
+	failureRate          float64                             // share of requests that failed, smoothed
 	lastFailure          time.Time
 	reportedStalledUntil time.Time // skipped until then, because another daemon reported it as stalled
 	suspectedUntil       time.Time // skipped until then, because Suspect was called
@@ -45,9 +46,13 @@
 	gapTolerance      = 1.6                     // factor up to which an interval between events counts as expected
 )
 
-// noProgress reports whether requests of this daemon are in progress and none makes progress.
+// noProgress reports whether requests of this daemon are in progress and none makes
+// progress. What came while this process ran late is not read yet, so that time doesn't
+// count.
 func (s *endpointState) noProgress(now time.Time) bool {
-	return s.running > 0 && now.Sub(s.lastProgress) > s.usualSilence()
+	usual := s.usualSilence()
+	silent := now.Sub(s.lastProgress)
+	return s.running > 0 && silent > usual && silent-s.late(s.lastProgress) > usual
 }
 
 // stalled reports whether the endpoint is stalled as this daemon observes it, or by a
--- a/pick/peer.go
+++ b/pick/peer.go
@@ -46,7 +46,7 @@
 func (p *Placer) peer(id string) *endpointState {
 	s, ok := p.peers[id]
 	if !ok {
-		s = &endpointState{id: id}
+		s = &endpointState{id: id, late: p.lateSince}
 		p.peers[id] = s
 	}
 	return s
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -17,14 +17,15 @@
 	Domain   string               // this daemon's failure domain
 	Boot     func() time.Duration // boot clock
 	Snapshot func() *watch.Snapshot
-	Alive    func() []gossip.Message // newest message of each other daemon that is alive
-	Budget   func() Budget           // current budget of each service; only its Extra is for all daemons together
-	Daemons  func() int              // daemons that share Budget.Extra and the rate of a cold endpoint, whether heard or not
-	Listed   func() int              // daemons that may serve, whether heard or not
-	Reached  func() bool             // whether this daemon has no doubt that it reaches endpoints
-	CutOff   func() bool             // whether this daemon is cut off from endpoints
-	Peers    func() []site.Daemon    // other daemons that requests may be sent through
-	Random   func() float64          // returns random numbers in [0, 1)
+	Alive    func() []gossip.Message                 // newest message of each other daemon that is alive
+	Budget   func() Budget                           // current budget of each service; only its Extra is for all daemons together
+	Daemons  func() int                              // daemons that share Budget.Extra and the rate of a cold endpoint, whether heard or not
+	Listed   func() int                              // daemons that may serve, whether heard or not
+	Reached  func() bool                             // whether this daemon has no doubt that it reaches endpoints
+	Late     func(since time.Duration) time.Duration // longest time for which this process ran late since a reading of the boot clock
+	CutOff   func() bool                             // whether this daemon is cut off from endpoints
+	Peers    func() []site.Daemon                    // other daemons that requests may be sent through
+	Random   func() float64                          // returns random numbers in [0, 1)
 	Log      logr.Logger
 }
 
@@ -206,3 +207,8 @@
 	s.unanswered = append(s.unanswered, slot)
 	return slot
 }
+
+// lateSince returns the longest time for which this process ran late since a time.
+func (p *Placer) lateSince(since time.Time) time.Duration {
+	return p.options.Late(p.options.Boot() - time.Since(since))
+}
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -86,11 +86,12 @@
 	if s.queue.hasIdle() && saturated(s.queue.arrivals.rate(now), s.queue.freed.rate(now)) {
 		return math.MaxInt64
 	}
-	patience := max(minPatience, time.Duration(patienceFactor*s.queue.firstEventSeconds*float64(time.Second)))
+	late := s.placer.lateSince(s.lastProgress) // what came meanwhile is not read yet
+	patience := late + max(minPatience, time.Duration(patienceFactor*s.queue.firstEventSeconds*float64(time.Second)))
 	if s.streaming && (s.state.gaps.known || s.queue.gaps.known) {
-		return max(patience, s.state.gaps.limit(), s.queue.gaps.limit())
+		return max(patience, late+s.state.gaps.limit(), late+s.queue.gaps.limit())
 	}
-	patience = max(patience, s.state.firsts.limit(), s.queue.firsts.limit())
+	patience = max(patience, late+s.state.firsts.limit(), late+s.queue.firsts.limit())
 	if s.streaming {
 		return patience
 	}
@@ -110,6 +111,13 @@
 	patienceFactor = 4           // multiple of the mean time to the first event
 )
 
+// Late returns the longest time for which this process ran late since the slot was acquired.
+func (s *Slot) Late() time.Duration {
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	return s.placer.lateSince(s.acquired)
+}
+
 // Suspect skips the endpoint for suspectPause. It is for an endpoint that could not
 // be reached or that answered that a request is misdirected.
 func (s *Slot) Suspect() {
--- a/pick/stalled_test.go
+++ b/pick/stalled_test.go
@@ -51,3 +51,25 @@
 	}
 	return avoid
 }
+
+// A daemon that runs late has not read what came meanwhile: endpoints whose events wait to be
+// read are not stalled, nor are their requests silent for too long.
+func TestLateDaemonFindsEndpointsStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		late := time.Duration(0)
+		p.options.Late = func(time.Duration) time.Duration { return late }
+		slot, err := p.Acquire(t.Context(), Request{Service: "s", Model: "m", Remaining: time.Second, MaxWait: time.Millisecond})
+		is.NoErr(err)
+		slot.Progress(true)
+		time.Sleep(minPatience + stallTimeout)
+		is.True(slot.Stalled() && slot.Patience() <= minPatience+stallTimeout)
+		late = minPatience + 50*time.Millisecond
+		is.True(!slot.Stalled())
+		is.True(slot.Patience() > minPatience+stallTimeout)
+		is.True(!p.Report().Endpoints["a"].Stalled)
+		time.Sleep(100 * time.Millisecond)
+		is.True(slot.Stalled()) // silent for longer than the lateness explains
+	})
+}
