--- a/front/relay.go
+++ b/front/relay.go
@@ -119,7 +119,9 @@
 	return x.readRelayed()
 }
 
-// readRelayed reads the body of an answer that is not streamed.
+// readRelayed reads the body of an answer that is not streamed. The other daemon's own
+// refusal is not passed on if another send of the request may have run, or run yet: it says
+// that the request has not run.
 func (x *exchange) readRelayed() result {
 	body, err := x.resp.ReadAll(responseLimit)
 	if err != nil {
@@ -127,6 +129,10 @@
 	}
 	x.slot.Progress(false)
 	x.answer = response{x.resp.StatusCode, platform.Incoming(x.resp.Header), body}
+	_, ran := x.job.tries.counts()
+	if ran > 1 && !platform.Signed(x.resp.Header) && platform.SaysNotRun(x.resp.StatusCode) {
+		return notRun
+	}
 	if x.from.headSent {
 		x.job.tries.useUp(x.job.route.Attempts)
 		x.job.tries.keep(x.answer)
