--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -56,6 +56,7 @@
 	faults     []faultSpan
 	crashes    []time.Time // when endpoints ended at a prompt
 	limited    int         // spans in which an endpoint stated a limit
+	compared   int         // cuts of daemons from all endpoints that were compared with the others
 	violations []string    // broken promises that were seen during the load
 }
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -59,6 +59,8 @@
 		cutPath(c.daemons[s.Target].callers, n, s)
 	case CutRunner:
 		cutPath(c.runners[s.Target].path, n, s)
+	case CutEndpoints:
+		c.cutEndpoints(n, s)
 	case Change:
 		c.change()
 	case StopAgain:
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -75,7 +75,7 @@
 	if !rec.kept {
 		kinds = append(kinds, CutCallers)
 	}
-	if e.cluster.disturbed(rec.daemon, from, rec.ended, kinds...) {
+	if e.cluster.disturbed(rec.daemon, from, rec.ended, kinds...) || e.cluster.beginsCut(rec) {
 		return true
 	}
 	return slices.ContainsFunc(e.acts, func(a simul.Act) bool { return e.runnerDisturbed(a.Runner, from, rec.ended) })
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -27,6 +27,7 @@
 	Change                    // writes a new configuration, which removes a key
 	StopAgain                 // SIGTERM to a daemon that may be stopping; it is not restarted for it
 	Rewrite                   // changes the settings file of a daemon, without a signal
+	CutEndpoints              // cuts one daemon off from all runners
 )
 
 // mixedFaults is the number of faults that the profile Mixed draws from. It stays as it
@@ -78,6 +79,9 @@
 
 // plan returns the faults of a soak.
 func (o Options) plan() []Step {
+	if o.Profile == Cuts {
+		return planCuts(o.Seed, o.Length, o.Daemons, o.Runners)
+	}
 	if o.Profile != Mixed {
 		return planStops(o.Seed, o.Length, o.Daemons, o.Runners)
 	}
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -20,13 +20,15 @@
 	Crashes
 	// Limits is Stops with more requests than endpoints take by the limits that they state.
 	Limits
+	// Cuts cuts daemons off from all endpoints while others are stopped.
+	Cuts
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Profile -output=profile_string.go
 
 // Profiles returns all profiles by name.
 func Profiles() map[string]Profile {
-	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits}
+	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits, "cuts": Cuts}
 }
 
 // traits are the properties of a profile.
@@ -38,6 +40,7 @@
 	kept           bool // whether there are callers that stay with a daemon
 	crashes        bool // whether there are prompts that crash endpoints
 	limits         bool // whether endpoints state limits
+	cuts           bool // whether daemons are cut off from endpoints, so that their connections come from addresses of their own
 	faults         simul.Faults
 }
 
@@ -62,6 +65,12 @@
 			faults: simul.Faults{Stutter: 0.02, Reset: 0.01, Fail: 0.01, Busy: 0.02},
 		}
 	}
+	if p == Cuts {
+		return traits{
+			events: 8, streamInterval: 60 * time.Millisecond, fileInterval: 60 * time.Millisecond, plainShare: 3, kept: true, cuts: true,
+			faults: simul.Faults{Stutter: 0.02, Fail: 0.01, Busy: 0.02},
+		}
+	}
 	return traits{events: 20, streamInterval: 50 * time.Millisecond, fileInterval: 40 * time.Millisecond, plainShare: 1 << 30}
 }
 
@@ -80,10 +89,10 @@
 // pace is the range of the times between two events of an endpoint.
 type pace struct{ shortest, longest time.Duration }
 
-// pace returns the pace of an endpoint. In Crashes and Limits it is the usual one. In Stops
+// pace returns the pace of an endpoint. In Crashes, Limits and Cuts it is the usual one. In Stops
 // no, a third or all of the endpoints, by seed, are far slower than usual, but sound.
 func (p Profile) pace(seed uint64, runner int, plain bool) pace {
-	if p == Limits || p == Crashes && !plain {
+	if p == Limits || p == Cuts || p == Crashes && !plain {
 		return pace{20 * time.Millisecond, 120 * time.Millisecond}
 	}
 	slow := seed%3 == 2 || seed%3 == 1 && runner%3 == 0
--- a/soak/profile_string.go
+++ b/soak/profile_string.go
@@ -12,11 +12,12 @@
 	_ = x[Stops-1]
 	_ = x[Crashes-2]
 	_ = x[Limits-3]
+	_ = x[Cuts-4]
 }
 
-const _Profile_name = "MixedStopsCrashesLimits"
+const _Profile_name = "MixedStopsCrashesLimitsCuts"
 
-var _Profile_index = [...]uint8{0, 5, 10, 17, 23}
+var _Profile_index = [...]uint8{0, 5, 10, 17, 23, 27}
 
 func (i Profile) String() string {
 	idx := int(i) - 0
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,11 @@
 // eleven times what they took.
 var limitSeeds = []uint64{1}
 
+// cutSeeds are seeds of the profile Cuts that failed in the past.
+var cutSeeds = []uint64{
+	2, // requests that ran were said not to have run
+}
+
 // Seeds that failed in the past break no promise any more.
 func TestFailedSeeds(t *testing.T) {
 	runSeeds(t, failedSeeds, Options{Daemons: 3, Runners: 8, Length: 10 * time.Second})
@@ -145,3 +150,27 @@
 func TestEndpointsGetMoreThanTheLimitTheyState(t *testing.T) {
 	runSeeds(t, limitSeeds, Options{Profile: Limits, Daemons: 3, Runners: 10, Length: 16 * time.Second})
 }
+
+// Daemons that are cut off from all endpoints serve hardly less often than the others, while
+// daemons are stopped and endpoints restarted.
+func TestCutOffDaemonsServeFarLess(t *testing.T) {
+	runSeeds(t, cutSeeds, Options{Profile: Cuts, Daemons: 3, Runners: 12, Length: 26 * time.Second})
+}
+
+// The plans of the profile Cuts cut off one daemon at least in each round, and never all.
+func TestPlansOfCuts(t *testing.T) {
+	is := is.New(t)
+	hows := map[Cut]bool{}
+	for seed := range uint64(40) {
+		is.Equal(planCuts(seed, 26*time.Second, 3, 12), planCuts(seed, 26*time.Second, 3, 12))
+		cut := map[int]bool{}
+		for _, s := range planCuts(seed, cutRound, 3, 12) {
+			if s.Fault == CutEndpoints {
+				cut[s.Target] = true
+				hows[s.Cut] = true
+			}
+		}
+		is.True(len(cut) == 1 || len(cut) == 2)
+	}
+	is.Equal(len(hows), len(endpointCuts))
+}
--- a/soak/start.go
+++ b/soak/start.go
@@ -102,6 +102,9 @@
 		"id": name, "domain": "north", "region": "r", "caller": d.caller, "ready": d.ready, "guide": d.guide, "peer": simul.Address(),
 		"store": d.store.Address(), "revoke": revoke.Milliseconds(), "apply": apply.Milliseconds(), "grace": grace.Seconds(), "ratio": 0.2, "extra": extraRetries, "window": 10, "memory": 284,
 	}
+	if c.traits.cuts {
+		d.settings["source"] = sourceOf(i)
+	}
 	path := filepath.Join(c.options.Dir, name+".json")
 	if err := writeSettings(path, d.settings); err != nil {
 		return &Error{Op: "settings", Kind: Start, Err: err}
