--- a/edge/edge.go
+++ b/edge/edge.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -156,62 +155,6 @@
 	return site.Limits{}
 }
 
-// peers returns the other daemons that callers should connect to: those that accept them
-// and reach endpoints or, if this daemon knows of none that does, all that accept them.
-func (d *Daemon) peers() []site.Daemon {
-	var reaching, ready []site.Daemon
-	for _, m := range d.gossip.Alive() {
-		if !m.Ready {
-			continue
-		}
-		ready = append(ready, m.From)
-		if !m.Cut {
-			reaching = append(reaching, m.From)
-		}
-	}
-	if len(reaching) == 0 && d.cutOff() {
-		return ready
-	}
-	return reaching
-}
-
-// offersItself reports whether callers should connect to this daemon, as peers says of the
-// others.
-func (d *Daemon) offersItself() bool {
-	if !d.ready() || !d.cutOff() {
-		return d.ready()
-	}
-	return !slices.ContainsFunc(d.gossip.Alive(), func(m gossip.Message) bool { return m.Ready && !m.Cut })
-}
-
-// daemonCount returns the number of daemons that the budget is divided among.
-func (d *Daemon) daemonCount() int {
-	return countDaemons(d.self.ID, d.watcher.Snapshot().Daemons, d.gossip.Alive())
-}
-
-// listedCount returns the number of daemons that may serve.
-func (d *Daemon) listedCount() int {
-	return countListed(d.self.ID, d.watcher.Snapshot().Daemons, d.gossip.Alive())
-}
-
-// countDaemons is countListed, or minDaemons if that is larger.
-func countDaemons(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
-	return max(minDaemons, countListed(self, listed, heard))
-}
-
-// countListed returns the number of daemons that are listed in the store or heard by
-// gossip, including this one. Those that are listed and not heard may still serve.
-func countListed(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
-	known := map[string]bool{self: true}
-	for id := range listed {
-		known[id] = true
-	}
-	for _, m := range heard {
-		known[m.From.ID] = true
-	}
-	return len(known)
-}
-
 // demand returns the demand that this daemon reports.
 func (d *Daemon) demand() map[string]int {
 	return d.placer.Report().Demand
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -10,12 +10,11 @@
 	"github.com/matryer/is"
 )
 
-// A request that crashes endpoints is refused after the third crash, also by a
-// daemon that learned of the crashes from others.
-func TestCrashingRequestIsRefused(t *testing.T) {
-	is := is.New(t)
+// newCrashing starts endpoints that crash at each request and are back soon.
+func newCrashing(t *testing.T, ids ...string) []*stub {
+	t.Helper()
 	var stubs []*stub
-	for _, id := range []string{"a", "b", "c"} {
+	for _, id := range ids {
 		b := newStub(t, id, nil)
 		b.script = func(io.Writer, *http.Request) bool {
 			b.crash(150 * time.Millisecond)
@@ -23,6 +22,14 @@
 		}
 		stubs = append(stubs, b)
 	}
+	return stubs
+}
+
+// A request that crashes endpoints is refused after the third crash, also by a
+// daemon that learned of the crashes from others.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	is := is.New(t)
+	stubs := newCrashing(t, "a", "b", "c")
 	runs := func() int { return stubs[0].count() + stubs[1].count() + stubs[2].count() }
 	f := newFixture(t, "plain", stubs...)
 	for range 40 {
@@ -79,15 +86,7 @@
 // suspected everywhere.
 func TestCutOffCountsAsCrashes(t *testing.T) {
 	is := is.New(t)
-	var stubs []*stub
-	for _, id := range []string{"a", "b", "c"} {
-		b := newStub(t, id, nil)
-		b.script = func(io.Writer, *http.Request) bool {
-			b.crash(150 * time.Millisecond)
-			return false
-		}
-		stubs = append(stubs, b)
-	}
+	stubs := newCrashing(t, "a", "b", "c")
 	f := newFixture(t, "plain", stubs...)
 	f.front.options.Reach = newReach(t, false)
 	for range 20 {
--- a/pick/limit.go
+++ b/pick/limit.go
@@ -185,6 +185,19 @@
 	return rate, used
 }
 
+// addLimits adds to the state of a queue what the endpoints that serve it have asked for:
+// for how long all are paused or their limits leave nothing, and the slots that their
+// limits let be freed.
+func (p *Placer) addLimits(state *QueueState, endpoints []site.Endpoint, q *queue, now time.Time) {
+	if len(endpoints) == 0 {
+		return
+	}
+	state.Paused = p.unavailableFor(endpoints, q, now)
+	rate, used := p.limitedRate(endpoints, q, now)
+	state.Limited = used
+	state.FreeRate = min(state.FreeRate, rate)
+}
+
 // recentSends returns the number of this daemon's sends within limitWindow.
 func (s *endpointState) recentSends(now time.Time) int {
 	s.sends = trim(s.sends, now.Add(-limitWindow))
--- a/pick/notice.go
+++ b/pick/notice.go
@@ -81,19 +81,6 @@
 	return 0
 }
 
-// addLimits adds to the state of a queue what the endpoints that serve it have asked for:
-// for how long all are paused or their limits leave nothing, and the slots that their
-// limits let be freed.
-func (p *Placer) addLimits(state *QueueState, endpoints []site.Endpoint, q *queue, now time.Time) {
-	if len(endpoints) == 0 {
-		return
-	}
-	state.Paused = p.unavailableFor(endpoints, q, now)
-	rate, used := p.limitedRate(endpoints, q, now)
-	state.Limited = used
-	state.FreeRate = min(state.FreeRate, rate)
-}
-
 // unavailableFor returns the time until the first of the endpoints takes requests again
 // after a pause or by its limit, or 0 if one does now or there are none.
 func (p *Placer) unavailableFor(endpoints []site.Endpoint, q *queue, now time.Time) time.Duration {
