--- a/front/relay_test.go
+++ b/front/relay_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,12 +90,15 @@
 	for _, path := range []string{"/file/x", "/read/x"} {
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
-			came := 0
-			end := func(*http.Request) bool { came++; return false }
+			var came atomic.Int64
+			end := func(*http.Request) bool {
+				came.Add(1)
+				return false
+			}
 			r := newRelayRig(t, "plain", signed(200, "ok"), end)
 			r.cut.peers = append(r.cut.peers, r.sound.peerOf(t, "second", end))
 			is.Equal(r.cut.call(t, "POST", path, nil).status, http.StatusBadGateway)
-			is.Equal(came, 1) // it may have used all attempts there
+			is.Equal(came.Load(), int64(1)) // it may have used all attempts there
 		})
 	}
 }
@@ -144,16 +148,18 @@
 // endpoints than are left of those that the route allows.
 func TestLimitsThroughAnotherDaemon(t *testing.T) {
 	is := is.New(t)
-	var relay platform.Relay
-	deadline := ""
+	var relay atomic.Pointer[platform.Relay]
+	var deadline atomic.Pointer[string]
 	r := newRelayRig(t, "plain", raw("HTTP/1.1 500 X\r\nX-Request-Id: %s\r\nX-Server-Signature: s\r\nContent-Length: 0\r\n\r\n", true), func(r *http.Request) bool {
-		relay, _ = platform.ParseRelay(r.Header)
-		deadline = r.Header.Get("X-Deadline-Ms")
+		stated, _ := platform.ParseRelay(r.Header)
+		left := r.Header.Get("X-Deadline-Ms")
+		relay.Store(&stated)
+		deadline.Store(&left)
 		return true
 	})
 	is.Equal(r.cut.call(t, "GET", "/read/x", nil).status, http.StatusInternalServerError)
-	is.Equal(relay, platform.Relay{Daemon: "plain-daemon", Attempts: 2, Version: 3})
-	is.True(len(deadline) == 4 && deadline <= "2000")
+	is.Equal(*relay.Load(), platform.Relay{Daemon: "plain-daemon", Attempts: 2, Version: 3})
+	is.True(len(*deadline.Load()) == 4 && *deadline.Load() <= "2000")
 	is.True(r.endpoint.count() <= 2)
 	r.sound.call(t, "GET", "/read/x", nil)
 	direct := httptest.NewRequest("GET", "/read/x", http.NoBody)
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,23 +15,32 @@
 	"clementinehead.example/chead/site"
 )
 
-// rig is a Reach that runs in front of endpoints of which some answer.
-type rig struct {
-	*Reach
-	endpoints    int
+// world is what a Reach finds.
+type world struct {
 	dead         int           // of the endpoints, the first ones don't answer
 	hangs        bool          // one that doesn't answer says nothing until the timeout
 	late         time.Duration // lateness of the process
 	silent, used int
-	probes       int
 }
 
+// rig is a Reach that runs in front of endpoints of which some answer.
+type rig struct {
+	*Reach
+	endpoints int
+	world     atomic.Pointer[world]
+	probes    atomic.Int64
+}
+
+// find sets what the Reach finds from now on.
+func (r *rig) find(w world) { r.world.Store(&w) }
+
 func newRig(t *testing.T, endpoints int) *rig {
 	t.Helper()
 	r := &rig{endpoints: endpoints}
+	r.find(world{})
 	began := time.Now()
 	r.Reach = New(Options{
-		Boot: func() time.Duration { return time.Since(began) }, Late: func(time.Duration) time.Duration { return r.late },
+		Boot: func() time.Duration { return time.Since(began) }, Late: func(time.Duration) time.Duration { return r.world.Load().late },
 		Endpoints: func() []site.Endpoint {
 			list := make([]site.Endpoint, r.endpoints)
 			for i := range list {
@@ -38,13 +48,14 @@
 			}
 			return list
 		},
-		Silence: func() (int, int) { return r.silent, r.used },
+		Silence: func() (int, int) { return r.world.Load().silent, r.world.Load().used },
 		Probe: func(ctx context.Context, e site.Endpoint) error {
-			r.probes++
-			if e.Slots >= r.dead {
+			r.probes.Add(1)
+			found := r.world.Load()
+			if e.Slots >= found.dead {
 				return nil
 			}
-			if r.hangs {
+			if found.hangs {
 				<-ctx.Done()
 			}
 			return errors.New("no answer")
@@ -69,7 +80,7 @@
 // to doubt that it reaches any.
 func TestCutOff(t *testing.T) {
 	run(t, "connections are refused", 60, func(is *is.I, r *rig) {
-		r.dead = 60
+		r.find(world{dead: 60})
 		r.Failed("a")
 		time.Sleep(time.Second)
 		is.Equal(r.State(), Sound) // one endpoint may be dead
@@ -79,15 +90,14 @@
 		is.Equal(r.State(), Cut)
 	})
 	run(t, "everything is silent", 60, func(is *is.I, r *rig) {
-		r.dead, r.hangs = 60, true
-		r.silent, r.used = 5, 5
+		r.find(world{dead: 60, hangs: true, silent: 5, used: 5})
 		time.Sleep(period + time.Millisecond)
 		is.Equal(r.State(), Doubt)
 		time.Sleep(ProbeTimeout)
 		is.Equal(r.State(), Cut)
 	})
 	run(t, "the only endpoint", 1, func(is *is.I, r *rig) {
-		r.dead = 1
+		r.find(world{dead: 1})
 		r.Failed("a")
 		time.Sleep(time.Millisecond)
 		is.Equal(r.State(), Cut)
@@ -97,15 +107,15 @@
 // Dead endpoints, silent ones and a process that runs late are no cut.
 func TestNotCutOff(t *testing.T) {
 	run(t, "two endpoints are dead", 60, func(is *is.I, r *rig) {
-		r.dead = 2
+		r.find(world{dead: 2})
 		r.Failed("a")
 		r.Failed("b")
 		time.Sleep(time.Millisecond)
 		is.Equal(r.State(), Sound)
-		is.Equal(r.probes, probed)
+		is.Equal(r.probes.Load(), int64(probed))
 	})
 	run(t, "another one was reached between", 60, func(is *is.I, r *rig) {
-		r.dead = 60
+		r.find(world{dead: 60})
 		for range 20 {
 			r.Failed("a")
 			r.Reached()
@@ -114,19 +124,18 @@
 		}
 		time.Sleep(time.Second)
 		is.Equal(r.State(), Sound)
-		is.Equal(r.probes, 0)
+		is.Equal(r.probes.Load(), int64(0))
 	})
 	run(t, "some are silent", 60, func(is *is.I, r *rig) {
-		r.silent, r.used = 4, 5
+		r.find(world{silent: 4, used: 5})
 		time.Sleep(time.Second)
-		is.Equal(r.probes, 0)
+		is.Equal(r.probes.Load(), int64(0))
 	})
 	run(t, "the process runs late", 60, func(is *is.I, r *rig) {
-		r.dead, r.hangs, r.late = 60, true, time.Second
-		r.silent, r.used = 5, 5
+		r.find(world{dead: 60, hangs: true, late: time.Second, silent: 5, used: 5})
 		time.Sleep(time.Second)
 		is.Equal(r.State(), Doubt)
-		r.dead, r.silent = 0, 0
+		r.find(world{late: time.Second})
 		time.Sleep(2 * ProbeTimeout)
 		is.Equal(r.State(), Sound)
 	})
@@ -140,24 +149,24 @@
 // A cut ends once endpoints answer twice in a row; one that comes and goes lasts.
 func TestCutEnds(t *testing.T) {
 	run(t, "for good", 60, func(is *is.I, r *rig) {
-		r.dead = 60
+		r.find(world{dead: 60})
 		r.Failed("a")
 		r.Failed("b")
 		time.Sleep(5 * time.Second)
 		is.Equal(r.State(), Cut)
-		is.True(r.probes <= probed*12) // a round each half second
-		r.dead = 0
+		is.True(r.probes.Load() <= probed*12) // a round each half second
+		r.find(world{})
 		time.Sleep(2*pause + 3*period)
 		is.Equal(r.State(), Sound)
 	})
 	run(t, "comes and goes", 60, func(is *is.I, r *rig) {
-		r.dead = 60
+		r.find(world{dead: 60})
 		r.Failed("a")
 		r.Failed("b")
 		for range 10 {
-			r.dead = 60
+			r.find(world{dead: 60})
 			time.Sleep(pause + period)
-			r.dead = 0
+			r.find(world{})
 			time.Sleep(pause)
 			is.Equal(r.State(), Cut)
 		}
@@ -172,15 +181,15 @@
 		time.Sleep(time.Second)
 		r.Reached()
 		is.True(r.Confirm(context.Background(), since))
-		is.Equal(r.probes, 0)
+		is.Equal(r.probes.Load(), int64(0))
 	})
 	run(t, "endpoints answer", 60, func(is *is.I, r *rig) {
 		time.Sleep(time.Second)
 		is.True(r.Confirm(context.Background(), r.options.Boot()))
-		is.Equal(r.probes, probed)
+		is.Equal(r.probes.Load(), int64(probed))
 	})
 	run(t, "none answers", 60, func(is *is.I, r *rig) {
-		r.dead, r.hangs = 60, true
+		r.find(world{dead: 60, hangs: true})
 		time.Sleep(time.Second)
 		began := time.Now()
 		is.True(!r.Confirm(context.Background(), r.options.Boot()))
