--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -83,9 +83,11 @@
 			continue
 		}
 		from := f.from.Add(contact)
-		served, all := c.servedBy(records, from, f.to, func(daemon int) bool { return daemon == f.step.Target })
-		othersServed, others := c.servedBy(records, from, f.to, func(daemon int) bool {
-			return !c.disturbed(daemon, f.from, f.to, CutEndpoints)
+		served, all := c.servedBy(records, from, f.to, func(rec record) bool {
+			return rec.daemon == f.step.Target && c.reachedBySome(rec.sent, rec.ended)
+		})
+		othersServed, others := c.servedBy(records, from, f.to, func(rec record) bool {
+			return !c.disturbed(rec.daemon, f.from, f.to, CutEndpoints)
 		})
 		if all < enoughCuts || others < enoughCuts {
 			continue
@@ -98,11 +100,23 @@
 	return broken
 }
 
-// servedBy returns how many requests sent within a span to some daemons that were not
-// otherwise disturbed were served, and how many there were.
-func (c *cluster) servedBy(records []record, from, to time.Time, by func(daemon int) bool) (served, all int) {
+// reachedBySome reports whether a daemon that was neither cut off from all endpoints nor
+// otherwise disturbed within a span could serve callers or requests of others. A daemon that
+// stops takes none.
+func (c *cluster) reachedBySome(from, to time.Time) bool {
+	for i := range c.daemons {
+		if c.inTouch(i, from, to) && !c.disturbed(i, from, to, CutEndpoints) {
+			return true
+		}
+	}
+	return false
+}
+
+// servedBy returns how many requests of those chosen, sent within a span to daemons that were
+// not otherwise disturbed, were served, and how many there were.
+func (c *cluster) servedBy(records []record, from, to time.Time, chosen func(rec record) bool) (served, all int) {
 	for _, rec := range records {
-		if rec.key != "good-key" || rec.sent.Before(from) || rec.sent.After(to) || !by(rec.daemon) || !c.inTouch(rec.daemon, rec.sent, rec.ended) {
+		if rec.key != "good-key" || rec.sent.Before(from) || rec.sent.After(to) || !chosen(rec) || !c.inTouch(rec.daemon, rec.sent, rec.ended) {
 			continue
 		}
 		all++
