--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -222,7 +222,7 @@
 	began := time.Now()
 	r := reach.New(reach.Options{
 		Boot: func() time.Duration { return time.Since(began) }, Late: func(time.Duration) time.Duration { return 0 },
-		Endpoints: func() []site.Endpoint { return make([]site.Endpoint, 100) }, Silence: func() (int, int) { return 0, 0 },
+		Endpoints: func() []site.Endpoint { return make([]site.Endpoint, 100) }, Silence: func() (int, bool) { return 0, false },
 		Probe: func(context.Context, site.Endpoint) error {
 			if reached {
 				return nil
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -57,21 +57,19 @@
 	return s.state.stalled(time.Now())
 }
 
-// Silence returns the number of endpoints at which requests of this daemon are in
-// progress, and of those of them that make no progress.
-func (p *Placer) Silence() (silent, used int) {
+// Silence returns the number of endpoints that make no progress with requests of this daemon,
+// and whether none made any lately. An endpoint that just got its first request isn't silent
+// yet, so that in a large fleet there is always one that isn't.
+func (p *Placer) Silence() (silent int, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	for _, s := range p.endpoints {
-		if s.running > 0 {
-			used++
-		}
 		if s.noProgress(now) {
 			silent++
 		}
 	}
-	return silent, used
+	return silent, now.Sub(p.progressed) > firstEventTimeout
 }
 
 // Patience returns how long a request may receive nothing from an endpoint that
--- a/pick/stalled_test.go
+++ b/pick/stalled_test.go
@@ -73,3 +73,33 @@
 		is.True(slot.Stalled()) // silent for longer than the lateness explains
 	})
 }
+
+// All endpoints fall silent while requests go on to idle ones, which are not silent yet: in a
+// large fleet there is always one. Nothing makes progress all the same.
+func TestSilenceWhileRequestsGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ids := make([]string, 40)
+		for i := range ids {
+			ids[i] = string(rune('a'+i/10)) + string(rune('0'+i%10))
+		}
+		p := newFixture(ids...)
+		acquire := func() *Slot {
+			slot, err := p.Acquire(t.Context(), Request{Service: "s", Model: "m", Remaining: time.Second, MaxWait: time.Millisecond})
+			is.NoErr(err)
+			return slot
+		}
+		acquire().Progress(true)
+		_, all := p.Silence()
+		is.True(!all)
+		for range 30 {
+			time.Sleep(50 * time.Millisecond)
+			acquire()
+		}
+		silent, all := p.Silence()
+		is.True(silent >= 2 && all)
+		acquire().Progress(true)
+		_, all = p.Silence()
+		is.True(!all)
+	})
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -28,7 +28,7 @@
 const (
 	period      = 100 * time.Millisecond  // between two looks
 	memory      = 1500 * time.Millisecond // for which a failure counts
-	suspicious  = 2                       // endpoints that fail, or that are silent while all are, from which there is doubt
+	suspicious  = 2                       // endpoints that fail, or that are silent while none makes progress, from which there is doubt
 	probed      = 3                       // endpoints asked in a round
 	pause       = 500 * time.Millisecond  // between two rounds while cut off
 	maxLate     = 200 * time.Millisecond  // lateness of the process from which a round without an answer says nothing
@@ -42,7 +42,7 @@
 	Boot      func() time.Duration                             // boot clock
 	Late      func(since time.Duration) time.Duration          // longest time for which this process ran late since a reading of the boot clock
 	Endpoints func() []site.Endpoint                           // those that may be asked
-	Silence   func() (silent, used int)                        // endpoints with requests of this daemon in progress, and those of them without progress
+	Silence   func() (silent int, all bool)                    // endpoints that make no progress with requests of this daemon, and whether none made any lately
 	Probe     func(ctx context.Context, e site.Endpoint) error // gets any answer over a new connection
 	Log       logr.Logger
 	Registry  prometheus.Registerer
@@ -136,11 +136,11 @@
 	}
 }
 
-// look begins to doubt if all endpoints in use are silent, and asks endpoints if that is due.
+// look begins to doubt if endpoints are silent and none makes progress, and asks endpoints if that is due.
 func (r *Reach) look(ctx context.Context) {
-	silent, used := r.options.Silence()
+	silent, all := r.options.Silence()
 	r.mu.Lock()
-	if r.State() == Sound && used >= suspicious && silent == used {
+	if r.State() == Sound && silent >= suspicious && all {
 		r.doubt()
 	}
 	state, since := r.State(), r.since
@@ -259,8 +259,8 @@
 
 // log logs a change of the state with what it rests on. The lock must be held.
 func (r *Reach) log(line string, got round) {
-	silent, used := r.options.Silence()
+	silent, all := r.options.Silence()
 	now := r.options.Boot()
 	r.options.Log.Info(line, "before", r.State().String(), "failed", len(r.failed), "reached_ms", (now - r.reached).Milliseconds(),
-		"silent", silent, "used", used, "asked", got.asked, "answered", got.answered, "late_ms", got.late.Milliseconds())
+		"silent", silent, "all", all, "asked", got.asked, "answered", got.answered, "late_ms", got.late.Milliseconds())
 }
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -17,10 +17,11 @@
 
 // world is what a Reach finds.
 type world struct {
-	dead         int           // of the endpoints, the first ones don't answer
-	hangs        bool          // one that doesn't answer says nothing until the timeout
-	late         time.Duration // lateness of the process
-	silent, used int
+	dead   int           // of the endpoints, the first ones don't answer
+	hangs  bool          // one that doesn't answer says nothing until the timeout
+	late   time.Duration // lateness of the process
+	silent int
+	all    bool // silent
 }
 
 // rig is a Reach that runs in front of endpoints of which some answer.
@@ -48,7 +49,7 @@
 			}
 			return list
 		},
-		Silence: func() (int, int) { return r.world.Load().silent, r.world.Load().used },
+		Silence: func() (int, bool) { return r.world.Load().silent, r.world.Load().all },
 		Probe: func(ctx context.Context, e site.Endpoint) error {
 			r.probes.Add(1)
 			found := r.world.Load()
@@ -90,7 +91,7 @@
 		is.Equal(r.State(), Cut)
 	})
 	run(t, "everything is silent", 60, func(is *is.I, r *rig) {
-		r.find(world{dead: 60, hangs: true, silent: 5, used: 5})
+		r.find(world{dead: 60, hangs: true, silent: 5, all: true})
 		time.Sleep(period + time.Millisecond)
 		is.Equal(r.State(), Doubt)
 		time.Sleep(ProbeTimeout)
@@ -127,12 +128,12 @@
 		is.Equal(r.probes.Load(), int64(0))
 	})
 	run(t, "some are silent", 60, func(is *is.I, r *rig) {
-		r.find(world{silent: 4, used: 5})
+		r.find(world{silent: 4})
 		time.Sleep(time.Second)
 		is.Equal(r.probes.Load(), int64(0))
 	})
 	run(t, "the process runs late", 60, func(is *is.I, r *rig) {
-		r.find(world{dead: 60, hangs: true, late: time.Second, silent: 5, used: 5})
+		r.find(world{dead: 60, hangs: true, late: time.Second, silent: 5, all: true})
 		time.Sleep(time.Second)
 		is.Equal(r.State(), Doubt)
 		r.find(world{late: time.Second})
