front: callers whose deadlines differ aren't taken for further tries

Cause: the time that a caller had spent before was the longest deadline of its route less its own. Change: the earliest usual deadline is as far below a running median as the longest one is above it. Ruled out: a low quantile, which the returned callers shift in an overload.

--- a/front/deadline.go
+++ b/front/deadline.go
@@ -5,30 +5,60 @@
 	"time"
 )
 
-// minPriorTime is the difference from the longest deadline of a route from which a
-// request is taken to be a further try of its caller.
-const minPriorTime = 150 * time.Millisecond
+const (
+	minPriorTime = 150 * time.Millisecond // least time before the earliest usual deadline from which a request counts as a further try of its caller
+	medianStep   = 0.005                  // step of the running median, as a fraction of the longest deadline
+)
 
-// deadlines holds the longest deadline received on each route. A caller that sends
-// a shorter one is taken to have spent the difference on earlier tries of its own.
-// The zero value is ready to use.
+// deadlines estimates from the deadlines of each route which requests are further tries of
+// their callers: those have less time left than callers usually give. The zero value is
+// ready to use.
 type deadlines struct {
-	mu      sync.Mutex
-	longest map[string]time.Duration // by route
+	mu     sync.Mutex
+	routes map[string]*usualDeadline
+}
+
+// usualDeadline is what is known of the deadlines that callers of a route give at their first
+// try. They need not all be the same.
+type usualDeadline struct {
+	longest time.Duration
+	median  time.Duration // running estimate (Ma, Muthukrishnan and Sandler, "Frugal Streaming for Estimating Quantiles", 2013)
 }
 
-// priorTime returns the time that a caller with a deadline has spent on earlier
-// tries of its own, or 0 if this seems to be its first.
+// add adds the deadline of a request.
+func (u *usualDeadline) add(deadline time.Duration) {
+	u.longest = max(u.longest, deadline)
+	step := time.Duration(medianStep * float64(u.longest))
+	switch {
+	case u.median == 0:
+		u.median = deadline
+	case deadline > u.median:
+		u.median = min(deadline, u.median+step)
+	case deadline < u.median:
+		u.median = max(deadline, u.median-step)
+	}
+}
+
+// earliest returns the shortest deadline that callers usually give at their first try. It
+// is as far below the median as the longest is above it, since the short side has the
+// further tries too.
+func (u *usualDeadline) earliest() time.Duration { return 2*u.median - u.longest }
+
+// priorTime returns the time that a caller with a deadline has spent on earlier tries of its
+// own, at least, or 0 if this may be its first.
 func (d *deadlines) priorTime(route string, deadline time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.longest == nil {
-		d.longest = map[string]time.Duration{}
+	if d.routes == nil {
+		d.routes = map[string]*usualDeadline{}
 	}
-	if deadline > d.longest[route] {
-		d.longest[route] = deadline
+	usual, known := d.routes[route]
+	if !known {
+		usual = &usualDeadline{}
+		d.routes[route] = usual
 	}
-	prior := d.longest[route] - deadline
+	prior := usual.earliest() - deadline
+	usual.add(deadline)
 	if prior < minPriorTime {
 		return 0
 	}
