front: requests wait for a starting daemon's first configuration

Change: within a second of its start a daemon holds requests until it has a configuration by which it may accept keys; later it refuses at once, as before. Ruled out: waiting whenever there is no configuration (a store that is down for long can't be waited for).

--- a/front/front.go
+++ b/front/front.go
@@ -48,6 +48,7 @@
 // create one.
 type Front struct {
 	options   Options
+	began     time.Time
 	phase     atomic.Int32
 	jobs      jobs
 	refused   atomic.Int64 // requests that came too late in a shutdown
@@ -56,7 +57,7 @@
 }
 
 // New returns a Front.
-func New(o Options) *Front { return &Front{options: o} }
+func New(o Options) *Front { return &Front{options: o, began: time.Now()} }
 
 // job is the state of one request in progress.
 type job struct {
@@ -102,6 +103,7 @@
 	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now()}
 	f.jobs.add(j)
 	defer f.jobs.remove(j)
+	f.awaitStart(r.Context())
 	f.awaitVersion(r.Context(), f.newest.Load())
 	if refusal := f.admitUnlessStopped(j); refusal != nil {
 		f.refuse(j, refusal)
