level, pick: endpoints are levelled by what daemons have sent since the news

Cause: with 66 daemons and more the load of the others is known after about 0.4 s. Change: package level; the requests that the others are expected to have sent since are divided so that all endpoints come to the same cost; loads that were reported age by the time that requests take. gossip tells the usual delay. Where little was sent since, the cheapest is chosen as before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -95,6 +95,7 @@
 	})
 	d.placer = pick.New(pick.Options{
 		Domain: s.Domain, Boot: clock.Boot, Snapshot: d.watcher.Snapshot, Alive: d.gossip.Alive,
+		Delay:  func() time.Duration { return d.gossip.Delay() + applyPeriod/2 },
 		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Reached: func() bool { return d.reach.State() == reach.Sound },
 		Late: d.pulse.Late, CutOff: d.cutOff, Peers: d.relayPeers, Random: rand.Float64, Log: o.Log,
 	})
@@ -176,10 +177,13 @@
 	return m
 }
 
+// applyPeriod is the time between two calls of applyGossip's work.
+const applyPeriod = 100 * time.Millisecond
+
 // applyGossip passes the messages of the other daemons to the placer and their crash
-// counts to crashes, ten times a second.
+// counts to crashes.
 func (d *Daemon) applyGossip(ctx context.Context) error {
-	tick := time.NewTicker(100 * time.Millisecond)
+	tick := time.NewTicker(applyPeriod)
 	defer tick.Stop()
 	for {
 		select {
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -24,6 +24,27 @@
 	return slices.Clip(g.alive)
 }
 
+// Delay returns the mean time until a change of another daemon's load is known here: half
+// of the time between two messages on each part of its way.
+func (g *Gossip) Delay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.followedSum(g.options.Boot()) != nil {
+		return (followerRounds + 1 + followerCycle) * period / 2
+	}
+	sum, n := time.Duration(0), 0
+	for _, p := range g.peers {
+		if g.counts(p.message) {
+			sum += min(p.interval, p.silenceLimit())
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(2*n)
+}
+
 // view returns the messages that Alive returns. The lock must be held.
 func (g *Gossip) view(now time.Duration) []Message {
 	loads := []Message{}
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -1,11 +1,17 @@
 package pick
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"clementinehead.example/chead/level"
+)
 
 // Candidate is an endpoint that a request could be sent to.
 type Candidate struct {
 	ID          string
-	Load        int           // requests of all daemons in progress there
+	Load        int           // requests of all daemons in progress there, as last reported
+	Expected    float64       // requests of all daemons that are expected to be in progress there now, of those that were reported
 	ReadTime    time.Duration // to read the prompts that wait there and that of the request
 	Slots       int           // requests that it runs at once
 	Slowdown    float64       // interval between events as a multiple of the expected one; at least 1
@@ -36,7 +42,7 @@
 	best := -1
 	cost := time.Duration(0)
 	for i, c := range candidates {
-		if c.Stalled || c.RateLimited || c.Paused || c.Load >= c.Slots+overcommit {
+		if !c.takes() {
 			continue
 		}
 		v := c.cost()
@@ -47,44 +53,70 @@
 	return best
 }
 
-// sampleSize is the number of candidates that ChooseSampled draws.
-const sampleSize = 4
-
-// ChooseSampled is like Choose, but considers only sampleSize candidates drawn at
-// random, with replacement; if none of these can take the request, it considers
-// all. The function random returns random numbers in [0, 1).
-//
-// Sampling is needed because daemons know the load that the others cause with a
-// delay of some hundred milliseconds. If each chose the best of all endpoints,
-// they would overload the same one until they hear of each other's requests. See
-// Mitzenmacher, "How Useful Is Old Information?", IEEE TPDS 11(1), 2000.
-func ChooseSampled(candidates []Candidate, random func() float64) int {
-	if len(candidates) <= sampleSize {
-		return Choose(candidates)
+// ChooseLevelled is like Choose, but takes into account that the loads of the other
+// daemons are known with a delay, in which these have sent a number of requests. It
+// chooses at random, so that the requests of all daemons bring the endpoints to the same
+// cost rather than all to the one that was cheapest when the loads were reported. The
+// function random returns random numbers in [0, 1).
+func ChooseLevelled(candidates []Candidate, sent float64, random func() float64) int {
+	endpoints := make([]level.Endpoint, 0, len(candidates))
+	index := make([]int, 0, len(candidates))
+	for i, c := range candidates {
+		if c.takes() {
+			endpoints = append(endpoints, c.endpoint())
+			index = append(index, i)
+		}
 	}
-	var few [sampleSize]Candidate
-	var at [sampleSize]int
-	for i := range few {
-		at[i] = int(random() * float64(len(candidates)))
-		few[i] = candidates[at[i]]
+	if len(index) == 0 {
+		return -1
 	}
-	if i := Choose(few[:]); i >= 0 {
-		return at[i]
+	return index[level.Draw(level.Fill(endpoints, 1+sent), random())]
+}
+
+// endpoint returns a candidate that takes requests for package level. The level is the cost
+// in seconds.
+func (c Candidate) endpoint() level.Endpoint {
+	return level.Endpoint{
+		Level: c.costAt(c.Expected).Seconds(),
+		Rise:  loadCost.Seconds() * c.costFactor(),
+		Room:  float64(c.Slots + overcommit - c.Load),
 	}
-	return Choose(candidates)
+}
+
+// takes reports whether the endpoint takes a request now.
+func (c Candidate) takes() bool {
+	return !c.Stalled && !c.RateLimited && !c.Paused && c.Load < c.Slots+overcommit
 }
 
 // cost returns the value that Choose minimizes.
-func (c Candidate) cost() time.Duration {
-	v := c.ReadTime + time.Duration(c.Load+1)*loadCost
+func (c Candidate) cost() time.Duration { return c.costAt(float64(c.Load)) }
+
+// costAt returns the cost with a number of requests in progress.
+func (c Candidate) costAt(load float64) time.Duration {
+	v := float64(c.ReadTime) + (load+1)*float64(loadCost)
 	if c.Load >= c.Slots {
-		v += fullCost
+		v += float64(fullCost)
 	}
-	v = time.Duration(float64(v) * max(1, c.Slowdown) * (1 + failureFactor*c.FailureRate))
+	cost := time.Duration(v * c.costFactor())
 	if !c.SameDomain {
-		v += crossDomainCost
+		cost += crossDomainCost
+	}
+	return cost
+}
+
+// costFactor returns the factor of the cost of the endpoint's load.
+func (c Candidate) costFactor() float64 {
+	return max(1, c.Slowdown) * (1 + failureFactor*c.FailureRate)
+}
+
+// expectedLoad returns the requests in progress at an endpoint that are expected to be left
+// of this daemon's own and of those that the others reported a delay ago, where a request
+// takes a time on average.
+func expectedLoad(own, others int, delay, hold time.Duration) float64 {
+	if hold <= 0 {
+		return float64(own + others)
 	}
-	return v
+	return float64(own) + float64(others)*math.Exp(-delay.Seconds()/hold.Seconds())
 }
 
 // QueueState describes the requests that wait for one model or service at all daemons
--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -25,7 +25,7 @@
 	for i := range placers {
 		placers[i] = New(Options{
 			Boot: func() time.Duration { return *boot }, Snapshot: func() *watch.Snapshot { return snapshot },
-			Alive: func() []gossip.Message { return nil }, Daemons: func() int { return n }, Listed: func() int { return n }, Reached: func() bool { return true }, CutOff: func() bool { return false }, Late: func(time.Duration) time.Duration { return 0 }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(), Random: func() float64 { return float64(i) / float64(n) },
+			Alive: func() []gossip.Message { return nil }, Delay: func() time.Duration { return 0 }, Daemons: func() int { return n }, Listed: func() int { return n }, Reached: func() bool { return true }, CutOff: func() bool { return false }, Late: func(time.Duration) time.Duration { return 0 }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(), Random: func() float64 { return float64(i) / float64(n) },
 		})
 	}
 	return placers
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -13,7 +13,7 @@
 func (p *Placer) candidate(e site.Endpoint, request Request, q *queue, now time.Time) Candidate {
 	s := p.endpoint(e.ID)
 	c := Candidate{
-		ID: e.ID, Load: s.running + s.othersRunning, Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(now),
+		ID: e.ID, Load: s.running + s.othersRunning, Expected: expectedLoad(s.running, s.othersRunning, p.options.Delay(), seconds(q.holdSeconds)), Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(now),
 		SameDomain: e.Domain == p.options.Domain, Stalled: now.Before(s.suspectedUntil), Paused: now.Before(s.pausedUntil),
 	}
 	service, ok := p.service(request.Service)
--- a/pick/limit_test.go
+++ b/pick/limit_test.go
@@ -38,6 +38,7 @@
 			Boot: func() time.Duration { return time.Hour + time.Since(began) }, Snapshot: func() *watch.Snapshot { return f.snapshot },
 			Daemons: func() int { return n }, Listed: func() int { return n }, Reached: func() bool { return true }, CutOff: func() bool { return false }, Late: func(time.Duration) time.Duration { return 0 }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(),
 			Random: rand.New(rand.NewPCG(seed, uint64(i))).Float64,
+			Delay:  func() time.Duration { return 50 * time.Millisecond },
 		}))
 	}
 	return f
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -18,6 +18,7 @@
 	Boot     func() time.Duration // boot clock
 	Snapshot func() *watch.Snapshot
 	Alive    func() []gossip.Message                 // newest message of each other daemon that is alive
+	Delay    func() time.Duration                    // mean time until the load of another daemon is known here
 	Budget   func() Budget                           // current budget of each service; only its Extra is for all daemons together
 	Daemons  func() int                              // daemons that share Budget.Extra and the rate of a cold endpoint, whether heard or not
 	Listed   func() int                              // daemons that may serve, whether heard or not
@@ -188,7 +189,7 @@
 	for i, e := range eligible {
 		candidates[i] = p.candidate(e, request, q, now)
 	}
-	i := ChooseSampled(candidates, p.options.Random)
+	i := ChooseLevelled(candidates, q.others.ArrivalRate*p.options.Delay().Seconds(), p.options.Random)
 	if i < 0 {
 		return nil
 	}
--- a/pick/placer_test.go
+++ b/pick/placer_test.go
@@ -27,7 +27,7 @@
 	}
 	return New(Options{
 		Boot: func() time.Duration { return time.Hour }, Snapshot: func() *watch.Snapshot { return snapshot },
-		Alive: func() []gossip.Message { return nil }, Daemons: func() int { return 1 }, Listed: func() int { return 1 }, Reached: func() bool { return true }, CutOff: func() bool { return false }, Late: func(time.Duration) time.Duration { return 0 }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(), Random: func() float64 { return 0.5 },
+		Alive: func() []gossip.Message { return nil }, Delay: func() time.Duration { return 0 }, Daemons: func() int { return 1 }, Listed: func() int { return 1 }, Reached: func() bool { return true }, CutOff: func() bool { return false }, Late: func(time.Duration) time.Duration { return 0 }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(), Random: func() float64 { return 0.5 },
 	})
 }
 
--- a/pick/sample_test.go
+++ b/pick/sample_test.go
@@ -8,6 +8,34 @@
 	"github.com/matryer/is"
 )
 
+// sampleSize is the number of candidates that sampled draws.
+const sampleSize = 4
+
+// sampled is a policy to compare with: the best of a few candidates drawn at random, with
+// replacement, or of all if none of these takes a request. See Mitzenmacher, "How Useful Is
+// Old Information?", IEEE TPDS 11(1), 2000.
+func sampled(candidates []Candidate, _ float64, random func() float64) int {
+	if len(candidates) <= sampleSize {
+		return Choose(candidates)
+	}
+	var few [sampleSize]Candidate
+	var at [sampleSize]int
+	for i := range few {
+		at[i] = int(random() * float64(len(candidates)))
+		few[i] = candidates[at[i]]
+	}
+	if i := Choose(few[:]); i >= 0 {
+		return at[i]
+	}
+	return Choose(candidates)
+}
+
+// best is a policy to compare with: the best of all candidates.
+func best(candidates []Candidate, _ float64, _ func() float64) int { return Choose(candidates) }
+
+// chooser is a policy of choice, as ChooseLevelled.
+type chooser func(candidates []Candidate, sent float64, random func() float64) int
+
 // scenario is a load that many daemons distribute over endpoints.
 type scenario struct {
 	daemons, endpoints int
@@ -18,9 +46,10 @@
 
 // fullShare returns the share of requests that are sent to an endpoint with no free
 // slot.
-func (s scenario) fullShare(choose func([]Candidate, func() float64) int) float64 {
+func (s scenario) fullShare(choose chooser) float64 {
 	const seconds = 12
 	r := rand.New(rand.NewPCG(1, 2))
+	delay := time.Duration(s.reportMillis) * time.Millisecond / 2
 	load := make([]int, s.endpoints)
 	heard := make([][]int, s.daemons) // requests of the others, as last reported
 	own := make([][]int, s.daemons)
@@ -50,9 +79,12 @@
 		d := r.IntN(s.daemons)
 		candidates := make([]Candidate, s.endpoints)
 		for e := range candidates {
-			candidates[e] = Candidate{Load: heard[d][e] + own[d][e], Slots: s.slots, Slowdown: 1, SameDomain: true, ReadTime: time.Millisecond}
+			candidates[e] = Candidate{
+				Load: heard[d][e] + own[d][e], Expected: expectedLoad(own[d][e], heard[d][e], delay, time.Second),
+				Slots: s.slots, Slowdown: 1, SameDomain: true, ReadTime: time.Millisecond,
+			}
 		}
-		e := choose(candidates, r.Float64)
+		e := choose(candidates, delay.Seconds()*float64(s.rate), r.Float64)
 		sent++
 		if load[e] >= s.slots {
 			overfull++
@@ -67,19 +99,19 @@
 // Daemons that know the same loads, with a delay, must not all choose the same
 // endpoint and overload it. Half of the slots are taken in the large scenario, and
 // four in five in the small one.
-func TestSampledChoiceSpreadsLoad(t *testing.T) {
+func TestLevelledChoiceSpreadsLoad(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
 		scenario
-		all, few float64 // the share is above all for the best of all endpoints, and below few for the best of a sample
+		all, few float64 // the share is above all for the best of all endpoints, and below few for the policies that take the delay into account
 	}{
 		{scenario{daemons: 72, endpoints: 40, slots: 20, rate: 400, reportMillis: 450}, 0.03, 0.005},
 		{scenario{daemons: 9, endpoints: 20, slots: 17, rate: 270, reportMillis: 110}, 0.03, 0.01},
 	} {
-		all := c.fullShare(func(c []Candidate, _ func() float64) int { return Choose(c) })
-		few := c.fullShare(ChooseSampled)
-		t.Logf("%+v: sent to a full endpoint: %.3f by the best of all, %.3f by the best of %d", c.scenario, all, few, sampleSize)
+		all, few, levelled := c.fullShare(best), c.fullShare(sampled), c.fullShare(ChooseLevelled)
+		t.Logf("%+v: sent to a full endpoint: %.3f by the best of all, %.3f by the best of %d, %.3f levelled", c.scenario, all, few, sampleSize, levelled)
 		is.True(all > c.all)
 		is.True(few < c.few)
+		is.True(levelled < c.few)
 	}
 }
