front: a stream leaves an endpoint that is too slow for its deadline

Cause: a group with a slow member goes on at a quarter of the pace with all slots taken. Change: if the events still expected don't come before the deadline at the interval seen, but would at another endpoint of the model, the rest is sent there. The first send is left once the second has delivered its first event (docs/design/slow-streams.md). Ruled out: a longer silence as the sign (events come all the time); to pass both runs on by their ids (joins two runs).

--- a/front/handover.go
+++ b/front/handover.go
@@ -27,6 +27,9 @@
 func (w *watchdog) decide(x *exchange) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.relief.decided != nil {
+		defer close(w.relief.decided)
+	}
 	switch {
 	case x.givenUp.Load():
 		x.end(x.abandoned())
@@ -88,6 +91,7 @@
 func (w *watchdog) accept(e event) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.awaitRelief()
 	if w.left {
 		return false
 	}
@@ -97,8 +101,12 @@
 	w.giveUp("the watched send goes on")
 	w.point = w.point.after(e)
 	w.lastEvent = time.Now()
-	if w.timer != nil {
-		w.timer.Reset(stallAfter)
+	if w.timer == nil {
+		return true
+	}
+	w.timer.Reset(stallAfter)
+	if w.relief.note(w.lastEvent, w.job, w.watched.slot) {
+		w.relieve()
 	}
 	return true
 }
--- a/front/silence.go
+++ b/front/silence.go
@@ -37,6 +37,7 @@
 	reservation *pick.Reservation // for a slot elsewhere, while there is none
 	successor   *exchange
 	left        bool // whether the watched send was left for the successor
+	relief      relief
 }
 
 // watchStall starts the watchdog of a send. It does nothing if the request is not
@@ -46,6 +47,7 @@
 	if !j.route.Repeatable() || x.slot.Peer {
 		return w
 	}
+	w.relief.events = f.expectedEvents(j)
 	w.request = j.placement()
 	w.avoid = j.tries.avoid()
 	w.avoid[x.slot.Endpoint.ID] = true
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -97,6 +97,21 @@
 }
 
 // UsualSilence returns the time without progress beyond which the endpoint counts as
+// Usual returns the mean interval between events at the other endpoints of the request's
+// model, 0 if none is known, and the mean time to the first event.
+func (s *Slot) Usual() (interval, first time.Duration) {
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	sum, n := 0.0, 0
+	for _, other := range s.placer.endpoints {
+		if other.queue == s.queue && other != s.state && other.gapSeconds > 0 {
+			sum += other.gapSeconds
+			n++
+		}
+	}
+	return seconds(sum / float64(max(1, n))), seconds(s.queue.firstEventSeconds)
+}
+
 // stalled.
 func (s *Slot) UsualSilence() time.Duration {
 	s.placer.mu.Lock()
