pick: requests fit into the memory of endpoints, over all daemons

Cause: the configured memory of engines was read and used by nothing. An endpoint whose requests exceed it preempts or crashes, with slots still free. Ruled out: the endpoint's own report, which is late and priced as a probe.

--- a/gossip/message.go
+++ b/gossip/message.go
@@ -50,6 +50,7 @@
 type EndpointLoad struct {
 	Running      int   `json:"running"`           // requests in progress
 	UnreadTokens int   `json:"unread,omitempty"`  // prompt tokens of those of its requests there whose response has had no event yet
+	Tokens       int   `json:"tokens,omitempty"`  // reserved in its memory, where that matters
 	Leaving      int64 `json:"leaving,omitempty"` // site.State.Started of the endpoint if it stated that it leaves
 	Slow         bool  `json:"slow,omitempty"`    // its events are much further apart than expected
 	Stalled      bool  `json:"stuck,omitempty"`   // it observed no progress there, or could not reach it
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -49,6 +49,7 @@
 		}
 		l.Running = max(0, l.Running-load.Running)
 		l.UnreadTokens = max(0, l.UnreadTokens-load.UnreadTokens)
+		l.Tokens = max(0, l.Tokens-load.Tokens)
 		l.Sent = max(0, l.Sent-load.Sent)
 		rest.Endpoints[id] = l
 	}
@@ -82,6 +83,7 @@
 	return EndpointLoad{
 		Running:      l.Running + other.Running,
 		UnreadTokens: l.UnreadTokens + other.UnreadTokens,
+		Tokens:       l.Tokens + other.Tokens,
 		Leaving:      max(l.Leaving, other.Leaving),
 		Slow:         l.Slow || other.Slow,
 		Stalled:      l.Stalled || other.Stalled,
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -19,6 +19,7 @@
 	SameDomain  bool          // whether it is in this daemon's failure domain
 	Stalled     bool          // whether no request there makes progress
 	RateLimited bool          // whether this daemon's share of its rate is used up, as it is cold or states a limit
+	NoMemory    bool          // whether the request doesn't fit into what is left of its memory
 	Paused      bool          // whether it asked for no requests from this daemon for now
 }
 
@@ -85,7 +86,7 @@
 
 // takes reports whether the endpoint takes a request now.
 func (c Candidate) takes() bool {
-	return !c.Stalled && !c.RateLimited && !c.Paused && c.Load < c.Slots+overcommit
+	return !c.Stalled && !c.RateLimited && !c.Paused && !c.NoMemory && c.Load < c.Slots+overcommit
 }
 
 // cost returns the value that Choose minimizes.
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -24,6 +24,7 @@
 		// A plain service has no events that would show that it is stalled.
 		c.Stalled = s.stalled(now)
 		c.Slots = service.Engine.Slots
+		c.NoMemory = memoryMatters(service.Engine) && s.lacksMemory(service.Engine, tokensOf(request))
 		if model, known := service.Engine.Model(request.Model); known {
 			c.Slowdown = s.slowdown(*service.Engine, model, c.Load)
 			c.ReadTime = s.readTime(*service.Engine, model, request.PromptTokens)
--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -30,6 +30,8 @@
 	unanswered           []*Slot   // of this daemon's requests that have had no event and no answer, by age
 	unread               int       // prompt tokens of this daemon's requests whose responses have had no event yet
 	othersUnread         int       // the same of the other daemons
+	tokens               int       // reserved in its memory by this daemon's requests
+	othersTokens         int       // the same of the other daemons
 	limit                limit
 	bucket               bucket      // of this daemon's share of the limit
 	sends                []time.Time // by this daemon within limitWindow
--- a/pick/error.go
+++ b/pick/error.go
@@ -21,6 +21,8 @@
 	// CutOff means that this daemon is cut off from endpoints, and knows no other daemon
 	// that it could send the request through.
 	CutOff // Cut off
+	// TooLarge means that the prompt is larger than the memory of an endpoint.
+	TooLarge // Too large
 	// Disconnected means that the caller disconnected, or the deadline passed.
 	Disconnected // Left
 )
--- a/pick/kind_string.go
+++ b/pick/kind_string.go
@@ -12,12 +12,13 @@
 	_ = x[Late-1]
 	_ = x[NoEndpoint-2]
 	_ = x[CutOff-3]
-	_ = x[Disconnected-4]
+	_ = x[TooLarge-4]
+	_ = x[Disconnected-5]
 }
 
-const _Kind_name = "FullLateNowhereCut offLeft"
+const _Kind_name = "FullLateNowhereCut offToo largeLeft"
 
-var _Kind_index = [...]uint8{0, 4, 8, 15, 22, 26}
+var _Kind_index = [...]uint8{0, 4, 8, 15, 22, 31, 35}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -53,6 +53,8 @@
 	Service      string
 	Model        string // empty for a plain service
 	PromptTokens int
+	AnswerTokens int             // that are expected, 0 if the caller states none
+	MaxAnswer    int             // the most that may be written, 0 if the caller states none
 	Priority     int             // 0 is the most urgent
 	MaxWait      time.Duration   // longest wait for a slot
 	Remaining    time.Duration   // remaining time of its latency target; negative if it has passed
@@ -96,6 +98,10 @@
 		p.mu.Unlock()
 		return nil, &Error{Op: "acquire", Kind: CutOff, RetryAfter: minRetryAfter, State: state}
 	}
+	if p.tooLarge(request) {
+		p.mu.Unlock()
+		return nil, &Error{Op: "acquire", Kind: TooLarge, State: state}
+	}
 	endpoints := p.eligible(request)
 	eligible := len(endpoints)
 	p.addLimits(&state, endpoints, q, began)
@@ -199,10 +205,12 @@
 	}
 	s.begin(now)
 	s.unread += request.PromptTokens
+	tokens := p.tokens(request)
+	s.tokens += tokens
 	q.active++
 	slot := &Slot{
 		Endpoint: eligible[i], Load: candidates[i].Load, ReadTime: candidates[i].ReadTime,
-		placer: p, state: s, queue: q, lastProgress: now, acquired: now, unread: request.PromptTokens,
+		placer: p, state: s, queue: q, lastProgress: now, acquired: now, unread: request.PromptTokens, tokens: tokens,
 	}
 	s.queue = q
 	s.unanswered = append(s.unanswered, slot)
--- a/pick/report.go
+++ b/pick/report.go
@@ -37,7 +37,7 @@
 // reportLoad returns what this daemon reports of one endpoint.
 func (p *Placer) reportLoad(v *watch.Snapshot, s *endpointState, now time.Time) gossip.EndpointLoad {
 	load := gossip.EndpointLoad{
-		Running: s.running, UnreadTokens: s.unread, Stalled: p.reportsStalled(v, s, now),
+		Running: s.running, UnreadTokens: s.unread, Tokens: s.tokens, Stalled: p.reportsStalled(v, s, now),
 		Leaving: p.reportLeaving(v, s.id), Slow: p.isSlow(v, s), Limit: p.reportLimit(s),
 	}
 	if s.noProgress(now) && !p.options.Reached() {
@@ -83,6 +83,7 @@
 	for _, s := range p.endpoints {
 		s.othersRunning = 0
 		s.othersUnread = 0
+		s.othersTokens = 0
 		s.othersSent = 0
 	}
 	p.heard = 1 + len(messages)
@@ -111,6 +112,7 @@
 	s := p.endpoint(id)
 	s.othersRunning += other.Running
 	s.othersUnread += other.UnreadTokens
+	s.othersTokens += other.Tokens
 	s.othersSent += other.Sent
 	p.adoptLimit(s, other.Limit, m.From.ID)
 	if other.Leaving != 0 {
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -19,6 +19,7 @@
 	lastProgress time.Time // latest call of Progress, or acquired before the first
 	acquired     time.Time
 	streaming    bool // whether an event has arrived
+	tokens       int  // reserved in the endpoint's memory
 	unread       int  // tokens of its prompt; 0 once an event has arrived
 	done         bool
 	retry        time.Time // when Successor counted it in the budget
@@ -96,7 +97,6 @@
 	return patience + s.ReadTime
 }
 
-// UsualSilence returns the time without progress beyond which the endpoint counts as
 // Usual returns the mean interval between events at the other endpoints of the request's
 // model, 0 if none is known, and the mean time to the first event.
 func (s *Slot) Usual() (interval, first time.Duration) {
@@ -112,6 +112,7 @@
 	return seconds(sum / float64(max(1, n))), seconds(s.queue.firstEventSeconds)
 }
 
+// UsualSilence returns the time without progress beyond which the endpoint counts as
 // stalled.
 func (s *Slot) UsualSilence() time.Duration {
 	s.placer.mu.Lock()
@@ -188,6 +189,7 @@
 		s.state.streams--
 	}
 	s.state.unread -= s.unread
+	s.state.tokens -= s.tokens
 	s.state.drop(s)
 	s.done = true
 	s.queue.active--
