pick: what endpoints state beyond the reported load counts as load

Cause: loads that daemons report miss what those that aren't heard have in progress, and what was sent since. Endpoints state in each answer how many requests they have; nothing read it. Ruled out: an excess for each endpoint; a daemon gets an answer of one in seconds.

--- a/front/send.go
+++ b/front/send.go
@@ -138,7 +138,7 @@
 }
 
 // recordNotices records what the response states of its endpoint: that it leaves, that
-// it wants no requests for a time, or how many it takes. It comes before the response is
+// it wants no requests for a time, how many it has, or how many it takes. It comes before the response is
 // passed on, since callers count from then on.
 func (x *exchange) recordNotices() {
 	h := x.resp.Header
@@ -148,6 +148,9 @@
 	if pause := platform.Pause(x.resp.StatusCode, h); pause > 0 {
 		x.slot.Pause(pause)
 	}
+	if load, stated := platform.ParseLoad(h); stated {
+		x.slot.State(load.Running + load.Waiting)
+	}
 	x.recordLimit()
 }
 
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -132,6 +132,7 @@
 	Begun       bool          // whether it may have run, so that to refuse it is to fail it
 	Resumed     bool          // whether its caller has received a part of the stream already
 	Paused      time.Duration // until the first endpoint that serves it takes requests again; 0 if one does now
+	Hidden      int           // requests at each endpoint that no daemon reports, by what endpoints state
 	Limited     int           // endpoints whose stated limit leaves nothing for this daemon now
 }
 
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -30,6 +30,9 @@
 			c.ReadTime = s.readTime(*service.Engine, model, request.PromptTokens)
 		}
 	}
+	unreported := q.hidden.requests(now, c.Slots)
+	c.Load += unreported
+	c.Expected += float64(unreported)
 	if service.ColdRate > 0 {
 		interval := time.Duration(float64(time.Second) * float64(p.options.Daemons()) / service.ColdRate)
 		c.RateLimited = s.rateLimited(now, e.Seen+e.Cold > p.options.Boot(), interval, p.options.Random)
--- a/pick/queue.go
+++ b/pick/queue.go
@@ -19,6 +19,7 @@
 	active            int          // requests with a slot
 	paces                          // of all endpoints that its requests run at
 	others            gossip.Queue // sum over the other daemons
+	hidden            hidden
 }
 
 // waiter is a request in a queue.
@@ -72,7 +73,8 @@
 	sum.ArrivalRate += q.others.ArrivalRate
 	return QueueState{
 		InTime: sum.InTime, Late: sum.Late, FreeRate: sum.FreeRate, ArrivalRate: sum.ArrivalRate, MaxWait: request.MaxWait, Begun: request.Begun, Resumed: request.Resumed,
-		Slack: request.Remaining - time.Duration(q.firstEventSeconds*float64(time.Second)),
+		Hidden: max(0, int(q.hidden.at(now))),
+		Slack:  request.Remaining - time.Duration(q.firstEventSeconds*float64(time.Second)),
 	}
 }
 
