fair, pick: client accounts and kinds share what there isn't enough of

Cause: a request that waits knew no client account; one account that sends fifty times its usual took the others' time, and a less urgent priority could wait for ever. Only where a configuration has client accounts and ranks the routes of a service; work is counted as the engine's time. Ruled out: virtual token counters (one place must see all requests), equal shares alone (a large account is last though it sends what it always sends).

--- a/front/front.go
+++ b/front/front.go
@@ -300,7 +300,7 @@
 		"id", j.id, "relayed_by", j.relay.Daemon, "route", j.route.Name, "account", j.account, "model", j.model, "status", status, "reason", reason,
 		"tried", j.tries.names(), "ran", ran, "served", j.served, "load", j.load, "read_ms", j.prefill.Milliseconds(),
 		"events", j.stream.forwarded, "first_ms", j.stream.first.Milliseconds(), "gap_ms", j.stream.longestGap.Milliseconds(),
-		"ahead", j.queue.InTime+j.queue.Late, "fit", j.eligible, "limited", j.queue.Limited, "freed", round(j.queue.FreeRate), "arrivals", round(j.queue.ArrivalRate),
+		"ahead", j.queue.InTime+j.queue.Late, "fit", j.eligible, "limited", j.queue.Limited, "hidden", j.queue.Hidden, "level", j.queue.Level, "freed", round(j.queue.FreeRate), "arrivals", round(j.queue.ArrivalRate),
 		"slack_ms", j.queue.Slack.Milliseconds(), "returned_ms", j.priorTime.Milliseconds(),
 		"waited_ms", j.waited.Milliseconds(), "took_ms", took.Milliseconds(),
 		"version", version, "revision", v.Revision, "age_ms", f.options.SnapshotAge().Milliseconds())
--- a/gossip/merge.go
+++ b/gossip/merge.go
@@ -20,6 +20,7 @@
 		return m
 	}
 	m.Members = before.Members
+	m.Work = before.Work
 	groups := maps.Clone(before.Groups)
 	if groups == nil {
 		groups = map[string]Group{}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -15,7 +15,7 @@
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Scope -output=scope_string.go
 
 // Message is what a daemon reports to the others. In a relay's message the loads,
-// demands, queues and crashes are sums over the daemons of its scope.
+// demands, queues, work and crashes are sums over the daemons of its scope.
 type Message struct {
 	From      site.Daemon             `json:"from"`
 	Scope     Scope                   `json:"scope,omitempty"`
@@ -29,11 +29,12 @@
 	Endpoints map[string]EndpointLoad `json:"heads,omitempty"`   // by endpoint ID
 	Demand    map[string]int          `json:"demand,omitempty"`  // slots that its requests would take if each was served on arrival, by "service/model"
 	Queues    map[string]Queue        `json:"lines,omitempty"`   // waiting requests, by "service/model"
+	Work      map[string]float64      `json:"work,omitempty"`    // seconds of endpoints' time that requests took lately, by client account; of the heaviest, and the rest as one
 	Crashes   map[string]int          `json:"strikes,omitempty"` // crashes of endpoints, by digest of the request
 	Parts     map[string]PromptPart   `json:"parts,omitempty"`   // parts of prompts that may crash endpoints, by ID
 	Groups    map[string]Group        `json:"groups,omitempty"`  // the keeper's groups, by leader; only those that changed lately unless Full or of Scope Own
 	Members   []Member                `json:"members,omitempty"` // daemons of the scope, if Full
-	Full      bool                    `json:"full,omitempty"`    // a relay's message that has Members and all Groups
+	Full      bool                    `json:"full,omitempty"`    // a relay's message that has Members, Work and all Groups
 }
 
 // Member is a daemon of a relay's scope.
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"clementinehead.example/chead/fair"
 	"clementinehead.example/chead/site"
 )
 
@@ -216,8 +217,11 @@
 	return chosen
 }
 
-// reduce returns a relay's message without what need not be in each round: members, and
-// groups that have not changed lately.
+// maxAccounts is the number of client accounts whose work a relay's message names.
+const maxAccounts = 16
+
+// reduce returns a relay's message without what need not be in each round: members, the
+// work of client accounts, and groups that have not changed lately.
 func (g *Gossip) reduce(m Message, full bool) Message {
 	now := g.options.Boot()
 	recent := map[string]Group{}
@@ -234,8 +238,10 @@
 	}
 	m.Groups = recent
 	m.Full = full
+	m.Work = fair.Trim(m.Work, maxAccounts)
 	if !full {
 		m.Members = nil
+		m.Work = nil
 	}
 	return m
 }
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -13,6 +13,9 @@
 	for key, q := range other.Queues {
 		m.Queues[key] = m.Queues[key].plus(q, 1)
 	}
+	for account, v := range other.Work {
+		m.Work[account] += v
+	}
 	for digest, n := range other.Crashes {
 		m.Crashes[digest] += n
 	}
@@ -59,6 +62,9 @@
 	for key, q := range own.Queues {
 		rest.Queues[key] = rest.Queues[key].plus(q, -1)
 	}
+	for account, v := range own.Work {
+		rest.Work[account] = max(0, rest.Work[account]-v)
+	}
 	for id, part := range own.Parts {
 		rest.Parts[id] = rest.Parts[id].plus(part, -1)
 	}
@@ -73,6 +79,7 @@
 	m.Endpoints = map[string]EndpointLoad{}
 	m.Demand = map[string]int{}
 	m.Queues = map[string]Queue{}
+	m.Work = map[string]float64{}
 	m.Crashes = map[string]int{}
 	m.Parts = map[string]PromptPart{}
 	m.Groups = map[string]Group{}
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -133,6 +133,7 @@
 	Resumed     bool          // whether its caller has received a part of the stream already
 	Paused      time.Duration // until the first endpoint that serves it takes requests again; 0 if one does now
 	Hidden      int           // requests at each endpoint that no daemon reports, by what endpoints state
+	Level       int           // how far its client account is above what is due to it; 0 where callers don't compete
 	Limited     int           // endpoints whose stated limit leaves nothing for this daemon now
 }
 
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"clementinehead.example/chead/fair"
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
@@ -42,6 +43,8 @@
 	budgets    map[string]*Budget
 	leaving    map[string]leaving // endpoints that stated that they leave
 	cache      servingCache
+	ranks      ranks
+	usage      *fair.Usage             // of client accounts that compete
 	announced  map[string]gossip.Group // groups that the keeper announced, by the endpoint that leads them
 	progressed time.Time               // when an endpoint last made progress with a request of this daemon
 	heard      int                     // daemons heard at the latest Update, with this one
@@ -52,6 +55,7 @@
 type Request struct {
 	Service      string
 	Model        string // empty for a plain service
+	Account      string // name of the client account, empty if none is needed
 	PromptTokens int
 	AnswerTokens int             // that are expected, 0 if the caller states none
 	MaxAnswer    int             // the most that may be written, 0 if the caller states none
@@ -73,7 +77,7 @@
 		options: o, endpoints: map[string]*endpointState{}, queues: map[string]*queue{},
 		peers: map[string]*endpointState{}, relayed: &queue{},
 		budgets: map[string]*Budget{}, leaving: map[string]leaving{}, announced: map[string]gossip.Group{},
-		heard: 1, listed: 1,
+		usage: fair.New(o.Boot()), heard: 1, listed: 1,
 	}
 }
 
@@ -83,6 +87,7 @@
 	began := time.Now()
 	p.mu.Lock()
 	q := p.queue(request.key())
+	q.service = request.Service
 	cut := p.cutOffFor(request)
 	if !request.Retried && len(request.Avoid) == 0 && !cut {
 		q.arrivals.add(began) // one that is sent through another daemon arrives there
@@ -105,6 +110,7 @@
 	endpoints := p.eligible(request)
 	eligible := len(endpoints)
 	p.addLimits(&state, endpoints, q, began)
+	p.addCompetition(&state, request, q)
 	decision := Admit(state)
 	if !decision.Wait {
 		p.mu.Unlock()
@@ -172,13 +178,14 @@
 // at the first request that gets none, unless that request avoids endpoints: the
 // next may get a slot at one of these.
 func (p *Placer) dispatchQueue(q *queue, now time.Time) {
-	for _, w := range q.order(now) {
+	for _, w := range q.order(now, p.levels(q)) {
 		slot := p.tryAcquire(w.request, q, now)
 		if slot == nil && len(w.request.Avoid) == 0 {
 			return
 		}
 		if slot != nil {
 			q.remove(w)
+			q.granted++
 			w.slot <- slot
 		}
 	}
@@ -208,6 +215,7 @@
 	tokens := p.tokens(request)
 	s.tokens += tokens
 	q.active++
+	p.charge(request, q)
 	slot := &Slot{
 		Endpoint: eligible[i], Load: candidates[i].Load, ReadTime: candidates[i].ReadTime,
 		placer: p, state: s, queue: q, lastProgress: now, acquired: now, unread: request.PromptTokens, tokens: tokens,
--- a/pick/policy_test.go
+++ b/pick/policy_test.go
@@ -91,7 +91,7 @@
 	order: func(q *queue, _ time.Time) []*waiter { return append([]*waiter(nil), q.waiting...) },
 }
 
-var inTimeFirst = policy{name: "in time first", admit: Admit, order: (*queue).order}
+var inTimeFirst = policy{name: "in time first", admit: Admit, order: func(q *queue, now time.Time) []*waiter { return q.order(now, nil) }}
 
 // outcomes counts requests by how they ended.
 type outcomes struct{ inTime, late, refused, refusedTwice int }
--- a/pick/queue.go
+++ b/pick/queue.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"clementinehead.example/chead/gossip"
@@ -11,12 +10,14 @@
 
 // queue holds the requests of this daemon that wait for one model or service.
 type queue struct {
+	service           string       // of its requests, empty before the first
 	waiting           []*waiter    // in order of arrival
 	freed             meter        // slots that requests of this daemon freed
 	arrivals          meter        // requests that arrived, without retries by this daemon or by callers
 	firstEventSeconds float64      // mean time from a slot's acquisition to the first event, smoothed
 	holdSeconds       float64      // mean time that a request keeps its slot, smoothed
 	active            int          // requests with a slot
+	granted           int          // slots that went to waiting requests
 	paces                          // of all endpoints that its requests run at
 	others            gossip.Queue // sum over the other daemons
 	hidden            hidden
@@ -27,6 +28,7 @@
 	request     Request
 	slot        chan *Slot
 	inTimeUntil time.Time // with a slot by then, it can be answered within its latency target
+	level       int       // of its account, as of the latest order; 0 where callers don't compete
 	reserving   bool      // its send is still in progress
 }
 
@@ -113,28 +115,6 @@
 	return own
 }
 
-// order returns the waiting requests in the order in which they get slots:
-// interrupted streams (Request.Resumed) first, then requests in time, then by
-// Request.Priority, then those that their callers sent before (Request.Retried), then by
-// arrival.
-func (q *queue) order(now time.Time) []*waiter {
-	ordered := append([]*waiter(nil), q.waiting...)
-	sort.SliceStable(ordered, func(i, j int) bool {
-		a, b := ordered[i], ordered[j]
-		if a.request.Resumed != b.request.Resumed {
-			return a.request.Resumed
-		}
-		if inTime := now.Before(a.inTimeUntil); inTime != now.Before(b.inTimeUntil) {
-			return inTime
-		}
-		if a.request.Priority != b.request.Priority {
-			return a.request.Priority < b.request.Priority
-		}
-		return a.request.Retried && !b.request.Retried
-	})
-	return ordered
-}
-
 // demand returns the number of slots that the requests would take if each was
 // served on arrival (Little's law). The requests in progress alone don't show the
 // demand for a model with few slots, since its other requests are refused.
--- a/pick/report.go
+++ b/pick/report.go
@@ -7,6 +7,9 @@
 	"clementinehead.example/chead/watch"
 )
 
+// ownAccounts is the number of client accounts whose work a daemon reports by name.
+const ownAccounts = 8
+
 // Report returns the part of the gossip message that describes the requests of
 // this daemon, its queues and the endpoints.
 func (p *Placer) Report() gossip.Message {
@@ -31,6 +34,7 @@
 			m.Queues[key] = own
 		}
 	}
+	m.Work = p.usage.Report(p.options.Boot(), ownAccounts)
 	return m
 }
 
@@ -92,6 +96,7 @@
 		q.others = gossip.Queue{}
 	}
 	p.recordGroups(own)
+	work := map[string]float64{}
 	for _, m := range messages {
 		p.recordGroups(m.Groups)
 		for key, other := range m.Queues {
@@ -100,7 +105,11 @@
 		for id, other := range m.Endpoints {
 			p.addLoad(id, other, m, now)
 		}
+		for account, v := range m.Work {
+			work[account] += v
+		}
 	}
+	p.usage.Hear(work)
 	p.dropUnlisted(now)
 	p.dropPeers(now)
 	p.dropLeaving(now)
--- a/site/config.go
+++ b/site/config.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -122,6 +123,39 @@
 	return Model{}, false
 }
 
+// Work returns the engine's time that a request takes of a group of the model: to read its
+// prompt, which the group does for one request after the other, and to write its answer, a
+// step of which is for all running requests.
+func (e *Engine) Work(m Model, prompt, answer int) time.Duration {
+	read := 0.0
+	if e.ReadRate > 0 {
+		read = float64(prompt) / e.ReadRate
+	}
+	write := float64(answer) * (e.Step.Seconds()/float64(max(1, e.Slots)) + e.PerSeq.Seconds())
+	return time.Duration((read + write) * m.Pace * float64(time.Second))
+}
+
+// Ranks reports whether the routes to a service have different priorities, so that its
+// callers compete.
+func (c *Config) Ranks(service string) bool {
+	first, found := 0, false
+	for _, r := range c.Routes {
+		if !r.serves(service) {
+			continue
+		}
+		if found && r.Priority != first {
+			return true
+		}
+		first, found = r.Priority, true
+	}
+	return false
+}
+
+// serves reports whether requests of the route go to a service.
+func (r Route) serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Route returns the route of a host and a path. If several match, it is the one
 // with the longest prefix.
 func (c *Config) Route(host, path string) (Route, bool) {
