--- a/front/front.go
+++ b/front/front.go
@@ -287,6 +287,9 @@
 func (f *Front) logEnd(j *job, outcome string, status int, reason string) {
 	took := time.Since(j.arrived)
 	f.options.Metrics.observeEnd(j.account, outcome, status, took)
+	if outcome == "served" && j.late(took) {
+		f.options.Metrics.observeLate(j.account)
+	}
 	if j.unlogged {
 		return
 	}
@@ -306,5 +309,14 @@
 		"version", version, "revision", v.Revision, "age_ms", f.options.SnapshotAge().Milliseconds())
 }
 
+// late reports whether a request that took a time got its first event, or its answer, after
+// the route's target latency.
+func (j *job) late(took time.Duration) bool {
+	if j.stream.forwarded > 0 {
+		took = j.stream.first
+	}
+	return j.route.TargetLatency > 0 && j.priorTime+took > j.route.TargetLatency
+}
+
 // round rounds a rate to one decimal for the log.
 func round(v float64) float64 { return math.Round(v*10) / 10 }
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -13,6 +13,7 @@
 	requests     *prometheus.CounterVec
 	retries      *prometheus.CounterVec
 	accounts     *prometheus.CounterVec
+	late         *prometheus.CounterVec
 	sends        *prometheus.CounterVec
 	otherAnswers *prometheus.CounterVec
 	firstEvent   prometheus.Histogram
@@ -34,6 +35,7 @@
 		labelled:     map[string]bool{},
 		requests:     counter("requests_total", "Requests by their end.", "outcome", "status"),
 		accounts:     counter("account_requests_total", "Requests of a client account by their end.", "account", "outcome"),
+		late:         counter("account_late_total", "Requests of a client account that were served after the route's target latency.", "account"),
 		sends:        counter("sends_total", "Sends by model, the endpoint's failure domain and what came of them.", "model", "domain", "result"),
 		otherAnswers: counter("other_answers_total", "Answers that named another request than the one sent, by connection and status.", "connection", "status"),
 		retries:      counter("retries_total", "Sends beyond the first, by what ended the one before.", "cause"),
@@ -44,7 +46,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12),
 		}),
 	}
-	r.MustRegister(m.requests, m.accounts, m.sends, m.retries, m.otherAnswers, m.firstEvent, m.duration, m.wait)
+	r.MustRegister(m.requests, m.accounts, m.late, m.sends, m.retries, m.otherAnswers, m.firstEvent, m.duration, m.wait)
 	return m
 }
 
@@ -69,6 +71,9 @@
 	m.duration.WithLabelValues(outcome).Observe(took.Seconds())
 }
 
+// observeLate counts a request of an account that was served after its target latency.
+func (m *Metrics) observeLate(account string) { m.late.WithLabelValues(m.label(account)).Inc() }
+
 // label returns the metric label of a client account. The first maxAccountLabels
 // accounts have a label each, and all others share otherAccount, to bound the
 // number of series.
--- a/front/metrics_test.go
+++ b/front/metrics_test.go
@@ -42,6 +42,7 @@
 	m := NewMetrics(registry)
 	m.observeEnd("a", "served", http.StatusOK, time.Second)
 	m.observeWait("m", "placed", 0)
+	m.observeLate("a")
 	m.sends.WithLabelValues("m", "north", "settled").Inc()
 	m.retries.WithLabelValues("failed").Inc()
 	m.otherAnswers.WithLabelValues("reused", "504").Inc()
@@ -49,7 +50,7 @@
 	is.NoErr(err)
 	found, err := registry.Gather()
 	is.NoErr(err)
-	is.Equal(len(found), 8)
+	is.Equal(len(found), 9)
 	for _, metric := range found {
 		is.True(strings.Contains(string(page), "`"+metric.GetName()+"`"))
 	}
