--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -1,8 +1,8 @@
 // Command chead is the daemon of clementinehead and the command-line tool for its
 // operators.
 //
-// The commands serve and edge run a daemon. The command explain reads log files. The
-// others call the operators' interface of a running daemon.
+// The commands serve and edge run a daemon. The command explain reads log files, and where
+// calls the metrics address of a daemon on the users' platform. The others call the operators' interface of a running daemon.
 package main
 
 import (
@@ -30,6 +30,7 @@
 	Report  reportCommand  `cmd:"" help:"Print who received what and who was refused."`
 	Audit   auditCommand   `cmd:"" help:"Print the trail of changes."`
 	Explain explainCommand `cmd:"" help:"Print what happened to a request, from the daemons' logs."`
+	Where   whereCommand   `cmd:"" help:"Print where a request would go now, and why, without sending it."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -40,8 +40,10 @@
 	if s.Metrics == "" {
 		return all
 	}
-	metrics := promhttp.HandlerFor(d.options.Registry, promhttp.HandlerOpts{})
-	return append(all, httpServer{"metrics", s.Metrics, newServer("GET /metrics", metrics)})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.options.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET "+WherePath, d.where)
+	return append(all, httpServer{"metrics", s.Metrics, newServer("GET /", mux)})
 }
 
 // newServer returns an HTTP server with one route.
