--- a/cmd/chsoak/main.go
+++ b/cmd/chsoak/main.go
@@ -23,11 +23,12 @@
 type commands struct {
 	Seed    uint64        `default:"0" help:"First seed; drawn by the clock where 0."`
 	Seeds   int           `default:"1" help:"Seeds to run, one after the other."`
-	Profile string        `default:"mixed" enum:"mixed,stops,crashes,limits,cuts" help:"Mix of faults, endpoints and load: mixed, stops, crashes, limits or cuts."`
+	Profile string        `default:"mixed" enum:"mixed,stops,crashes,limits,cuts,builds" help:"Mix of faults, endpoints and load: mixed, stops, crashes, limits, cuts or builds."`
 	Daemons int           `default:"3" help:"Daemons."`
 	Runners int           `default:"8" help:"Runners, of which two, or with stops a third, serve plain calls."`
 	Length  time.Duration `default:"10s" help:"How long faults are injected."`
 	Bin     string        `default:"bin" type:"existingdir" help:"Where chead and chfake are."`
+	Old     string        `type:"existingfile" help:"Another build of chead, which every second daemon runs, and with builds all at first; the one in bin where absent."`
 	Dir     string        `help:"Where logs go; a new directory where absent."`
 	Plan    bool          `help:"Print the faults of each seed."`
 }
@@ -74,7 +75,7 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Dir: dir, Profile: soak.Profiles()[c.Profile], Chead: filepath.Join(c.Bin, "chead"), Chfake: filepath.Join(c.Bin, "chfake"),
+		Seed: seed, Dir: dir, Profile: soak.Profiles()[c.Profile], Chead: filepath.Join(c.Bin, "chead"), Old: c.Old, Chfake: filepath.Join(c.Bin, "chfake"),
 		Daemons: c.Daemons, Runners: c.Runners, Length: c.Length,
 	})
 	if c.Plan {
@@ -82,8 +83,8 @@
 			fmt.Println("  ", step)
 		}
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d lost %v, %d crashes, %d limits, %d cuts, %d promises broken\n",
-		seed, len(report.Steps), report.Requests, report.Served, report.Refused, report.Lost, report.Excused, report.Crashes, report.Limited, report.Cuts, len(report.Failures))
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d lost %v, %d crashes, %d limits, %d cuts, %d upgrades, %d promises broken\n",
+		seed, len(report.Steps), report.Requests, report.Served, report.Refused, report.Lost, report.Excused, report.Crashes, report.Limited, report.Cuts, report.Upgraded, len(report.Failures))
 	for _, text := range report.Failures {
 		fmt.Println("  BROKEN", text)
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -18,6 +18,7 @@
 	Seed    uint64
 	Dir     string // directory for logs and settings files
 	Chead   string // path of chead, the daemons' program
+	Old     string // path of another build of it, which some daemons run; empty for none
 	Chfake  string // path of chfake, the endpoints' program
 	Profile Profile
 	Daemons int
@@ -56,6 +57,7 @@
 	faults     []faultSpan
 	crashes    []time.Time // when endpoints ended at a prompt
 	limited    int         // spans in which an endpoint stated a limit
+	upgraded   int         // daemons whose old build was replaced, by the profile Builds
 	compared   int         // cuts of daemons from all endpoints that were compared with the others
 	violations []string    // broken promises that were seen during the load
 }
@@ -64,6 +66,7 @@
 type daemon struct {
 	proc
 	index    int
+	present  bool // the profile Builds has replaced the old build by the present one
 	settings map[string]any
 	ready    string // address for readiness checks
 	caller   string // address for callers, which the directory lists
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -32,6 +32,7 @@
 		c.restart(&c.daemons[s.Target].proc, syscall.SIGKILL, s.For)
 	case StopDaemon:
 		time.AfterFunc(unreadyLimit, func() { c.checkUnready(index, c.daemons[s.Target]) })
+		c.replaceBuild(c.daemons[s.Target])
 		c.restart(&c.daemons[s.Target].proc, syscall.SIGTERM, s.For)
 	case PauseDaemon:
 		pause(&c.daemons[s.Target].proc, s.For)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -13,7 +13,7 @@
 // The faults.
 const (
 	KillDaemon   Fault = iota // SIGKILL, restarted Step.For after it has ended
-	StopDaemon                // SIGTERM, restarted Step.For after it has ended
+	StopDaemon                // SIGTERM, restarted Step.For after it has ended, in the profile Builds with the other build
 	PauseDaemon               // SIGSTOP, then SIGCONT
 	Hangup                    // SIGHUP: the daemon reads its settings again
 	KillRunner                // SIGKILL, restarted Step.For after it has ended
@@ -79,6 +79,9 @@
 
 // plan returns the faults of a soak.
 func (o Options) plan() []Step {
+	if o.Profile == Builds {
+		return planBuilds(o.Seed, o.Length, o.Daemons, o.Runners)
+	}
 	if o.Profile == Cuts {
 		return planCuts(o.Seed, o.Length, o.Daemons, o.Runners)
 	}
--- a/soak/proc.go
+++ b/soak/proc.go
@@ -73,6 +73,13 @@
 	close(ended)
 }
 
+// program sets the path of the program from the next start on.
+func (p *proc) program(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command[0] = path
+}
+
 // signal sends a signal to the process, if it is running.
 func (p *proc) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -22,13 +22,15 @@
 	Limits
 	// Cuts cuts daemons off from all endpoints while others are stopped.
 	Cuts
+	// Builds is Stops with one daemon after the other replaced by another build.
+	Builds
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Profile -output=profile_string.go
 
 // Profiles returns all profiles by name.
 func Profiles() map[string]Profile {
-	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits, "cuts": Cuts}
+	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits, "cuts": Cuts, "builds": Builds}
 }
 
 // traits are the properties of a profile.
@@ -41,15 +43,16 @@
 	crashes        bool // whether there are prompts that crash endpoints
 	limits         bool // whether endpoints state limits
 	cuts           bool // whether daemons are cut off from endpoints, so that their connections come from addresses of their own
+	builds         bool // whether a stopped daemon starts with the other build
 	faults         simul.Faults
 }
 
-// traits returns the properties of a profile. In Stops a stream has few events, since
+// traits returns the properties of a profile. In Stops and Builds a stream has few events, since
 // those of slow endpoints have to come before the deadline.
 func (p Profile) traits() traits {
-	if p == Stops {
+	if p == Stops || p == Builds {
 		return traits{
-			events: 5, streamInterval: 600 * time.Millisecond, fileInterval: 200 * time.Millisecond, plainShare: 3, kept: true,
+			events: 5, streamInterval: 600 * time.Millisecond, fileInterval: 200 * time.Millisecond, plainShare: 3, kept: true, builds: p == Builds,
 			faults: simul.Faults{Stutter: 0.08, Lose: 0.01, Reset: 0.01, Truncate: 0.01, Unsized: 0.05, Fail: 0.02, Expire: 0.01, Busy: 0.02},
 		}
 	}
@@ -89,8 +92,8 @@
 // pace is the range of the times between two events of an endpoint.
 type pace struct{ shortest, longest time.Duration }
 
-// pace returns the pace of an endpoint. In Crashes, Limits and Cuts it is the usual one. In Stops
-// no, a third or all of the endpoints, by seed, are far slower than usual, but sound.
+// pace returns the pace of an endpoint. In Crashes, Limits and Cuts it is the usual one. In Stops and
+// Builds no, a third or all of the endpoints, by seed, are far slower than usual, but sound.
 func (p Profile) pace(seed uint64, runner int, plain bool) pace {
 	if p == Limits || p == Cuts || p == Crashes && !plain {
 		return pace{20 * time.Millisecond, 120 * time.Millisecond}
--- a/soak/profile_string.go
+++ b/soak/profile_string.go
@@ -13,11 +13,12 @@
 	_ = x[Crashes-2]
 	_ = x[Limits-3]
 	_ = x[Cuts-4]
+	_ = x[Builds-5]
 }
 
-const _Profile_name = "MixedStopsCrashesLimitsCuts"
+const _Profile_name = "MixedStopsCrashesLimitsCutsBuilds"
 
-var _Profile_index = [...]uint8{0, 5, 10, 17, 23, 27}
+var _Profile_index = [...]uint8{0, 5, 10, 17, 23, 27, 33}
 
 func (i Profile) String() string {
 	idx := int(i) - 0
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 	Excused  map[string]int // of those lost, by excuse, empty for none
 	Crashes  int            // of endpoints, at a prompt
 	Limited  int            // spans in which an endpoint stated a limit
+	Upgraded int            // daemons whose old build was replaced by the present one
 	Cuts     int            // of daemons from all endpoints, compared with the others
 	Failures []string       // broken promises, each with the request or daemon
 }
@@ -69,6 +70,7 @@
 	report.Failures = append(report.Failures, c.checkCrashes(caller.records())...)
 	report.Failures = append(report.Failures, c.checkLimits(caller.records())...)
 	report.Limited = c.limited
+	report.Upgraded = c.upgraded
 	report.Failures = append(report.Failures, c.checkCuts(caller.records())...)
 	report.Cuts = c.compared
 	return report, nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,6 +49,9 @@
 	2, // requests that ran were said not to have run
 }
 
+// buildSeeds are seeds of the profile Builds. None has failed yet.
+var buildSeeds = []uint64{1}
+
 // Seeds that failed in the past break no promise any more.
 func TestFailedSeeds(t *testing.T) {
 	runSeeds(t, failedSeeds, Options{Daemons: 3, Runners: 8, Length: 10 * time.Second})
@@ -77,6 +80,7 @@
 		report, err := Run(context.Background(), o)
 		is.NoErr(err)
 		is.True(report.Served > 100) // the load was served
+		is.Equal(report.Upgraded > 0, o.Profile == Builds)
 		if n := len(report.Failures); n > 0 {
 			t.Errorf("seed %d: %d promises broken, the first: %s\nfaults: %v", seed, n, strings.Join(report.Failures[:min(n, shownFailures)], "\n"), report.Steps)
 		}
@@ -174,3 +178,50 @@
 	}
 	is.Equal(len(hows), len(endpointCuts))
 }
+
+// Daemons are replaced one by one and back again without a broken promise. Both builds are the
+// same program here; with chsoak they differ.
+func TestPromisesHoldWhileDaemonsAreReplaced(t *testing.T) {
+	runSeeds(t, buildSeeds, Options{Profile: Builds, Daemons: 2, Runners: 10, Length: 26 * time.Second})
+}
+
+// A pass of the profile Builds stops each daemon once, one after the other. If one were left
+// out, the old build would stay, and a rollback would begin with builds mixed.
+func TestPlansOfBuilds(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(40) {
+		steps := planBuilds(seed, firstStop+6*replaceEvery, 3, 10)
+		is.Equal(steps, planBuilds(seed, firstStop+6*replaceEvery, 3, 10))
+		var targets []int
+		for _, s := range steps {
+			if s.Fault == StopDaemon {
+				is.Equal(s.At, firstStop+time.Duration(len(targets))*replaceEvery)
+				targets = append(targets, s.Target)
+			}
+		}
+		is.Equal(len(targets), 6)
+		for _, pass := range [][]int{targets[:3], targets[3:]} {
+			is.Equal(pass[0]+pass[1]+pass[2], 3)
+			is.True(pass[0] != pass[1] && pass[1] != pass[2] && pass[0] != pass[2])
+		}
+	}
+}
+
+// In the profile Builds all daemons begin with the old build, in the others every second one
+// if another build is named, and a daemon that is replaced gets the other one each time.
+func TestBuildsOfDaemons(t *testing.T) {
+	is := is.New(t)
+	c := &cluster{options: Options{Chead: "present", Old: "old"}}
+	is.Equal([]string{c.firstBuild(0), c.firstBuild(1)}, []string{"present", "old"})
+	c.traits = Builds.traits()
+	d := &daemon{proc: proc{command: []string{c.firstBuild(0), "edge"}}}
+	var builds []string
+	for range 3 {
+		builds = append(builds, d.command[0])
+		c.replaceBuild(d)
+	}
+	is.Equal(builds, []string{"old", "present", "old"})
+	is.Equal(c.upgraded, 2)
+	c.options.Old = ""
+	is.Equal(c.firstBuild(1), "present")
+}
