--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,11 @@
 
 all: check build test
 
+# REVISION names the build in the log and in the metric chead_build_info.
+REVISION = $(shell git describe --always --dirty=+changed 2>/dev/null)
+
 build:
-	go build -o bin/ ./cmd/...
+	go build -ldflags "-X main.version=$(REVISION)" -o bin/ ./cmd/...
 
 # test skips exactly the tests that KNOWN-RED.txt lists as known failures.
 KNOWN = $(shell sed -n 's/^\(Test[^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
--- a/cmd/chead/edge.go
+++ b/cmd/chead/edge.go
@@ -44,7 +44,8 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(logbuf.NewMetrics(out))
-	d, err := edge.New(edge.Options{Settings: settings, Log: log, Registry: registry})
+	registry.MustRegister(newBuildInfo())
+	d, err := edge.New(edge.Options{Settings: settings, Build: build(), Log: log, Registry: registry})
 	if err != nil {
 		return err
 	}
--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -16,9 +16,6 @@
 	"clementinehead.example/chead/platform"
 )
 
-// version is the version that "chead version" prints, set by the linker.
-var version = "development"
-
 // commands are the commands of chead. kong derives their names from the fields.
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run a daemon."`
@@ -30,14 +27,14 @@
 	Report  reportCommand  `cmd:"" help:"Print who received what and who was refused."`
 	Audit   auditCommand   `cmd:"" help:"Print the trail of changes."`
 	Explain explainCommand `cmd:"" help:"Print what happened to a request, from the daemons' logs."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Version versionCommand `cmd:"" help:"Print the build: its version or revision."`
 }
 
 type versionCommand struct{}
 
-// Run prints the version.
+// Run prints the build.
 func (versionCommand) Run() error {
-	_, err := fmt.Println("chead", version)
+	_, err := fmt.Println("chead", build())
 	return err
 }
 
--- a/cmd/chead/serve.go
+++ b/cmd/chead/serve.go
@@ -50,9 +50,11 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(newBuildInfo())
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return daemon.Options{
 		Settings: settings,
+		Build:    build(),
 		Started:  time.Now(),
 		Listen:   func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		Dial:     dialer.DialContext,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	d.options.Log.Info("daemon starts", "caller", d.options.Settings.Caller, "boot", d.options.boot())
+	d.options.Log.Info("daemon starts", "caller", d.options.Settings.Caller, "boot", d.options.boot(), "build", d.options.Build)
 	roles, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, roles := errgroup.WithContext(roles)
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -15,6 +15,7 @@
 // Options are the dependencies of a Daemon.
 type Options struct {
 	Settings conf.Settings
+	Build    string    // name of the program's build, for the log
 	Started  time.Time // start of the process; its Unix nanoseconds are the boot number
 	Listen   func(address string) (net.Listener, error)
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,7 @@
 // Options configures a Daemon.
 type Options struct {
 	Settings Settings
+	Build    string // name of the program's build, for the log
 	Log      logr.Logger
 	Registry *prometheus.Registry
 }
@@ -214,7 +215,7 @@
 // in progress are answered, and only streams that outlast it are cut off.
 func (d *Daemon) Run(ctx context.Context) error {
 	s := d.options.Settings
-	d.options.Log.Info("daemon starts", "self", d.self.ID, "domain", s.Domain, "caller", s.Caller)
+	d.options.Log.Info("daemon starts", "self", d.self.ID, "domain", s.Domain, "caller", s.Caller, "build", d.options.Build)
 	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, partsCtx := errgroup.WithContext(partsCtx)
