--- a/gossip/builds_test.go
+++ b/gossip/builds_test.go
@@ -133,6 +133,11 @@
 		for _, m := range messages {
 			sum.add(m)
 		}
+		for i := range reflect.TypeFor[Message]().NumField() {
+			if v := reflect.ValueOf(sum).Field(i); v.Kind() == reflect.Map && v.Len() == 0 {
+				t.Errorf("%s: Message.%s", name, reflect.TypeFor[Message]().Field(i).Name)
+			}
+		}
 		for _, got := range missing(reflect.ValueOf(own.Endpoints["k"]), reflect.ValueOf(sum.Endpoints["k"]), reflect.ValueOf(old.Endpoints["k"])) {
 			t.Errorf("%s: EndpointLoad.%s", name, got)
 		}
