--- a/gossip/doc.go
+++ b/gossip/doc.go
@@ -11,4 +11,8 @@
 //
 // The messages are hints that save time. They may be lost, late or forged, so
 // nothing that must hold may depend on them.
+//
+// Daemons of another build may leave fields out, and relays of an older one drop those that
+// they don't know. So each field that is added is optional, and its zero value means that
+// nothing is known (docs/design/builds.md).
 package gossip
