--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -27,7 +27,7 @@
 	Report  reportCommand  `cmd:"" help:"Print who received what and who was refused."`
 	Audit   auditCommand   `cmd:"" help:"Print the trail of changes."`
 	Explain explainCommand `cmd:"" help:"Print what happened to a request, from the daemons' logs."`
-	Version versionCommand `cmd:"" help:"Print the build: its version or revision."`
+	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
 type versionCommand struct{}
