--- a/cmd/chead/main.go
+++ b/cmd/chead/main.go
@@ -16,9 +16,6 @@
 	"clementinehead.example/chead/platform"
 )
 
-// version is the version that "chead version" prints, set by the linker.
-var version = "development"
-
 // commands are the commands of chead. kong derives their names from the fields.
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run a daemon."`
@@ -36,9 +33,9 @@
 
 type versionCommand struct{}
 
-// Run prints the version.
+// Run prints the build.
 func (versionCommand) Run() error {
-	_, err := fmt.Println("chead", version)
+	_, err := fmt.Println("chead", build())
 	return err
 }
 
