--- a/conns/conn.go
+++ b/conns/conn.go
@@ -52,6 +52,7 @@
 	expires time.Time // no reuse after this time
 	inHead  bool      // a response's head is being read
 	head    int       // bytes that may still be read meanwhile
+	lifted  bool      // userTimeout doesn't apply
 }
 
 // newLink returns a link over a new connection.
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -47,10 +47,15 @@
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket. It is a Control function of a
 // net.Dialer.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	return c.Control(func(fd uintptr) {
+	return c.Control(limitUnacknowledged(userTimeout))
+}
+
+// limitUnacknowledged returns a function that sets TCP_USER_TIMEOUT, 0 for none, on a socket.
+func limitUnacknowledged(limit time.Duration) func(fd uintptr) {
+	return func(fd uintptr) {
 		// On a kernel without this option the longer default timeout applies.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	}
 }
 
 // Pool holds idle connections by address. It is safe for concurrent use. Use New
@@ -120,6 +125,7 @@
 		_ = l.Close()
 		return
 	}
+	l.limitAgain()
 	l.served++
 	l.expires = time.Now().Add(idleTimeout(header) - idleMargin)
 	p.mu.Lock()
--- a/conns/send.go
+++ b/conns/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -44,11 +45,14 @@
 func (p *Pool) Send(ctx context.Context, c *Conn, r Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response := &Response{pool: p, conn: c, method: r.Method, stop: stop, writeErr: make(chan error, 1)}
-	data := r.encode()
-	if len(data) > asyncWriteSize {
-		go func() { response.writeErr <- c.write(data) }()
+	head := r.encodeHead()
+	if len(head)+len(r.Body) > asyncWriteSize {
+		go func() { response.writeErr <- c.writeLong(head, r.Body) }()
+		answered := make(chan struct{})
+		defer close(answered)
+		c.watchLong(answered)
 	} else {
-		response.writeErr <- c.write(data)
+		response.writeErr <- c.write(append(head, r.Body...))
 	}
 	if err := response.readHead(); err != nil {
 		stop()
@@ -80,17 +84,23 @@
 	return err
 }
 
-// encode returns the request in the wire format of HTTP/1.1.
-func (r Request) encode() []byte {
+// writeLong writes a request without a copy of its body.
+func (c *Conn) writeLong(head, body []byte) error {
+	parts := net.Buffers{head, body}
+	_, err := parts.WriteTo(c.link.Conn)
+	return err
+}
+
+// encodeHead returns the request without its body in the wire format of HTTP/1.1.
+func (r Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), asyncWriteSize))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	_ = r.Header.Write(&b) // writing to a buffer does not fail
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
