--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -14,7 +14,8 @@
 	late                 func(since time.Time) time.Duration // longest time for which this process ran late since
 	running              int                                 // requests of this daemon in progress
 	streams              int                                 // of these, streams that have sent an event
-	lastProgress         time.Time                           // time of the latest response or event, or of the first slot acquired while none was in use
+	held                 int                                 // of these, streams that aren't read since their callers are slow
+	lastProgress         time.Time                           // time of the latest response or event, or of the first slot acquired while none was in use that is read
 	gapSeconds           float64                             // mean interval between events of a stream, smoothed; 0 before the first
 	failureRate          float64                             // share of requests that failed, smoothed
 	lastFailure          time.Time
@@ -46,13 +47,13 @@
 	gapTolerance      = 1.6                     // factor up to which an interval between events counts as expected
 )
 
-// noProgress reports whether requests of this daemon are in progress and none makes
+// noProgress reports whether requests of this daemon are in progress and read, and none makes
 // progress. What came while this process ran late is not read yet, so that time doesn't
 // count.
 func (s *endpointState) noProgress(now time.Time) bool {
 	usual := s.usualSilence()
 	silent := now.Sub(s.lastProgress)
-	return s.running > 0 && silent > usual && silent-s.late(s.lastProgress) > usual
+	return s.running > s.held && silent > usual && silent-s.late(s.lastProgress) > usual
 }
 
 // stalled reports whether the endpoint is stalled as this daemon observes it, or by a
@@ -75,7 +76,7 @@
 
 // begin records that a request has acquired a slot.
 func (s *endpointState) begin(now time.Time) {
-	if s.running == 0 {
+	if s.running == s.held {
 		s.lastProgress = now
 	}
 	s.running++
--- a/pick/pace.go
+++ b/pick/pace.go
@@ -61,7 +61,9 @@
 }
 
 // progressing reports whether streams of this daemon make progress at the endpoint.
-func (s *endpointState) progressing(now time.Time) bool { return s.streams > 0 && !s.noProgress(now) }
+func (s *endpointState) progressing(now time.Time) bool {
+	return s.streams > s.held && !s.noProgress(now)
+}
 
 // answered records that the first event or the answer of a slot's request has come.
 func (s *endpointState) answered(slot *Slot, now time.Time) {
--- a/pick/pace_test.go
+++ b/pick/pace_test.go
@@ -75,6 +75,40 @@
 	})
 }
 
+// A stream that isn't read because its caller is slow says nothing of its endpoint, neither
+// while it waits nor by the interval to its next event; another one there does. The endpoint
+// was avoided, so that slow callers took it from others.
+func TestUnreadStreamIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		slow, err := p.Acquire(t.Context(), engineRequest)
+		is.NoErr(err)
+		slow.Progress(true)
+		slow.Hold(true)
+		time.Sleep(time.Minute)
+		is.True(!slow.Stalled())
+		other, err := p.Acquire(t.Context(), engineRequest)
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		is.True(other.Stalled())
+		other.Done(false)
+		slow.Hold(false)
+		usual := slow.UsualSilence()
+		time.Sleep(10 * time.Millisecond)
+		slow.Progress(true)
+		is.Equal(slow.UsualSilence(), usual)
+		time.Sleep(2 * time.Second)
+		is.True(slow.Stalled())
+		slow.Hold(true)
+		slow.Left()
+		next, err := p.Acquire(t.Context(), engineRequest)
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		is.True(next.Stalled()) // the slow one counts no more
+	})
+}
+
 // A prompt that takes 2 s to read keeps an endpoint silent for that time.
 func TestReadingIsNoStall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -20,6 +20,7 @@
 	acquired     time.Time
 	streaming    bool // whether an event has arrived
 	unread       int  // tokens of its prompt; 0 once an event has arrived
+	held         bool // its stream isn't read, since the caller is slow
 	done         bool
 	retry        time.Time // when Successor counted it in the budget
 }
@@ -50,6 +51,24 @@
 	s.state.event(now, gap)
 }
 
+// Hold records that the stream isn't read from now on, or is read again, so that its silence
+// isn't the endpoint's.
+func (s *Slot) Hold(on bool) {
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	switch {
+	case s.held == on || s.done:
+		return
+	case on:
+		s.state.held++
+	default:
+		s.state.held--
+		s.lastProgress = time.Now()
+		s.state.lastProgress = s.lastProgress
+	}
+	s.held = on
+}
+
 // Stalled reports whether the endpoint makes no progress with any request.
 func (s *Slot) Stalled() bool {
 	s.placer.mu.Lock()
@@ -169,6 +188,9 @@
 
 // finish ends the request's part in the counts and dispatches its queue.
 func (s *Slot) finish(now time.Time) {
+	if s.held {
+		s.state.held--
+	}
 	if s.streaming {
 		s.state.streams--
 	}
