--- a/edge/reload.go
+++ b/edge/reload.go
@@ -39,6 +39,8 @@
 		{"store", a.Store == b.Store},
 		{"source", a.Source == b.Source},
 		{"cores", a.Cores == b.Cores},
+		{"memory", a.Memory == b.Memory},
+		{"held", a.Held == b.Held},
 	} {
 		if !f.same {
 			names = append(names, f.name)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -28,7 +28,8 @@
 	Window  float64 `json:"window"`  // in seconds: window for Ratio and Extra
 	Source  string  `json:"source"`  // address of this host that connections are made from, empty for any
 	Cores   float64 `json:"cores"`   // processor cores that the daemon may use, 0 if that is not known; those with more do more of the common work
-	Memory  int64   `json:"memory"`  // in megabytes: memory limit; the daemon itself does not use it
+	Memory  int64   `json:"memory"`  // in megabytes: memory limit, 0 if that is not known
+	Held    float64 `json:"held"`    // part of Memory that bodies, and what is read ahead for slow callers, may take; 0 for the default
 }
 
 // ReadSettings reads and checks a settings file. The error is of kind Setting and
@@ -47,8 +48,7 @@
 	return s, s.check()
 }
 
-// check returns an error that names every missing or invalid setting. Memory is not
-// checked.
+// check returns an error that names every missing or invalid setting.
 func (s Settings) check() error {
 	var faults []error
 	for _, f := range []struct{ name, value string }{{"id", s.ID}, {"domain", s.Domain}, {"region", s.Region}} {
@@ -85,6 +85,12 @@
 	if s.Cores < 0 {
 		faults = append(faults, errors.New("cores: must not be below 0"))
 	}
+	if s.Memory < 0 {
+		faults = append(faults, errors.New("memory: must not be below 0"))
+	}
+	if s.Held < 0 || s.Held > 1 {
+		faults = append(faults, errors.New("held: must be from 0 to 1"))
+	}
 	if len(faults) > 0 {
 		return &Error{Op: "check settings", Kind: Setting, Err: errors.Join(faults...)}
 	}
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -26,6 +26,9 @@
 		{"negative apply", `"apply":2000`, `"apply":-1`, []string{"apply: must be above 0"}},
 		{"cores", `"memory":284`, `"cores":0.8`, nil},
 		{"negative cores", `"memory":284`, `"cores":-1`, []string{"cores: must not be below 0"}},
+		{"negative memory", `"memory":284`, `"memory":-1`, []string{"memory: must not be below 0"}},
+		{"part of the memory", `"memory":284`, `"held":0.4`, nil},
+		{"more than the memory", `"memory":284`, `"held":1.1`, []string{"held: must be from 0 to 1"}},
 		{"source", `"memory":284`, `"source":"127.0.0.9"`, nil},
 		{"no source address", `"memory":284`, `"source":"here"`, []string{"source: must be an IPv4 address"}},
 		{"zero revoke", `"revoke":5000`, `"revoke":0`, []string{"revoke: must be above 0"}},
@@ -43,6 +46,14 @@
 	}
 }
 
+// What may be held follows the memory of the instance, so that a small one isn't outgrown.
+func TestHeldFollowsMemory(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Settings{Memory: 184}.held(), int64(46_000_000))
+	is.Equal(Settings{Memory: 184, Held: 0.5}.held(), int64(92_000_000))
+	is.Equal(Settings{Held: 0.5}.held(), int64(64_000_000)) // memory not known
+}
+
 // After changes, a daemon that is not the keeper pauses as long as Settings.Apply, the
 // time within which a configuration must be in force, allows, but no less than minPause
 // and no more than maxPause.
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -34,6 +34,7 @@
 	firstAt  time.Time // when the first event came
 	survived bool      // events came for survivalTime
 	idle     int       // bytes since the last event with content
+	begun    bool      // an event was passed on
 
 	result  result          // answered if there is an answer to be passed on
 	cause   string          // why it failed, or the answer's status
@@ -147,9 +148,9 @@
 // repeatable request is kept, since a retry may succeed, and so is any where the caller
 // has a part of a stream, which it does not continue.
 func (x *exchange) readBody() result {
-	body, err := x.resp.ReadAll(responseLimit)
+	body, err := x.readAnswer()
 	if err != nil {
-		return x.breaksOff("answer cut short", err)
+		return x.notWhole(err)
 	}
 	x.slot.Progress(false)
 	status := x.resp.StatusCode
--- a/front/finish.go
+++ b/front/finish.go
@@ -16,8 +16,8 @@
 	h.Del("Content-Length")
 	f.markLast(h)
 	j.w.WriteHeader(resp.status)
-	if _, err := j.w.Write(resp.body); err != nil {
-		f.logEnd(j, "cut", resp.status, "caller left")
+	if err := j.writeAnswer(resp.body); err != nil {
+		f.logEnd(j, "cut", resp.status, j.cutReason("caller left"))
 		return
 	}
 	f.options.Crashes.Clear(j.digest)
@@ -39,7 +39,7 @@
 		f.logEnd(j, "cut", http.StatusOK, stopReason)
 		panic(http.ErrAbortHandler)
 	case j.stream.headSent:
-		f.logEnd(j, "cut", http.StatusOK, "stream not finished")
+		f.logEnd(j, "cut", http.StatusOK, j.cutReason("stream not finished"))
 		panic(http.ErrAbortHandler) // the caller must see that the stream is incomplete
 	case last.status != 0:
 		f.deliver(j, last)
@@ -50,6 +50,8 @@
 		f.refuse(j, &refusal{status: http.StatusBadGateway, reason: stopReason})
 	case f.reached(ending):
 		f.refuse(j, &refusal{http.StatusServiceUnavailable, stopReason, defaultRetryAfter, true})
+	case ran > 0 && j.noRoom.Load():
+		f.refuse(j, &refusal{status: http.StatusBadGateway, reason: errNoRoom.Error()})
 	case ran > 0 && j.remaining() <= minRemaining:
 		f.refuse(j, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"})
 	case ran > 0:
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -19,6 +19,7 @@
 
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/hold"
 	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/reach"
 	"clementinehead.example/chead/site"
@@ -209,7 +210,7 @@
 	placer := pick.New(o)
 	f.front = New(Options{
 		Snapshot: func() *watch.Snapshot { return snapshot }, SnapshotAge: func() time.Duration { return f.age }, MaxKeyAge: func() time.Duration { return 3 * time.Second },
-		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(t, true), Self: service + "-daemon", Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
+		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(t, true), Self: service + "-daemon", Hold: hold.New(hold.NewLimits(64 << 20)), Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
 	})
 	f.http = httptest.NewServer(f.front)
 	t.Cleanup(f.http.Close)
--- a/front/front.go
+++ b/front/front.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"errors"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"clementinehead.example/chead/conns"
+	"clementinehead.example/chead/hold"
 	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/reach"
@@ -38,6 +38,7 @@
 	Pool        *conns.Pool
 	Reach       *reach.Reach
 	Self        string // ID of this daemon
+	Hold        *hold.Book
 	Crashes     *Crashes
 	Parts       *Parts
 	Metrics     *Metrics
@@ -52,6 +53,7 @@
 	jobs      jobs
 	refused   atomic.Int64 // requests that came too late in a shutdown
 	deadlines deadlines
+	fullAt    atomic.Int64 // when the log last told of the memory bound, in ns since 1970
 	newest    atomic.Int64 // newest version of the configuration by which a daemon that requests were sent through went
 }
 
@@ -92,6 +94,11 @@
 	progress   progress
 	unlogged   bool           // the end isn't logged
 	relay      platform.Relay // if another daemon sent the request here
+	outlet     outlet
+	share      *hold.Share  // of the bytes held, nil until the request's body is read
+	evicted    atomic.Int64 // the hold.Reason why it had to give way, if it had
+	noRoom     atomic.Bool  // an answer was given up for want of memory
+	status     int          // of the stream's response, once it is whole
 }
 
 // remaining returns the time until the deadline of a request.
@@ -101,7 +108,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now()}
 	f.jobs.add(j)
-	defer f.jobs.remove(j)
+	defer f.remove(j)
 	f.awaitVersion(r.Context(), f.newest.Load())
 	if refusal := f.admitUnlessStopped(j); refusal != nil {
 		f.refuse(j, refusal)
@@ -196,25 +203,6 @@
 	return &refusal{status: status, reason: reason}
 }
 
-// readBody reads the request's body, up to the configured limit.
-func (f *Front) readBody(j *job, limits site.Limits) *refusal {
-	limit := limits.Body
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body not whole"}
-	}
-	j.body = body
-	j.digest = digest(j)
-	return nil
-}
-
 // headerSize returns the size in bytes of the request line and the header.
 func headerSize(r *http.Request) int64 {
 	const separators = 4 // ": " and the line's end
@@ -297,7 +285,7 @@
 	f.options.Log.Info("request "+outcome,
 		"id", j.id, "relayed_by", j.relay.Daemon, "route", j.route.Name, "account", j.account, "model", j.model, "status", status, "reason", reason,
 		"tried", j.tries.names(), "ran", ran, "served", j.served, "load", j.load, "read_ms", j.prefill.Milliseconds(),
-		"events", j.stream.forwarded, "first_ms", j.stream.first.Milliseconds(), "gap_ms", j.stream.longestGap.Milliseconds(),
+		"events", j.stream.forwarded, "first_ms", j.stream.first.Milliseconds(), "gap_ms", j.stream.longestGap.Milliseconds(), "slow", j.outlet.isSplit(),
 		"ahead", j.queue.InTime+j.queue.Late, "fit", j.eligible, "limited", j.queue.Limited, "freed", round(j.queue.FreeRate), "arrivals", round(j.queue.ArrivalRate),
 		"slack_ms", j.queue.Slack.Milliseconds(), "returned_ms", j.priorTime.Milliseconds(),
 		"waited_ms", j.waited.Milliseconds(), "took_ms", took.Milliseconds(),
--- a/front/relay.go
+++ b/front/relay.go
@@ -29,7 +29,7 @@
 func (f *Front) ServeRelayed(w http.ResponseWriter, r *http.Request, relay platform.Relay) {
 	j := &job{w: w, r: r, id: r.Header.Get(platform.HeaderRequest), arrived: time.Now(), relay: relay}
 	f.jobs.add(j)
-	defer f.jobs.remove(j)
+	defer f.remove(j)
 	f.awaitVersion(r.Context(), relay.Version)
 	platform.SetRelayVersion(w.Header(), f.version())
 	refused := f.refuseRelayed(relay)
@@ -123,9 +123,9 @@
 // refusal is not passed on if another send of the request may have run, or run yet: it says
 // that the request has not run.
 func (x *exchange) readRelayed() result {
-	body, err := x.resp.ReadAll(responseLimit)
+	body, err := x.readAnswer()
 	if err != nil {
-		return x.breaksOff("answer cut short", err)
+		return x.notWhole(err)
 	}
 	x.slot.Progress(false)
 	x.answer = response{x.resp.StatusCode, platform.Incoming(x.resp.Header), body}
--- a/front/result_string.go
+++ b/front/result_string.go
@@ -13,11 +13,12 @@
 	_ = x[failed-2]
 	_ = x[unknown-3]
 	_ = x[disconnected-4]
+	_ = x[handedOn-5]
 }
 
-const _result_name = "settlednot runfailedunknowncaller left"
+const _result_name = "settlednot runfailedunknowncaller lefthanded on"
 
-var _result_index = [...]uint8{0, 7, 14, 20, 27, 38}
+var _result_index = [...]uint8{0, 7, 14, 20, 27, 38, 47}
 
 func (i result) String() string {
 	idx := int(i) - 0
--- a/front/retry.go
+++ b/front/retry.go
@@ -25,7 +25,7 @@
 func (f *Front) checkRetry(j *job, got result) hurdle {
 	all, ran := j.tries.counts()
 	switch {
-	case got == disconnected:
+	case got == disconnected || j.outlet.hasFailed():
 		return callerGone
 	case f.reached(ending):
 		return stopping
--- a/front/send.go
+++ b/front/send.go
@@ -21,6 +21,7 @@
 //   - failed: it ran, and the endpoint's error response is kept.
 //   - unknown: it may have run, and no complete response was received.
 //   - disconnected: the caller disconnected.
+//   - handedOn: another goroutine goes on with the try.
 type result int
 
 const (
@@ -29,6 +30,7 @@
 	failed                     // failed
 	unknown                    // unknown
 	disconnected               // caller left
+	handedOn                   // handed on
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=result -linecomment -output=result_string.go
@@ -59,15 +61,34 @@
 	ctx, cancel := j.context()
 	defer j.successors.Wait()
 	defer cancel()
+	defer j.boundWrites(ctx)()
 	j.expectAfterLast()
+	got, err := f.run(ctx, j, nil)
+	if got == handedOn {
+		got, err = f.drain(j)
+	}
+	switch {
+	case got != answered:
+		f.finish(j, err)
+	case j.status != 0:
+		f.logEnd(j, "served", j.status, "")
+	}
+}
+
+// run tries a request until it is answered or no retry is allowed, or until another
+// goroutine goes on with that. It goes on with the stream of an exchange if that isn't nil.
+// The error is that of the last try.
+func (f *Front) run(ctx context.Context, j *job, x *exchange) (result, error) {
 	for {
-		got, err := f.try(ctx, j)
-		if got == answered {
-			return
+		got, err := unknown, error(nil)
+		if x != nil {
+			got = f.endTry(j, x, f.forwardStream(ctx, j, x))
+			x = nil
+		} else {
+			got, err = f.try(ctx, j)
 		}
-		if err != nil {
-			f.finish(j, err)
-			return
+		if got == answered || got == handedOn || err != nil {
+			return got, err
 		}
 		if j.successor != nil {
 			continue // permitted and counted when it was sent
@@ -76,8 +97,7 @@
 			_, ran := j.tries.counts()
 			f.options.Log.Info("not sent again", "id", j.id, "reason", reason.String(), "result", got.String(), "sends", j.progress.sends.Load(), "ran", ran,
 				"attempts", j.route.Attempts, "left_ms", j.remaining().Milliseconds(), "spent", j.retry.Used, "budget", j.retry.Limit)
-			f.finish(j, nil)
-			return
+			return got, nil
 		}
 		f.options.Metrics.retries.WithLabelValues(got.String()).Inc()
 	}
@@ -116,13 +136,21 @@
 	if got == answered {
 		got = f.forward(ctx, j, x)
 	}
+	return f.endTry(j, x, got), nil
+}
+
+// endTry ends a try with a result, unless another goroutine goes on with it.
+func (f *Front) endTry(j *job, x *exchange, got result) result {
+	if got == handedOn {
+		return got
+	}
 	successor, left := j.watch.inherit()
 	if left {
 		x.fail(got, "left for another endpoint", nil)
 	}
 	x.end(got)
 	j.successor = successor
-	return got, nil
+	return got
 }
 
 // forward passes the answer of an exchange on to the caller.
--- a/front/silence.go
+++ b/front/silence.go
@@ -126,6 +126,9 @@
 
 // overdue returns why a successor should be tried, or an empty text. The lock must be held.
 func (w *watchdog) overdue() string {
+	if w.job.outlet.isFull() {
+		w.lastEvent = time.Now() // it is the caller that makes no progress
+	}
 	silent := time.Since(w.lastEvent)
 	switch {
 	case silent >= stallAfter && w.front.options.Reach.State() == reach.Cut:
--- a/front/stream.go
+++ b/front/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -54,18 +53,32 @@
 // event is not forwarded, so that the stream can be resumed after the last one.
 func (f *Front) forwardStream(ctx context.Context, j *job, x *exchange) result {
 	e, err := x.first, error(nil)
-	if x.empty {
+	switch {
+	case x.empty:
 		err = io.EOF
+	case x.begun:
+		e, err = x.next()
 	}
 	for {
 		switch {
 		case errors.Is(err, io.EOF):
 			return f.endStream(j, x.resp)
+		case err != nil && ctx.Err() != nil && j.outlet.isBehind():
+			return x.fail(disconnected, "caller reads slowly", err)
 		case err != nil:
 			return f.orDisconnected(j, x.breaksOff("stream cut short", err))
 		case !x.follows(j.stream.point, e):
 			return f.orDisconnected(j, x.fail(unknown, "event out of order", nil))
-		case !j.watch.accept(e) || !f.forwardEvent(j, x.resp, e) || ctx.Err() != nil:
+		case !j.watch.accept(e):
+			return f.orDisconnected(j, unknown)
+		}
+		switch f.forwardEvent(ctx, j, x, e) {
+		case divided:
+			return handedOn
+		case lost:
+			return x.fail(disconnected, "caller takes no more", nil)
+		}
+		if ctx.Err() != nil {
 			return f.orDisconnected(j, unknown)
 		}
 		e, err = x.next()
@@ -83,7 +96,7 @@
 	}
 	f.options.Crashes.Clear(j.digest)
 	f.options.Parts.Survived(j.parts)
-	f.logEnd(j, "served", resp.StatusCode, "")
+	j.status = resp.StatusCode
 	return answered
 }
 
@@ -101,24 +114,6 @@
 	f.options.Metrics.firstEvent.Observe(time.Since(j.arrived).Seconds())
 }
 
-// forwardEvent sends an event to the caller, after the head if that was not sent
-// yet. It reports false if the caller has disconnected.
-func (f *Front) forwardEvent(j *job, resp *conns.Response, e event) bool {
-	if !j.stream.headSent {
-		f.sendHead(j, resp)
-	}
-	if _, err := j.w.Write(e.raw); err != nil {
-		return false
-	}
-	if err := http.NewResponseController(j.w).Flush(); err != nil {
-		return false
-	}
-	j.stream.record(j.arrived, time.Now())
-	j.progress.events.Add(1)
-	j.stream.point = j.stream.after(e)
-	return true
-}
-
 // record updates the times and the count after an event was sent to the caller.
 func (s *stream) record(arrived, now time.Time) {
 	if s.forwarded == 0 {
