--- a/cmd/chfake/site.go
+++ b/cmd/chfake/site.go
@@ -52,6 +52,7 @@
 	Event   time.Duration `default:"20ms" help:"Shortest time until the first event, between two events, and of a plain call."`
 	Longest time.Duration `help:"Longest such time, drawn for each; as --event where it is shorter."`
 	Events  int           `default:"30" help:"Events of a stream."`
+	Sip     time.Duration `help:"Pause after each 64 KiB of a request's body."`
 	Crash   string        `help:"Part of prompts at which the process ends."`
 	Limit   float64       `help:"Requests per second that answers state as the limit, in turn with none and twice as many; 0 for none at all."`
 	Period  time.Duration `default:"5s" help:"For which answers state the same limit."`
@@ -74,7 +75,7 @@
 	}
 	runner := simul.NewRunner(simul.RunnerOptions{
 		ID: c.ID, Service: c.Service, Address: c.Address, Domain: c.Domain, Fabric: c.Fabric, Slots: c.Slots,
-		Join: c.Join, Event: c.Event, EventMax: c.Longest, Events: c.Events, Named: true, Faults: c.Faults,
+		Join: c.Join, Event: c.Event, EventMax: c.Longest, Events: c.Events, Sip: c.Sip, Named: true, Faults: c.Faults,
 		PutEntry: entry.put, OnAct: onAct, Crash: c.Crash, OnCrash: func() { os.Exit(crashCode) },
 		Limit: c.Limit, LimitPeriod: c.Period,
 	})
--- a/simul/answer.go
+++ b/simul/answer.go
@@ -24,6 +24,7 @@
 	chances *rand.Rand
 	w       http.ResponseWriter
 	conn    *runnerConn // nil if the runner was not started by Serve
+	padding string      // before each event of a stream
 	last    int         // number of the last event that the caller has received
 }
 
@@ -58,7 +59,7 @@
 		r.mu.Unlock()
 		r.act(Ended, id, 0, "")
 	}()
-	_, _ = io.Copy(io.Discard, q.Body) // the server notices that the connection ends only after the whole body
+	body := r.readBody(q.Body)
 	ctx := q.Context()
 	if ms, err := strconv.Atoi(q.Header.Get("X-Deadline-Ms")); err == nil {
 		var cancel context.CancelFunc
@@ -67,7 +68,7 @@
 	}
 	conn, _ := ctx.Value(connKey{}).(*runnerConn)
 	received, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
-	u := &run{id: id, fault: fault, chances: chances, w: w, conn: conn, last: received}
+	u := &run{id: id, fault: fault, chances: chances, w: w, conn: conn, padding: padding(body), last: received}
 	if r.crashesAt(q.Header.Get(promptHeader)) {
 		crashTime := r.options.Event + minCrashTime + time.Duration(chances.Int64N(int64(maxCrashTime-minCrashTime)))
 		time.AfterFunc(crashTime, r.options.OnCrash)
@@ -189,7 +190,7 @@
 		breakAt = u.last + 1 + u.chances.IntN(r.options.Events-u.last)
 	}
 	for i := u.last + 1; i <= r.options.Events; i++ {
-		text := Event(i, r.name(u.id))
+		text := u.padding + Event(i, r.name(u.id))
 		if i == breakAt {
 			r.breakOff(u, text[:u.chances.IntN(len(text))])
 		}
--- a/simul/caller.go
+++ b/simul/caller.go
@@ -18,6 +18,7 @@
 	Model    string
 	Key      string        // API key of the client account, sent as a bearer token
 	Prompt   string        // parts of the prompt, sent as X-Prompt-Prefix; empty for none, and then all bodies are alike
+	Size     int           // length of the body in bytes, 0 for a short one; has an effect if Prompt is empty
 	Deadline time.Duration // sent in milliseconds as X-Deadline-Ms
 }
 
@@ -42,7 +43,7 @@
 // Body returns the body of the request.
 func (c Call) Body() string {
 	if c.Prompt == "" {
-		return "x"
+		return strings.Repeat("x", max(1, c.Size))
 	}
 	return "x" + c.ID
 }
--- a/simul/runner.go
+++ b/simul/runner.go
@@ -20,6 +20,7 @@
 	Event       time.Duration                  // shortest time until the first event of a stream, between two, and of a plain call
 	EventMax    time.Duration                  // longest such time, Event if it is shorter
 	Events      int                            // number of events of a stream
+	Sip         time.Duration                  // pause after each part of a request's body that it reads
 	Named       bool                           // whether the bodies of answers name their requests
 	Faults      Faults                         // none by default
 	Crash       string                         // part of prompts at which the runner crashes, empty for none
--- a/soak/client.go
+++ b/soak/client.go
@@ -143,7 +143,7 @@
 
 // call returns the request of a record, to an address.
 func (r record) call(address string) simul.Call {
-	return simul.Call{Address: address, Path: r.path, ID: r.id, Model: "m", Key: r.key, Prompt: r.prompt, Deadline: r.deadline}
+	return simul.Call{Address: address, Path: r.path, ID: r.id, Model: "m", Key: r.key, Prompt: r.prompt, Size: r.size, Deadline: r.deadline}
 }
 
 // sendUntilServed sends a request up to maxTries times, with the retry delay of
--- a/soak/kept.go
+++ b/soak/kept.go
@@ -79,6 +79,7 @@
 		rec := k.client.begin(k.daemon, k.path, "good-key")
 		rec.kept = true
 		rec.deadline = keptDeadlines[k.chances.IntN(len(keptDeadlines))]
+		k.slowDown(conn, &rec)
 		ends := k.exchange(conn, reader, &rec)
 		k.client.finish(rec)
 		if !rec.served() {
@@ -90,6 +91,22 @@
 	}
 }
 
+const (
+	slowShare  = 8                       // one stream in so many has a caller that reads slowly
+	slowSize   = 88 << 10                // bytes of its body, for which events are padded, so that connections don't hold the stream
+	slowBuffer = 64 << 10                // bytes that the caller's socket holds
+	slowPause  = 1500 * time.Millisecond // in which it doesn't read
+)
+
+// slowDown makes the caller of some requests a slow one, if the profile has such.
+func (k *keptCaller) slowDown(conn net.Conn, rec *record) {
+	if !k.client.cluster.traits.slow || !routes[k.path].stream || k.chances.IntN(slowShare) > 0 {
+		return
+	}
+	rec.size = slowSize
+	_ = conn.(*net.TCPConn).SetReadBuffer(slowBuffer)
+}
+
 // exchange sends a request, fills in its result and reports whether the connection is
 // to be closed.
 func (k *keptCaller) exchange(conn net.Conn, reader *bufio.Reader, rec *record) (ends bool) {
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -39,6 +39,7 @@
 	plainShare     int  // one runner in so many, but two at least, serves plain calls
 	kept           bool // whether there are callers that stay with a daemon
 	crashes        bool // whether there are prompts that crash endpoints
+	slow           bool // whether some callers and some runners read slowly
 	limits         bool // whether endpoints state limits
 	cuts           bool // whether daemons are cut off from endpoints, so that their connections come from addresses of their own
 	faults         simul.Faults
@@ -49,7 +50,7 @@
 func (p Profile) traits() traits {
 	if p == Stops {
 		return traits{
-			events: 5, streamInterval: 600 * time.Millisecond, fileInterval: 200 * time.Millisecond, plainShare: 3, kept: true,
+			events: 5, streamInterval: 600 * time.Millisecond, fileInterval: 200 * time.Millisecond, plainShare: 3, kept: true, slow: true,
 			faults: simul.Faults{Stutter: 0.08, Lose: 0.01, Reset: 0.01, Truncate: 0.01, Unsized: 0.05, Fail: 0.02, Expire: 0.01, Busy: 0.02},
 		}
 	}
--- a/soak/record.go
+++ b/soak/record.go
@@ -35,6 +35,7 @@
 	crashes    bool   // it crashes endpoints
 	daemon     int
 	deadline   time.Duration
+	size       int  // bytes of its body, if its caller reads slowly
 	kept       bool // sent by a caller that stays with its daemon, not through a Path
 	sent       time.Time
 	written    time.Time // when the last byte had been sent, zero if it was not
@@ -65,9 +66,12 @@
 
 // read fills in the answer, and how reading its body ended.
 func (r *record) read(response *http.Response) {
+	if r.size > 0 {
+		time.Sleep(min(slowPause, time.Until(r.sent.Add(r.limit())))) // a cut at the limit must be seen
+	}
 	body, err := io.ReadAll(response.Body)
 	r.status = response.StatusCode
-	r.body = string(body)
+	r.body = simul.Unpad(string(body), r.size)
 	r.echo = response.Header.Get("X-Request-Id")
 	r.signature = simul.Signature(response)
 	r.end(err)
--- a/soak/start.go
+++ b/soak/start.go
@@ -11,6 +11,9 @@
 	"clementinehead.example/chead/simul"
 )
 
+// sip is the pause of runners that read slowly, after each part of a request's body.
+const sip = 30 * time.Millisecond
+
 // minPlain is the least number of runners that serve plain calls.
 const minPlain = 2
 
@@ -47,6 +50,9 @@
 	if c.traits.crashes && !plain {
 		r.command = append(r.command, "--crash", crashingPart)
 	}
+	if c.traits.slow && i%2 == 0 {
+		r.command = append(r.command, "--sip", sip.String())
+	}
 	if c.traits.limits {
 		r.command = append(r.command, "--limit", fmt.Sprint(statedLimit(c.options.Seed, i)), "--period", limitPeriod.String())
 	}
