learn, pick, gossip: endpoints get what they are seen to take well

Servers of one service differ in speed, and some slow down long before their slots are taken; slots were the configured number, and only the cost of choice followed the speed.

Package learn (pure) fits a line time = a + b * load for each endpoint to what the daemons see together, and limits an endpoint that deviates from its configuration and from its model's other endpoints to the load at which callers still get what routes state. Gossip carries the sums (EndpointLoad.Learned) of such endpoints only, with age and start. The learned figure replaces Candidate.Slots where it is lower. endpointState.gapSeconds is gone: the slowdown comes from the same sums, so it rests on the loads at which intervals were seen and on one life and model; it forgets by time (half in 1.5 s) instead of by events.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -101,6 +101,7 @@
 	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
 	}, func() float64 { return float64(d.placer.Limited()) }))
+	registerLearned(o.Registry, d.placer)
 	d.pool = conns.New(dial)
 	d.reach = reach.New(reach.Options{
 		Boot: clock.Boot, Late: d.pulse.Late, Endpoints: d.probedEndpoints, Silence: d.placer.Silence, Probe: d.probe,
--- a/gossip/merge.go
+++ b/gossip/merge.go
@@ -44,23 +44,35 @@
 }
 
 // aged returns a message that was received some time ago, with the present ages of the
-// limits in it.
+// limits in it, and of what was learned of endpoints.
 func (m Message) aged(passed time.Duration) Message {
 	cloned := false
 	for id, load := range m.Endpoints {
-		if !load.Limit.known() {
+		if !load.Limit.known() && !load.Learned.Known() {
 			continue
 		}
 		if !cloned {
 			m.Endpoints = maps.Clone(m.Endpoints)
 			cloned = true
 		}
-		load.Limit.Age += int(passed.Milliseconds()) + 1 // rounded up
-		m.Endpoints[id] = load
+		m.Endpoints[id] = load.aged(passed)
 	}
 	return m
 }
 
+// aged returns a load as it is when a time has passed, rounded up.
+func (l EndpointLoad) aged(passed time.Duration) EndpointLoad {
+	more := int(passed.Milliseconds()) + 1
+	if l.Limit.known() {
+		l.Limit.Age += more
+	}
+	if l.Learned.Known() {
+		l.Learned.Age += more
+		l.Learned.Gaps, l.Learned.Firsts = l.Learned.Gaps.Faded(passed), l.Learned.Firsts.Faded(passed)
+	}
+	return l
+}
+
 // tenths returns a time in tenths of a second, rounded up.
 func tenths(d time.Duration) int {
 	const tenth = 100 * time.Millisecond
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "clementinehead.example/chead/site"
+import (
+	"clementinehead.example/chead/learn"
+	"clementinehead.example/chead/site"
+)
 
 // Scope tells whose load a message holds.
 type Scope int
@@ -48,13 +51,14 @@
 // EndpointLoad is the load that daemons cause at an endpoint, and what they observe
 // there.
 type EndpointLoad struct {
-	Running      int   `json:"running"`           // requests in progress
-	UnreadTokens int   `json:"unread,omitempty"`  // prompt tokens of those of its requests there whose response has had no event yet
-	Leaving      int64 `json:"leaving,omitempty"` // site.State.Started of the endpoint if it stated that it leaves
-	Slow         bool  `json:"slow,omitempty"`    // its events are much further apart than expected
-	Stalled      bool  `json:"stuck,omitempty"`   // it observed no progress there, or could not reach it
-	Sent         int   `json:"sent,omitempty"`    // requests sent there lately, if it states a limit
-	Limit        Limit `json:"limit,omitzero"`
+	Running      int     `json:"running"`           // requests in progress
+	UnreadTokens int     `json:"unread,omitempty"`  // prompt tokens of those of its requests there whose response has had no event yet
+	Leaving      int64   `json:"leaving,omitempty"` // site.State.Started of the endpoint if it stated that it leaves
+	Slow         bool    `json:"slow,omitempty"`    // its events are much further apart than expected
+	Stalled      bool    `json:"stuck,omitempty"`   // it observed no progress there, or could not reach it
+	Sent         int     `json:"sent,omitempty"`    // requests sent there lately, if it states a limit
+	Limit        Limit   `json:"limit,omitzero"`
+	Learned      Learned `json:"learned,omitzero"`
 }
 
 // Limit is what an endpoint stated in an answer of the requests that it takes. The zero
@@ -69,6 +73,19 @@
 // known reports whether the endpoint stated anything.
 func (l Limit) known() bool { return l.Age > 0 }
 
+// Learned is what requests at an endpoint showed of how much it takes. It is passed on only
+// of endpoints that deviate from their configuration and from the others of their model.
+// The zero value means that nothing is known.
+type Learned struct {
+	Started int64      `json:"started,omitempty"` // site.State.Started of the endpoint
+	Age     int        `json:"age,omitempty"`     // of the newest sample, in milliseconds, at least 1
+	Gaps    learn.Sums `json:"gaps,omitzero"`     // times between events
+	Firsts  learn.Sums `json:"firsts,omitzero"`   // times to the first event or the answer
+}
+
+// Known reports whether anything is known.
+func (l Learned) Known() bool { return l.Age > 0 }
+
 // Queue describes the requests that wait at daemons for a model or a plain service.
 type Queue struct {
 	InTime      int     `json:"soon,omitempty"`  // requests that can still be answered within their latency target
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -1,5 +1,7 @@
 package gossip
 
+import "clementinehead.example/chead/learn"
+
 // add adds the loads of a message to a sum.
 func (m *Message) add(other Message) {
 	m.Term = max(m.Term, other.Term)
@@ -50,6 +52,7 @@
 		l.Running = max(0, l.Running-load.Running)
 		l.UnreadTokens = max(0, l.UnreadTokens-load.UnreadTokens)
 		l.Sent = max(0, l.Sent-load.Sent)
+		l.Learned = l.Learned.minus(load.Learned)
 		rest.Endpoints[id] = l
 	}
 	for key, n := range own.Demand {
@@ -87,7 +90,34 @@
 		Stalled:      l.Stalled || other.Stalled,
 		Sent:         l.Sent + other.Sent,
 		Limit:        l.Limit.newest(other.Limit),
+		Learned:      l.Learned.Plus(other.Learned),
+	}
+}
+
+// Plus returns what both show of the later life of the endpoint.
+func (l Learned) Plus(other Learned) Learned {
+	switch {
+	case !other.Known() || l.Known() && l.Started > other.Started:
+		return l
+	case !l.Known() || l.Started < other.Started:
+		return other
 	}
+	return Learned{
+		Started: l.Started, Age: min(l.Age, other.Age),
+		Gaps: l.Gaps.Plus(other.Gaps).Rounded(), Firsts: l.Firsts.Plus(other.Firsts).Rounded(),
+	}
+}
+
+// minus returns what is left without a part of it.
+func (l Learned) minus(part Learned) Learned {
+	if !l.Known() || !part.Known() || l.Started != part.Started {
+		return l
+	}
+	l.Gaps, l.Firsts = l.Gaps.Minus(part.Gaps), l.Firsts.Minus(part.Firsts)
+	if l.Gaps == (learn.Sums{}) && l.Firsts == (learn.Sums{}) {
+		return Learned{} // a daemon must not take what it said itself for what others say
+	}
+	return l
 }
 
 // newest returns the limit that was stated last: in the later life of the endpoint, or
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -25,10 +25,11 @@
 		c.Stalled = s.stalled(now)
 		c.Slots = service.Engine.Slots
 		if model, known := service.Engine.Model(request.Model); known {
-			c.Slowdown = s.slowdown(*service.Engine, model, c.Load)
+			c.Slowdown = s.slowdown(*service.Engine, model)
 			c.ReadTime = s.readTime(*service.Engine, model, request.PromptTokens)
 		}
 	}
+	c.Slots = s.learned.slots(e, q, c.Slots)
 	if service.ColdRate > 0 {
 		interval := time.Duration(float64(time.Second) * float64(p.options.Daemons()) / service.ColdRate)
 		c.RateLimited = s.rateLimited(now, e.Seen+e.Cold > p.options.Boot(), interval, p.options.Random)
@@ -55,7 +56,7 @@
 		return false
 	}
 	model, known := service.Engine.Model(p.announced[e.ID].Model)
-	return known && s.slowdown(*service.Engine, model, s.running+s.othersRunning) >= slowFactor
+	return known && s.slowdown(*service.Engine, model) >= slowFactor
 }
 
 // isPlain reports whether an endpoint is known to be of a plain service, which has no
--- a/pick/endpoint.go
+++ b/pick/endpoint.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"clementinehead.example/chead/learn"
 	"clementinehead.example/chead/site"
 )
 
@@ -15,7 +16,6 @@
 	running              int                                 // requests of this daemon in progress
 	streams              int                                 // of these, streams that have sent an event
 	lastProgress         time.Time                           // time of the latest response or event, or of the first slot acquired while none was in use
-	gapSeconds           float64                             // mean interval between events of a stream, smoothed; 0 before the first
 	failureRate          float64                             // share of requests that failed, smoothed
 	lastFailure          time.Time
 	reportedStalledUntil time.Time // skipped until then, because another daemon reported it as stalled
@@ -31,13 +31,13 @@
 	unread               int       // prompt tokens of this daemon's requests whose responses have had no event yet
 	othersUnread         int       // the same of the other daemons
 	limit                limit
+	learned              learned
 	bucket               bucket      // of this daemon's share of the limit
 	sends                []time.Time // by this daemon within limitWindow
 	othersSent           int         // the same of the other daemons
 }
 
 const (
-	gapWeight         = 0.05                    // weight of the newest interval in gapSeconds
 	failureWeight     = 0.15                    // weight of the newest result in failureRate
 	failureMemory     = 3 * time.Second         // time after the last failure from which failureRate is ignored
 	stallTimeout      = 450 * time.Millisecond  // least time without progress from which an endpoint is stalled, if a stream there has sent an event
@@ -102,11 +102,6 @@
 	}
 	s.gaps.add(gap)
 	s.queue.gaps.add(gap)
-	if s.gapSeconds == 0 {
-		s.gapSeconds = gap.Seconds()
-		return
-	}
-	s.gapSeconds += gapWeight * (gap.Seconds() - s.gapSeconds)
 }
 
 // end records the result of a request.
@@ -132,17 +127,13 @@
 }
 
 // slowdown returns the interval between events as a multiple of the interval that
-// is expected at this load; at least 1.
-func (s *endpointState) slowdown(e site.Engine, model site.Model, load int) float64 {
-	if s.gapSeconds == 0 {
-		return 1
-	}
-	step := e.Step + time.Duration(load)*e.PerSeq
-	usual := step.Seconds() * float64(e.Stride) * model.Pace * gapTolerance
-	if usual <= 0 {
+// is expected at the loads at which it was seen; at least 1.
+func (s *endpointState) slowdown(e site.Engine, model site.Model) float64 {
+	expected := gapLine(e, model)
+	if expected == (learn.Line{}) {
 		return 1
 	}
-	return max(1, s.gapSeconds/usual)
+	return max(1, s.learned.own[gaps].Ratio(expected)/gapTolerance)
 }
 
 // readTime returns the time to read the waiting prompts and one more of prompt tokens.
--- a/pick/pace.go
+++ b/pick/pace.go
@@ -70,6 +70,7 @@
 	}
 	first := max(0, now.Sub(slot.acquired)-slot.ReadTime)
 	s.firsts.add(first)
+	slot.learnFirst(first)
 	slot.queue.firsts.add(first)
 }
 
--- a/pick/report.go
+++ b/pick/report.go
@@ -38,7 +38,7 @@
 func (p *Placer) reportLoad(v *watch.Snapshot, s *endpointState, now time.Time) gossip.EndpointLoad {
 	load := gossip.EndpointLoad{
 		Running: s.running, UnreadTokens: s.unread, Stalled: p.reportsStalled(v, s, now),
-		Leaving: p.reportLeaving(v, s.id), Slow: p.isSlow(v, s), Limit: p.reportLimit(s),
+		Leaving: p.reportLeaving(v, s.id), Slow: p.isSlow(v, s), Limit: p.reportLimit(s), Learned: p.reportLearned(s),
 	}
 	if s.noProgress(now) && !p.options.Reached() {
 		load.Running, load.UnreadTokens = 0, 0 // what hangs at a path that may be cut is no load there
@@ -84,6 +84,7 @@
 		s.othersRunning = 0
 		s.othersUnread = 0
 		s.othersSent = 0
+		s.learned.others = gossip.Learned{}
 	}
 	p.heard = 1 + len(messages)
 	p.listed = max(p.heard, p.options.Listed())
@@ -103,6 +104,7 @@
 	p.dropUnlisted(now)
 	p.dropPeers(now)
 	p.dropLeaving(now)
+	p.updateLearned()
 	p.dispatch(now)
 }
 
@@ -113,6 +115,7 @@
 	s.othersUnread += other.UnreadTokens
 	s.othersSent += other.Sent
 	p.adoptLimit(s, other.Limit, m.From.ID)
+	s.learned.hear(other.Learned, m.From.ID)
 	if other.Leaving != 0 {
 		p.recordLeaving(id, other.Leaving, m.From.ID)
 	}
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -47,6 +47,7 @@
 	s.lastProgress = now
 	s.placer.progressed = now
 	s.state.answered(s, now)
+	s.learnGap(gap)
 	s.state.event(now, gap)
 }
 
@@ -133,6 +134,9 @@
 		return
 	}
 	now := time.Now()
+	if failed {
+		s.learnMiss(now)
+	}
 	s.state.end(now, failed)
 	if !failed {
 		s.countFreed(now)
