--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -26,10 +26,11 @@
 		c.Slots = service.Engine.Slots
 		c.NoMemory = memoryMatters(service.Engine) && s.lacksMemory(service.Engine, tokensOf(request))
 		if model, known := service.Engine.Model(request.Model); known {
-			c.Slowdown = s.slowdown(*service.Engine, model, c.Load)
+			c.Slowdown = s.slowdown(*service.Engine, model)
 			c.ReadTime = s.readTime(*service.Engine, model, request.PromptTokens)
 		}
 	}
+	c.Slots = s.learned.slots(e, q, c.Slots)
 	unreported := q.hidden.requests(now, c.Slots)
 	c.Load += unreported
 	c.Expected += float64(unreported)
@@ -59,7 +60,7 @@
 		return false
 	}
 	model, known := service.Engine.Model(p.announced[e.ID].Model)
-	return known && s.slowdown(*service.Engine, model, s.running+s.othersRunning) >= slowFactor
+	return known && s.slowdown(*service.Engine, model) >= slowFactor
 }
 
 // isPlain reports whether an endpoint is known to be of a plain service, which has no
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -49,6 +49,7 @@
 	s.lastProgress = now
 	s.placer.progressed = now
 	s.state.answered(s, now)
+	s.learnGap(gap)
 	s.state.event(now, gap)
 }
 
@@ -123,8 +124,8 @@
 	defer s.placer.mu.Unlock()
 	sum, n := 0.0, 0
 	for _, other := range s.placer.endpoints {
-		if other.queue == s.queue && other != s.state && other.gapSeconds > 0 {
-			sum += other.gapSeconds
+		if mean := other.learned.own[gaps].Mean(); other.learned.queue == s.queue && other != s.state && mean > 0 {
+			sum += mean.Seconds()
 			n++
 		}
 	}
@@ -168,6 +169,9 @@
 		return
 	}
 	now := time.Now()
+	if failed {
+		s.learnMiss(now)
+	}
 	s.state.end(now, failed)
 	if !failed {
 		s.countFreed(now)
