--- a/pick/learnfleet_test.go
+++ b/pick/learnfleet_test.go
@@ -69,7 +69,7 @@
 	for range daemons {
 		f.placers = append(f.placers, New(Options{
 			Boot: func() time.Duration { return time.Hour + time.Since(began) }, Snapshot: func() *watch.Snapshot { return f.snapshot },
-			Daemons: func() int { return daemons }, Listed: func() int { return daemons }, Reached: func() bool { return true }, CutOff: func() bool { return false },
+			Delay: func() time.Duration { return 150 * time.Millisecond }, Daemons: func() int { return daemons }, Listed: func() int { return daemons }, Reached: func() bool { return true }, CutOff: func() bool { return false },
 			Late: func(time.Duration) time.Duration { return 0 }, Budget: func() Budget { return Budget{} }, Log: logr.Discard(), Random: f.random.Float64,
 		}))
 	}
