groups: a new keeper counts the loads of the one before

A keeper that took office knew nothing of the loads that the one before had begun: within a second both began half of LoadRate, rounded up, which is over the rate (3 + 3 of 5), and the number at once doubled (14 of 7), at which the store of weights is slower for all. Now a keeper begins no load for loadWindow and the timeout of an order, meanwhile counts what is busy with an order that isn't its own as a load, and forgets it when it is done or after loadTimeoutFactor load times. Before there is traffic nothing changes. Ruled out: telling loads by gossip (the keeper before may be dead), and the store (it may be down; a call for each load). TestLoadsOfTwoKeepers failed before: 'not true: n <= LoadRate'.

--- /dev/null
+++ b/groups/handover_test.go
@@ -0,0 +1,88 @@
+package groups
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinehead.example/chead/platform"
+)
+
+// loader runs keepers one after the other over hosts that load what they are ordered to.
+type loader struct {
+	snap   Snapshot
+	began  map[string]time.Duration // loads in progress: when they were ordered, by endpoint
+	starts []time.Duration          // of all loads
+	most   int                      // loads in progress at once, at the most
+}
+
+// run runs a keeper's planner for a time. The endpoints' states are as old as their entries.
+func (l *loader) run(p *Planner, d time.Duration) {
+	for end := l.snap.Now + d; l.snap.Now < end; {
+		l.snap.Now += testTick
+		for id, e := range l.snap.Endpoints {
+			at, loading := l.began[id]
+			e.State.Busy = loading && l.snap.Now-at >= testEntryLag
+			e.StateAt = l.snap.Now - testEntryLag
+			l.snap.Endpoints[id] = e
+			if loading && l.snap.Now-at > time.Minute {
+				delete(l.began, id)
+			}
+		}
+		for _, o := range p.Step(l.snap) {
+			l.began[o.To.ID] = l.snap.Now
+			l.starts = append(l.starts, l.snap.Now)
+			p.RecordOutcome(o.To.ID, o.Order, false, nil)
+		}
+		l.most = max(l.most, len(l.began))
+	}
+}
+
+// Keepers follow each other while the hosts are empty. The rate of loads and their number
+// at once are those of the store of weights, whoever orders them: a keeper that knew
+// nothing of the loads of the one before began as many again.
+func TestLoadsOfTwoKeepers(t *testing.T) {
+	is := is.New(t)
+	l := &loader{snap: emptyHosts(60), began: map[string]time.Duration{}}
+	term := int64(0)
+	for _, d := range []time.Duration{2 * testTick, 2 * testTick, time.Second, 3 * time.Second, 20 * time.Second} {
+		term++
+		l.run(NewPlanner(term, nil), d)
+	}
+	for i := range l.starts {
+		n := 0
+		for _, at := range l.starts[i:] {
+			if at-l.starts[i] < loadWindow {
+				n++
+			}
+		}
+		is.True(float64(n) <= testEngine.LoadRate)
+	}
+	is.Equal(l.most, testEngine.Loads) // as many as the store can supply, and no more
+}
+
+// An endpoint that executes an order of the keeper before without end must not keep loads
+// from others for ever.
+func TestEndlessLoadOfTheKeeperBefore(t *testing.T) {
+	is := is.New(t)
+	snap := emptyHosts(20)
+	for i, id := range sortedIDs(snap.Endpoints) {
+		if e := snap.Endpoints[id]; i < testEngine.Loads {
+			e.State.Busy = true
+			snap.Endpoints[id] = e
+		}
+	}
+	p := NewPlanner(2, nil)
+	begun := func(d time.Duration) (n int) {
+		for end := snap.Now + d; snap.Now < end; snap.Now += testTick {
+			for _, o := range p.Step(snap) {
+				is.Equal(o.Order.Verb, platform.Stage)
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(begun(10*time.Second), 0) // they may be loads that need as long
+	is.True(begun(time.Minute) > 0)
+}
--- a/groups/load.go
+++ b/groups/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"sort"
+	"time"
 
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/site"
 )
 
 // stageModels returns orders that load models onto hosts in the background, so that
@@ -11,6 +13,7 @@
 // Engine.Staged models besides those whose groups its endpoint can join at once.
 func (p *Planner) stageModels(snap Snapshot) []Order {
 	p.dropFinishedLoads(snap)
+	p.adoptLoads(snap)
 	if p.listing || !p.mayLoad(snap) {
 		return nil
 	}
@@ -49,12 +52,38 @@
 		e, listed := snap.Endpoints[id]
 		r := p.records[id]
 		stageRefused := r != nil && r.lastOrder.Verb == platform.Stage && r.outcome == refused
-		if !listed || e.State.Started != l.engineStarted || e.State.HasStaged(l.model.Name) || stageRefused || snap.Now-l.startedAt > loadTimeoutFactor*l.model.Load {
+		done := e.State.HasStaged(l.model.Name) || l.model.Name == "" && !e.State.Busy
+		if !listed || e.State.Started != l.engineStarted || done || stageRefused || snap.Now-l.startedAt > loadTimeoutFactor*l.model.Load {
 			delete(p.loads, id)
 		}
 	}
 }
 
+// inherits reports whether orders of the keeper before may still be on their way, or not
+// show in the states of endpoints. Loads that it began within loadWindow count for the rate.
+func (p *Planner) inherits(snap Snapshot) bool {
+	return snap.Now-p.beganAt < loadWindow+orderTimeout
+}
+
+// adoptLoads adds the loads that the keeper before may have begun, of a model that is not
+// known: an endpoint that executes an order which is not of this keeper, and doesn't join
+// a group, may be loading.
+func (p *Planner) adoptLoads(snap Snapshot) {
+	if !p.inherits(snap) {
+		return
+	}
+	longest := time.Duration(0)
+	for _, m := range snap.Engine.Models {
+		longest = max(longest, m.Load)
+	}
+	for id, e := range snap.Endpoints {
+		if !e.State.Busy || e.State.Member.Phase == site.Joining || p.isLoading(e) || p.records[id].sentAt > 0 {
+			continue
+		}
+		p.loads[id] = load{model: site.Model{Load: longest}, engineStarted: e.State.Started, startedAt: snap.Now}
+	}
+}
+
 // loadTimeoutFactor is the time after which a load is given up, in usual load times
 // of the model.
 const loadTimeoutFactor = 3
@@ -73,7 +102,8 @@
 
 // mayLoad reports whether another load may begin. Once there is traffic, loads are
 // limited to half of Engine.LoadRate, the rate of the store that model weights are loaded
-// from, and to Engine.Loads, the number that it can supply at once at full speed.
+// from, and to Engine.Loads, the number that it can supply at once at full speed. None
+// begins while the loads of the keeper before are not known.
 func (p *Planner) mayLoad(snap Snapshot) bool {
 	recent := p.loadStarts[:0]
 	for _, at := range p.loadStarts {
@@ -85,6 +115,9 @@
 	if !snap.HadTraffic {
 		return true
 	}
+	if p.inherits(snap) {
+		return false
+	}
 	return float64(len(p.loadStarts)) < snap.Engine.LoadRate/2 && len(p.loads) < snap.Engine.Loads
 }
 
--- a/groups/planner.go
+++ b/groups/planner.go
@@ -39,6 +39,7 @@
 // neither clock nor network. Use NewPlanner.
 type Planner struct {
 	term           int64                   // of the keeper: the fencing token of its orders
+	beganAt        time.Duration           // boot clock: the first step of the term, 0 before it
 	formed         int64                   // groups formed in the term
 	groups         map[string]*group       // by name
 	records        map[string]*orderRecord // by endpoint
@@ -64,9 +65,9 @@
 
 // load is the load of a model onto a host, in progress.
 type load struct {
-	model         site.Model
+	model         site.Model    // without a name if it is not known
 	engineStarted int64         // site.State.Started of the engine when the load was ordered
-	startedAt     time.Duration // boot clock: when the load was ordered
+	startedAt     time.Duration // boot clock: when the load was ordered, or first seen
 }
 
 const (
@@ -103,6 +104,9 @@
 
 // Step updates the groups from a snapshot and returns the orders to send now.
 func (p *Planner) Step(snap Snapshot) []Order {
+	if p.beganAt == 0 {
+		p.beganAt = snap.Now
+	}
 	p.updateRecords(snap)
 	p.updateSlow(snap)
 	p.smoothDemand(snap)
