groups, gossip: every daemon knows that there was traffic

Only a daemon in office noted requests. One that took office in a quiet moment took the fleet for one before traffic: loads without bounds, groups of endpoints that have to load, spread groups that end. Every daemon notes it now, and tells it to those that start later. Left: if all daemons start at once and no request has come, nobody knows; callers' requests tell it soon. TestTrafficIsKnownToTheNextKeeper failed before: 'false != true', twice.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -164,6 +164,7 @@
 func (d *Daemon) gossipMessage() gossip.Message {
 	m := d.placer.Report()
 	m.Groups, m.Term = d.keeper.Announcement()
+	m.Traffic = d.keeper.HadTraffic()
 	m.Ready = d.ready()
 	m.Fresh = d.fresh()
 	m.Cut = d.cutOff()
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -4,6 +4,7 @@
 func (m *Message) add(other Message) {
 	m.Term = max(m.Term, other.Term)
 	m.Version = max(m.Version, other.Version)
+	m.Traffic = m.Traffic || other.Traffic
 	for id, load := range other.Endpoints {
 		m.Endpoints[id] = m.Endpoints[id].plus(load)
 	}
--- a/groups/handover_test.go
+++ b/groups/handover_test.go
@@ -1,12 +1,21 @@
 package groups
 
 import (
+	"context"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"clementinehead.example/chead/clock"
+	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/simul"
+	"clementinehead.example/chead/site"
+	"clementinehead.example/chead/watch"
 )
 
 // loader runs keepers one after the other over hosts that load what they are ordered to.
@@ -86,3 +95,55 @@
 	is.Equal(begun(10*time.Second), 0) // they may be loads that need as long
 	is.True(begun(time.Minute) > 0)
 }
+
+// storeWith returns a watcher that has read a store with a configuration.
+func storeWith(t *testing.T, config []byte) *watch.Watcher {
+	t.Helper()
+	store := simul.NewStore()
+	store.Put(simul.ConfigKey, config)
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	w := watch.New(watch.Options{
+		Store: platform.NewStore(server.Listener.Addr().String(), server.Client().Do), Relays: func() []string { return nil }, Boot: clock.Boot,
+		Log: logr.Discard(), Pause: func() time.Duration { return 0 }, Quick: func() bool { return true }, Others: func() bool { return true },
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = w.Run(ctx) })
+	t.Cleanup(running.Wait)
+	t.Cleanup(stop)
+	for end := time.Now().Add(5 * time.Second); w.Snapshot().Config == nil && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	return w
+}
+
+// Before there is traffic, loads have no bounds and groups may be formed of endpoints that
+// have to load. A daemon that takes office in a quiet moment must know that there was
+// traffic while another one was keeper, also if it started since.
+func TestTrafficIsKnownToTheNextKeeper(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		heard gossip.Message
+		want  bool
+	}{
+		{"none", gossip.Message{}, false},
+		{"requests at another daemon", gossip.Message{Demand: map[string]int{"engines/m": 1}}, true},
+		{"another daemon tells of it", gossip.Message{Traffic: true}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			k := newKeeper()
+			k.options.Watcher = storeWith(t, simul.Config(1))
+			heard := []gossip.Message{c.heard}
+			heard[0].From = site.Daemon{ID: "d0"}
+			heard[0].Ready, heard[0].Fresh = true, true // and so this daemon is no candidate
+			k.options.Alive = func() []gossip.Message { return heard }
+			k.step(t.Context())
+			is.True(!k.IsKeeper())
+			heard[0].Demand, heard[0].Traffic = nil, false
+			k.step(t.Context())
+			is.Equal(k.HadTraffic(), c.want)
+		})
+	}
+}
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -71,7 +71,7 @@
 	slowChecks      map[string]time.Duration // boot clock: the end of the checks of each endpoint that may be slow
 	announced       map[string]gossip.Group  // groups announced to the other daemons, by leader
 	loggedStages    map[string]stage         // stage of each group as last logged, by name
-	hadTraffic      bool                     // traffic was seen at some daemon while this one was the keeper
+	hadTraffic      bool                     // there were requests at some daemon
 	startedAt       time.Duration            // boot clock: when the Keeper was made
 	nextLateLog     time.Duration            // boot clock: until then, silences that don't count are not logged
 	candidateSince  time.Duration            // boot clock: when this daemon could first have become keeper, 0 before that
@@ -101,6 +101,13 @@
 	return groups, max(k.term, k.options.Watcher.Snapshot().Keeper.Number)
 }
 
+// HadTraffic reports whether there were requests at some daemon, as far as this one knows.
+func (k *Keeper) HadTraffic() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hadTraffic
+}
+
 // Run maintains the groups until the context ends, whenever this daemon is the
 // keeper. The answer to an order or a report makes it take the next step without
 // waiting for the tick, since a group that is repaired takes several steps.
@@ -140,6 +147,7 @@
 		return
 	}
 	k.recordLastModels(stored, service)
+	k.noteTraffic()
 	if !k.remainsKeeper(stored) {
 		k.campaign(ctx, stored)
 		return
--- a/groups/planner.go
+++ b/groups/planner.go
@@ -25,7 +25,7 @@
 	Now        time.Duration // boot clock
 	Engine     site.Engine
 	Endpoints  map[string]EndpointState
-	HadTraffic bool           // traffic was seen at some daemon while this one was the keeper
+	HadTraffic bool           // there were requests at some daemon
 	Demand     map[string]int // slots that the requests of all daemons need, by model
 }
 
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -21,15 +21,23 @@
 	unusable         string // error of the latest answer if it could not be used, as logged
 }
 
-// noteStalled schedules checks of the groups that other daemons report as stalled or slow,
-// and records whether there was traffic.
+// noteTraffic records whether there was traffic. Every daemon does, in case it becomes
+// keeper.
+func (k *Keeper) noteTraffic() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hadTraffic = k.hadTraffic || len(k.options.Demand()) > 0
+	for _, m := range k.options.Alive() {
+		k.hadTraffic = k.hadTraffic || m.Traffic || len(m.Demand) > 0
+	}
+}
+
+// noteStalled schedules checks of the groups that other daemons report as stalled or slow.
 func (k *Keeper) noteStalled() {
 	now := k.options.Boot()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.hadTraffic = k.hadTraffic || len(k.options.Demand()) > 0
 	for _, m := range k.options.Alive() {
-		k.hadTraffic = k.hadTraffic || len(m.Demand) > 0
 		for id, reported := range m.Endpoints {
 			if reported.Stalled {
 				k.checkMembers(k.checks, id, now)
