edge: a stop answers what other daemons send through it

A stop ended as soon as no connection of a caller was left. What a daemon that is cut off from endpoints had sent through it was then cut, though there was time, and that daemon can't send it again: its caller lost the request. The stop waits for these requests too, within the same times, and lets the last answers out before the server of the daemons ends. TestRequestOfAnotherDaemonIsCutByAStop failed before: '0 != 200'.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -219,15 +219,18 @@
 	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, partsCtx := errgroup.WithContext(partsCtx)
-	side := callerSide{server: &http.Server{Handler: d.front}, conns: front.NewCallers(d.limits)}
+	side := callerSide{server: &http.Server{Handler: d.front}, conns: front.NewCallers(d.limits), active: d.front.Active}
 	side.conns.Attach(side.server)
 	for _, server := range d.servers(side.server) {
 		listener, err := net.Listen("tcp4", server.address)
 		if err != nil {
 			return &Error{Op: "listen " + server.name, Kind: Address, Err: err}
 		}
-		if server.server == side.server {
+		switch server.name {
+		case callerName:
 			side.listener = listener
+		case peerName:
+			side.peer = server.server
 		}
 		group.Go(func() error { return server.run(partsCtx, listener) })
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -19,6 +19,12 @@
 	idleTimeout   = 60 * time.Second
 )
 
+// Names of servers that a stop treats by themselves.
+const (
+	callerName = "caller"
+	peerName   = "peer"
+)
+
 // httpServer is one of the daemon's HTTP servers.
 type httpServer struct {
 	name    string
@@ -32,8 +38,8 @@
 	peer := newServer("GET "+watch.RelayPath, http.HandlerFunc(d.watcher.Relay))
 	peer.Handler = d.servePeer(peer.Handler)
 	all := []httpServer{
-		{"caller", s.Caller, callerServer},
-		{"peer", s.Peer, peer},
+		{callerName, s.Caller, callerServer},
+		{peerName, s.Peer, peer},
 		{"ready", s.Ready, newServer("GET "+platform.ReadyPath, http.HandlerFunc(d.guide.Readiness))},
 		{"guide", s.Guide, newServer("GET "+platform.ResolvePath, http.HandlerFunc(d.guide.Resolve))},
 	}
