groups: a keeper that resigns within its step doesn't crash

An endpoint's refusal by fencing token ends the term in the goroutine of the order, also between two parts of a step, which then used the planner that is gone: at a hand-over the old keeper's whole daemon could panic, with all its requests. The step decides under one lock, and nothing if the term has ended. TestKeeperResignsWithinAStep failed before: 'invalid memory address or nil pointer dereference' in (*Planner).groupOf.

--- a/groups/handover_test.go
+++ b/groups/handover_test.go
@@ -147,3 +147,28 @@
 		})
 	}
 }
+
+// A keeper may resign, as an endpoint refuses its order by the fencing token, while it
+// prepares its next step. It must not decide anything more, nor crash.
+func TestKeeperResignsWithinAStep(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper()
+	k.options.Watcher = storeWith(t, simul.Config(1))
+	k.term, k.termEra, k.planner = 5, k.options.Watcher.Snapshot().Era, NewPlanner(5, nil)
+	k.options.Alive = func() []gossip.Message {
+		return []gossip.Message{{Endpoints: map[string]gossip.EndpointLoad{"e": {Stalled: true}}}}
+	}
+	resigned := false
+	k.options.Boot = func() time.Duration {
+		if !resigned {
+			resigned = true
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.resign("fenced", 0)
+		}
+		return time.Minute
+	}
+	k.step(t.Context())
+	is.True(resigned)
+	is.True(!k.IsKeeper())
+}
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -47,8 +47,10 @@
 	Reached func(context.Context, time.Duration) bool // whether endpoints are reached, as one was since a reading of the boot clock or some that are asked answer
 	Failed  func(endpoint string)                     // records that an endpoint was not reached
 	CutOff  func() bool                               // whether this daemon is cut off from endpoints
-	Log     logr.Logger
-	Metrics *Metrics
+
+	Progresses func(endpoint string) bool // whether requests are in progress at an endpoint, of any daemon, and go on
+	Log        logr.Logger
+	Metrics    *Metrics
 }
 
 // Keeper forms and repairs the groups while this daemon is the elected keeper. Use
@@ -153,19 +155,28 @@
 		return
 	}
 	k.noteStalled()
-	snap := k.snapshot(stored, service)
-	k.mu.Lock()
-	orders := k.planner.Step(snap)
-	polled := k.planner.ReportsNeeded(snap)
-	k.noteSlow(k.planner.SlowEndpoints())
-	k.announce()
-	k.mu.Unlock()
+	orders, polled := k.decide(k.snapshot(stored, service))
 	for _, o := range orders {
 		go k.send(ctx, o)
 	}
 	k.poll(ctx, stored, polled)
 }
 
+// decide returns the orders of one step, and the endpoints whose reports are needed: none
+// if the term has ended meanwhile, by the refusal of an order.
+func (k *Keeper) decide(snap Snapshot) (orders []Order, polled []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.planner == nil {
+		return nil, nil
+	}
+	orders = k.planner.Step(snap)
+	polled = k.planner.ReportsNeeded(snap)
+	k.noteSlow(k.planner.SlowEndpoints())
+	k.announce()
+	return orders, polled
+}
+
 // recordLastModels records the model of each engine's last group. The engine keeps
 // its weights after leaving the group, but no report shows it then, so every daemon
 // records it in case it becomes keeper.
--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -25,7 +25,8 @@
 		Self: site.Daemon{ID: "d1"}, Boot: func() time.Duration { return time.Minute }, Log: logr.Discard(),
 		Alive: func() []gossip.Message { return nil }, Demand: func() map[string]int { return nil }, Leaving: func(site.Endpoint) bool { return false },
 		Late: func(time.Duration) time.Duration { return 0 }, Reached: func(context.Context, time.Duration) bool { return true },
-		Failed: func(string) {}, CutOff: func() bool { return false }, Metrics: NewMetrics(prometheus.NewRegistry()),
+		Progresses: func(string) bool { return false },
+		Failed:     func(string) {}, CutOff: func() bool { return false }, Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 }
 
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -49,9 +49,12 @@
 	}
 }
 
-// checkMembers schedules checks of the members of an endpoint's group. The lock must
-// be held.
+// checkMembers schedules checks of the members of an endpoint's group, unless the term has
+// ended. The lock must be held.
 func (k *Keeper) checkMembers(checks map[string]time.Duration, id string, now time.Duration) {
+	if k.planner == nil {
+		return
+	}
 	for _, member := range append(k.planner.MembersOf(id), id) {
 		checks[member] = now + checkDuration
 	}
