groups, pick: a member that is slow to report ends no group whose requests go on

One report that didn't come within 300 ms ended the member's group, whatever its requests did: an endpoint that was said to be stalled by one daemon, or is slow, and answers late for a moment cost what ran on its whole group. A missed report counts only for a group that doesn't serve, or of whose leader no daemon sees requests go on. The time until a dead member is found doesn't change: its leader's requests stand still before it is asked. TestMemberIsSlowToReport failed before: 'true != false'.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -113,7 +113,7 @@
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: platform.NewEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
-		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Reached: d.reach.Confirm, Failed: d.reach.Failed, CutOff: d.cutOff, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
+		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Reached: d.reach.Confirm, Failed: d.reach.Failed, CutOff: d.cutOff, Progresses: d.placer.Progresses, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
 	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Offered: d.offersItself, Peers: d.peers})
 	return d, nil
--- a/groups/handover_test.go
+++ b/groups/handover_test.go
@@ -172,3 +172,30 @@
 	is.True(resigned)
 	is.True(!k.IsKeeper())
 }
+
+// A member that doesn't answer requests for its report in time must not end a group whose
+// requests go on: what runs there would be given up. One of a group without progress does.
+func TestMemberIsSlowToReport(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		stage      stage
+		progresses bool
+		silent     bool
+	}{
+		{"requests go on", serving, true, false},
+		{"no progress", serving, false, true},
+		{"its group forms", forming, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			k := newKeeper()
+			k.term, k.planner = 5, NewPlanner(5, nil)
+			k.planner.groups["g"] = &group{name: "g", members: []member{{id: "leader"}, {id: "e"}}, stage: c.stage}
+			k.options.Progresses = func(id string) bool { return id == "leader" && c.progresses }
+			k.reports["e"] = report{misses: 1}
+			stored := &watch.Snapshot{Endpoints: map[string]site.Endpoint{"e": {ID: "e", Service: "s"}}}
+			snap := k.snapshot(stored, site.Service{Name: "s", Engine: &testEngine})
+			is.Equal(snap.Endpoints["e"].Silent, c.silent)
+		})
+	}
+}
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -212,7 +212,7 @@
 		}
 		state := EndpointState{Endpoint: e, Usable: stored.Usable(e) && !k.options.Leaving(e), StateAt: e.Seen}
 		if r, ok := k.reports[id]; ok {
-			state.Silent = r.misses > 0
+			state.Silent = r.misses > 0 && !k.progresses(id)
 			if r.hasState && r.state.Started == e.State.Started {
 				state.Report = r.state
 				state.ReportAt = r.stateRequestedAt - service.Engine.ReportLag
@@ -233,6 +233,16 @@
 	return snap
 }
 
+// progresses reports whether an endpoint is in a group that serves and whose requests go
+// on. Then it lives, though it may be slow to report. The lock must be held.
+func (k *Keeper) progresses(id string) bool {
+	if k.planner == nil {
+		return false
+	}
+	g := k.planner.groupOf(id)
+	return g != nil && g.stage == serving && k.options.Progresses(g.leader())
+}
+
 // totalDemand returns the demand at all daemons, in slots, by model.
 func (k *Keeper) totalDemand(service string) map[string]int {
 	all := map[string]int{}
--- a/pick/report.go
+++ b/pick/report.go
@@ -72,6 +72,16 @@
 	return n
 }
 
+// Progresses reports whether requests are in progress at an endpoint, here or at other
+// daemons, and nobody finds it stalled.
+func (p *Placer) Progresses(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, known := p.endpoints[id]
+	now := time.Now()
+	return known && s.running+s.othersRunning > 0 && !s.stalled(now)
+}
+
 // Update replaces the load of the other daemons by that in their newest messages.
 // A reported stall counts until stallTimeout after the last Update that holds a
 // report of it. The argument own holds the groups that this daemon announces if it is
--- a/pick/report_test.go
+++ b/pick/report_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/site"
 )
 
@@ -43,3 +44,30 @@
 		is.True(stays.Stalled())
 	})
 }
+
+// The keeper ends no group whose requests go on, by what this daemon and the others see.
+func TestProgresses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFixture("a")
+		told := func(load gossip.EndpointLoad) {
+			p.Update([]gossip.Message{{From: site.Daemon{ID: "d2"}, Endpoints: map[string]gossip.EndpointLoad{"a": load}}}, nil)
+		}
+		is.True(!p.Progresses("unknown"))
+		told(gossip.EndpointLoad{})
+		is.True(!p.Progresses("a")) // idle
+		told(gossip.EndpointLoad{Running: 2})
+		is.True(p.Progresses("a"))
+		told(gossip.EndpointLoad{})
+		slot, err := p.Acquire(t.Context(), Request{Service: "s", Model: "m", Remaining: time.Second, MaxWait: time.Millisecond})
+		is.NoErr(err)
+		slot.Progress(true)
+		told(gossip.EndpointLoad{Running: 2, Stalled: true})
+		is.True(p.Progresses("a")) // this daemon's own stream goes on
+		time.Sleep(minPatience + stallTimeout)
+		is.True(!p.Progresses("a"))
+		slot.Done(false)
+		told(gossip.EndpointLoad{Running: 2, Stalled: true})
+		is.True(!p.Progresses("a"))
+	})
+}
