edge, watch, gossip: a daemon that starts waits for what an older copy of the store lacks

After the store came back from an older copy, running daemons keep failure domains out of service for domainGrace and endpoints that drain as they were. Daemons tell by gossip that the store came back lately; one that starts accepts no keys and isn't ready until nobody says so. Ruled out: passing on what each daemon keeps, which needs a merge of several daemons' memories for three seconds of serving.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -28,10 +28,12 @@
 		return
 	}
 	newest := held.Config.Version
+	rewound := false
 	for _, m := range alive {
 		newest = max(newest, m.Version)
+		rewound = rewound || m.Rewound
 	}
-	caughtUp := now-c.startedAt >= catchUpWait && held.Config.Version >= newest
+	caughtUp := now-c.startedAt >= catchUpWait && held.Config.Version >= newest && !rewound
 	if held.Era == 0 || caughtUp {
 		c.done.Store(true)
 	}
--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -28,6 +28,7 @@
 		{"as new as a peer's", 2, 9, peers(9), time.Minute, true},
 		{"newer than a peer's", 2, 9, peers(5), time.Minute, true},
 		{"peers not heard yet", 2, 5, nil, 100 * time.Millisecond, false},
+		{"a peer saw the store come back lately", 2, 9, []gossip.Message{{Version: 9, Rewound: true}}, time.Minute, false},
 		{"no peers", 2, 5, nil, time.Minute, true},
 		{"first era", 0, 5, nil, 0, true},
 	} {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -168,6 +168,7 @@
 	m.Ready = d.ready()
 	m.Fresh = d.fresh()
 	m.Cut = d.cutOff()
+	m.Rewound = d.watcher.Rewound()
 	m.Revision = d.watcher.Snapshot().Revision
 	if c := d.watcher.Snapshot().Config; c != nil {
 		m.Version = c.Version
--- a/edge/left_test.go
+++ b/edge/left_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -12,9 +13,9 @@
 	"github.com/matryer/is"
 )
 
-// leavingEndpoint is a plain endpoint that states in each response that it leaves. Its
-// entry in the store doesn't say so.
-func (c *cluster) leavingEndpoint(id string) *atomic.Int64 {
+// plainEndpoint starts a plain endpoint in a failure domain, with headers for each of its
+// responses, and returns the count of the requests that came.
+func (c *cluster) plainEndpoint(id, domain string, h http.Header) *atomic.Int64 {
 	var came atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/healthz" {
@@ -22,11 +23,11 @@
 		}
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Server-Signature", "s")
-		w.Header().Set("Server-Leaving", "1")
+		maps.Copy(w.Header(), h)
 		_, _ = w.Write([]byte("done by " + id))
 	}))
 	c.servers[id] = server
-	c.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"plain","address":%q,"zone":"north","slots":8,"state":"ready","cold_remaining_ms":0,"born":7,"sequence":1}`, server.Listener.Addr().String()))
+	c.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"plain","address":%q,"zone":%q,"slots":8,"state":"ready","cold_remaining_ms":0,"born":7,"sequence":1}`, server.Listener.Addr().String(), domain))
 	return &came
 }
 
@@ -55,7 +56,7 @@
 	}
 	is := is.New(t)
 	c := newCluster(t, 0, 2)
-	came := c.leavingEndpoint("p1")
+	came := c.plainEndpoint("p1", "north", http.Header{"Server-Leaving": {"1"}}) // its entry in the store doesn't say so
 	await(t, "it has told a daemon", 10*time.Second, func() bool {
 		c.burst(0)
 		return came.Load() > 0
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -27,6 +27,7 @@
 	Version   int64                   `json:"version"`           // of its configuration, 0 if it has none
 	Term      int64                   `json:"term"`              // newest term of a keeper that it knows
 	Traffic   bool                    `json:"traffic,omitempty"` // there were requests at some daemon
+	Rewound   bool                    `json:"rewound,omitempty"` // the store came back from an older copy lately, which may lack what the daemon knows
 	Endpoints map[string]EndpointLoad `json:"heads,omitempty"`   // by endpoint ID
 	Demand    map[string]int          `json:"demand,omitempty"`  // slots that its requests would take if each was served on arrival, by "service/model"
 	Queues    map[string]Queue        `json:"lines,omitempty"`   // waiting requests, by "service/model"
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -5,6 +5,7 @@
 	m.Term = max(m.Term, other.Term)
 	m.Version = max(m.Version, other.Version)
 	m.Traffic = m.Traffic || other.Traffic
+	m.Rewound = m.Rewound || other.Rewound
 	for id, load := range other.Endpoints {
 		m.Endpoints[id] = m.Endpoints[id].plus(load)
 	}
--- a/watch/rewind.go
+++ b/watch/rewind.go
@@ -66,6 +66,7 @@
 	s.Keeper.Revision = 0
 	w.rewind.copyRevision = listing.Revision
 	w.outageAt.Store(int64(now))
+	w.rewoundAt.Store(int64(now))
 	for key := range w.revisions {
 		w.revisions[key] = 0
 	}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -42,6 +42,7 @@
 	snapshot    atomic.Pointer[Snapshot]
 	freshAt     atomic.Int64 // boot clock when the last successful read was sent
 	outageAt    atomic.Int64 // boot clock when the store was last known to be in an outage
+	rewoundAt   atomic.Int64 // boot clock when the store was last found to have come back from an older copy
 	unreachable bool         // the last call failed
 	listed      bool         // a listing was applied
 	missed      bool         // changes were missed, so that a listing is needed
@@ -64,6 +65,7 @@
 	w.snapshot.Store((&Snapshot{}).clone())
 	w.freshAt.Store(int64(-time.Hour))
 	w.outageAt.Store(int64(-time.Hour))
+	w.rewoundAt.Store(int64(-time.Hour))
 	return w
 }
 
@@ -76,6 +78,12 @@
 	return w.options.Boot() - time.Duration(w.freshAt.Load())
 }
 
+// Rewound reports whether the store came back from an older copy within domainGrace. The
+// copy may lack what this daemon knows, and what will be written again.
+func (w *Watcher) Rewound() bool {
+	return w.options.Boot()-time.Duration(w.rewoundAt.Load()) < domainGrace
+}
+
 // Changed returns a channel that is closed when the snapshot next changes.
 func (w *Watcher) Changed() <-chan struct{} {
 	w.mu.Lock()
