edge, platform: each call to the store has a connection of its own

net/http takes a second answer to an earlier call, if it comes once the connection is in use again, for the answer to the next call. The cost is a connection a call: one a second for a daemon that reads the store, one in 5 s for others. TestCommitIsNotMadeByLateAnswer failed over a kept connection, and TestStoreCallsShareAConnection before ('connections >= calls' not true).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -83,7 +83,7 @@
 	dial := conns.DialFrom(net.ParseIP(s.Source))
 	transport := newTransport(dial)
 	client := &http.Client{Transport: transport}
-	d.store = platform.NewStore(s.Store, client.Do)
+	d.store = platform.NewStore(s.Store, platform.OwnConnections(transport).Do)
 	d.watcher = watch.New(watch.Options{
 		Store: d.store, Do: client.Do, Relays: d.storeRelays, Boot: clock.Boot, Log: o.Log,
 		Pause: func() time.Duration { return d.settings().watchPause() },
