groups: a late answer to an earlier request for a report is not taken

Reports come over kept connections, so a second answer to an earlier request may be read as the answer to a later one, and counted as newer than the orders since. A report of the same life with a lower count of accepted orders is from before one: it is not taken. A connection for each report was ruled out: a keeper on a small instance makes hundreds a second as it takes office. Left: a late report with the same count, which the next one corrects. TestLateReportIsNotTaken failed before: '2 != 3'.

--- a/groups/poll.go
+++ b/groups/poll.go
@@ -152,6 +152,8 @@
 	r := k.reports[e.ID]
 	r.inFlight = false
 	switch {
+	case err == nil && r.hasState && olderState(state, r.state):
+		k.options.Log.Info("report not taken", "endpoint", e.ID, "error", "older than one before", "sequence", state.Sequence, "before", r.state.Sequence)
 	case err == nil:
 		r.state, r.stateRequestedAt, r.hasState, r.misses, r.unusable = state, requestedAt, true, 0, ""
 	case lost && (late > reportTimeout-secondRequestAfter || !pathSound):
@@ -170,6 +172,12 @@
 	k.reports[e.ID] = r
 }
 
+// olderState reports whether a state is from before an order that the endpoint had accepted
+// in another state of the same life: a late answer to an earlier request.
+func olderState(s, than site.State) bool {
+	return s.Started == than.Started && s.Sequence < than.Sequence
+}
+
 // logUncounted logs that an endpoint's missing answer doesn't count, one line each
 // lateLogInterval at the most. The lock must be held.
 func (k *Keeper) logUncounted(id string, now, late time.Duration, pathSound bool) {
