--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -47,8 +47,10 @@
 // since following one would send another request.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// storeTransport uses each connection for one call. On a kept one, a late second answer to
+// an earlier call would be taken for the call's: for a claim that was refused, or a lease.
 func storeTransport(o Options) *http.Transport {
-	return &http.Transport{DialContext: o.Dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 8}
+	return &http.Transport{DialContext: o.Dial, DisableKeepAlives: true}
 }
 
 func endpointTransport(o Options) *http.Transport {
