edge: the earlier start of a daemon stands for no later one

What a daemon said before it was killed is passed on for up to 4 s (members of relays). Started again at the same address, it was named to callers, and sent relayed requests, though the new start wasn't ready, or twice. Of the daemons heard or listed at an address only the latest start counts now.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/site"
@@ -11,7 +12,7 @@
 // and reach endpoints or, if this daemon knows of none that does, all that accept them.
 func (d *Daemon) peers() []site.Daemon {
 	var reaching, ready []site.Daemon
-	for _, m := range d.gossip.Alive() {
+	for _, m := range currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons) {
 		if !m.Ready {
 			continue
 		}
@@ -26,6 +27,23 @@
 	return reaching
 }
 
+// currentStarts returns the messages of daemons but for those that were started again
+// since, or replaced: another one was heard or is listed at their address, which started
+// later by its id.
+func currentStarts(heard []gossip.Message, listed map[string]site.Daemon) []gossip.Message {
+	newest := map[string]string{} // start by peer address
+	for _, d := range listed {
+		newest[d.Peer] = max(newest[d.Peer], startOf(d.ID))
+	}
+	for _, m := range heard {
+		newest[m.From.Peer] = max(newest[m.From.Peer], startOf(m.From.ID))
+	}
+	return slices.DeleteFunc(slices.Clone(heard), func(m gossip.Message) bool { return startOf(m.From.ID) < newest[m.From.Peer] })
+}
+
+// startOf returns the end of a daemon's id, the time of its start, which sorts as text.
+func startOf(id string) string { return id[strings.LastIndex(id, ".")+1:] }
+
 // offersItself reports whether callers should connect to this daemon, as peers says of the
 // others.
 func (d *Daemon) offersItself() bool {
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -17,7 +17,7 @@
 // that accept callers and reach endpoints.
 func (d *Daemon) relayPeers() []site.Daemon {
 	var peers []site.Daemon
-	for _, m := range d.gossip.Alive() {
+	for _, m := range currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons) {
 		if m.Ready && !m.Cut && m.From.Region == d.self.Region {
 			peers = append(peers, m.From)
 		}
