groups: no keeper that lacks what the others know since the store came back

After the store came back from an older copy the keeper resigns, and a daemon that started since, without the failure domains out of service that the copy lacks, could take office and form groups there. TestKeeperStartedAfterTheStoreCameBack/lately failed before: 'true != false'.

--- a/groups/election.go
+++ b/groups/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"clementinehead.example/chead/gossip"
@@ -58,7 +59,7 @@
 	if k.candidateSince == 0 {
 		k.candidateSince = now
 	}
-	if k.options.CutOff() || k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || present != k.options.Self.ID && !k.firstCandidate(stored, now) {
+	if k.options.CutOff() || k.missedRewind() || k.options.Watcher.Age() > maxSnapshotAge || now-k.startedAt < startWait || present != k.options.Self.ID && !k.firstCandidate(stored, now) {
 		k.keeperGoneSince = 0
 		return
 	}
@@ -75,6 +76,13 @@
 	k.becomeKeeper(ctx, stored)
 }
 
+// missedRewind reports whether the store came back from an older copy before this daemon
+// started, so lately that the copy may lack what other daemons know.
+func (k *Keeper) missedRewind() bool {
+	lately := slices.ContainsFunc(k.options.Alive(), func(m gossip.Message) bool { return m.Rewound })
+	return lately && !k.options.Watcher.Rewound()
+}
+
 // presentKeeper returns the keeper by the record in the store, or an empty string if
 // there is none. A record of an earlier era is of an older copy, and the daemon that
 // it names has resigned.
--- a/groups/era_test.go
+++ b/groups/era_test.go
@@ -1,7 +1,9 @@
 package groups
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/simul"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
@@ -70,3 +73,28 @@
 		is.Equal(k.planner.records["e"].outcome, pending)
 	}
 }
+
+// A daemon that started after the store came back from an older copy may lack failure
+// domains that are out of service, and endpoints that drain. It must not become keeper
+// while the others know better.
+func TestKeeperStartedAfterTheStoreCameBack(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		rewound bool
+		want    bool
+	}{{"long ago", false, true}, {"lately", true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			k := newKeeper()
+			k.options.Watcher = storeWith(t, simul.Config(1))
+			k.options.Store = &platform.Store{Base: "http://store", Do: func(*http.Request) (*http.Response, error) {
+				return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader("{}"))}, nil
+			}}
+			k.options.Store.ObserveEra(k.options.Watcher.Snapshot().Era)
+			k.startedAt = 0
+			k.options.Alive = func() []gossip.Message { return []gossip.Message{{From: site.Daemon{ID: "d0"}, Rewound: c.rewound}} }
+			k.step(t.Context())
+			is.Equal(k.IsKeeper(), c.want)
+		})
+	}
+}
