--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,6 +77,7 @@
 	d.self = site.Daemon{
 		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: s.Peer, Cores: s.Cores,
 	}
+	d.catchUp.self = d.self.ID
 	conn, err := net.ListenPacket("udp4", s.Peer)
 	if err != nil {
 		return nil, &Error{Op: "listen peer", Kind: Address, Err: err}
@@ -84,7 +85,7 @@
 	dial := conns.DialFrom(net.ParseIP(s.Source))
 	transport := newTransport(dial)
 	client := &http.Client{Transport: transport}
-	d.store = platform.NewStore(s.Store, client.Do)
+	d.store = platform.NewStore(s.Store, platform.OwnConnections(transport).Do)
 	d.watcher = watch.New(watch.Options{
 		Store: d.store, Do: client.Do, Relays: d.storeRelays, Boot: clock.Boot, Log: o.Log,
 		Pause: func() time.Duration { return d.settings().watchPause() },
@@ -116,7 +117,7 @@
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: platform.NewEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
-		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Reached: d.reach.Confirm, Failed: d.reach.Failed, CutOff: d.cutOff, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
+		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Reached: d.reach.Confirm, Failed: d.reach.Failed, CutOff: d.cutOff, Progresses: d.placer.Progresses, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
 	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Offered: d.offersItself, Peers: d.peers})
 	return d, nil
@@ -167,9 +168,11 @@
 func (d *Daemon) gossipMessage() gossip.Message {
 	m := d.placer.Report()
 	m.Groups, m.Term = d.keeper.Announcement()
+	m.Traffic = d.keeper.HadTraffic()
 	m.Ready = d.ready()
 	m.Fresh = d.fresh()
 	m.Cut = d.cutOff()
+	m.Rewound = d.watcher.Rewound()
 	m.Revision = d.watcher.Snapshot().Revision
 	if c := d.watcher.Snapshot().Config; c != nil {
 		m.Version = c.Version
@@ -224,15 +227,18 @@
 	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, partsCtx := errgroup.WithContext(partsCtx)
-	side := callerSide{server: &http.Server{Handler: d.front}, conns: front.NewCallers(d.limits)}
+	side := callerSide{server: &http.Server{Handler: d.front}, conns: front.NewCallers(d.limits), active: d.front.Active}
 	side.conns.Attach(side.server)
 	for _, server := range d.servers(side.server) {
 		listener, err := net.Listen("tcp4", server.address)
 		if err != nil {
 			return &Error{Op: "listen " + server.name, Kind: Address, Err: err}
 		}
-		if server.server == side.server {
+		switch server.name {
+		case callerName:
 			side.listener = listener
+		case peerName:
+			side.peer = server.server
 		}
 		group.Go(func() error { return server.run(partsCtx, listener) })
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -248,6 +248,9 @@
 
 // refuse sends a refusal to the caller and logs it.
 func (f *Front) refuse(j *job, r *refusal) {
+	if j.digest == "" { // its body has not been read whole
+		f.setReadDeadline(j, time.Now().Add(restTime))
+	}
 	h := j.w.Header()
 	f.markLast(h)
 	h.Set("Content-Type", "application/json")
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -47,8 +47,10 @@
 	Reached func(context.Context, time.Duration) bool // whether endpoints are reached, as one was since a reading of the boot clock or some that are asked answer
 	Failed  func(endpoint string)                     // records that an endpoint was not reached
 	CutOff  func() bool                               // whether this daemon is cut off from endpoints
-	Log     logr.Logger
-	Metrics *Metrics
+
+	Progresses func(endpoint string) bool // whether requests are in progress at an endpoint, of any daemon, and go on
+	Log        logr.Logger
+	Metrics    *Metrics
 }
 
 // Keeper forms and repairs the groups while this daemon is the elected keeper. Use
@@ -71,7 +73,7 @@
 	slowChecks      map[string]time.Duration // boot clock: the end of the checks of each endpoint that may be slow
 	announced       map[string]gossip.Group  // groups announced to the other daemons, by leader
 	loggedStages    map[string]stage         // stage of each group as last logged, by name
-	hadTraffic      bool                     // traffic was seen at some daemon while this one was the keeper
+	hadTraffic      bool                     // there were requests at some daemon
 	startedAt       time.Duration            // boot clock: when the Keeper was made
 	nextLateLog     time.Duration            // boot clock: until then, silences that don't count are not logged
 	candidateSince  time.Duration            // boot clock: when this daemon could first have become keeper, 0 before that
@@ -101,6 +103,13 @@
 	return groups, max(k.term, k.options.Watcher.Snapshot().Keeper.Number)
 }
 
+// HadTraffic reports whether there were requests at some daemon, as far as this one knows.
+func (k *Keeper) HadTraffic() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hadTraffic
+}
+
 // Run maintains the groups until the context ends, whenever this daemon is the
 // keeper. The answer to an order or a report makes it take the next step without
 // waiting for the tick, since a group that is repaired takes several steps.
@@ -140,24 +149,34 @@
 		return
 	}
 	k.recordLastModels(stored, service)
+	k.noteTraffic()
 	if !k.remainsKeeper(stored) {
 		k.campaign(ctx, stored)
 		return
 	}
 	k.noteStalled()
-	snap := k.snapshot(stored, service)
-	k.mu.Lock()
-	orders := k.planner.Step(snap)
-	polled := k.planner.ReportsNeeded(snap)
-	k.noteSlow(k.planner.SlowEndpoints())
-	k.announce()
-	k.mu.Unlock()
+	orders, polled := k.decide(k.snapshot(stored, service))
 	for _, o := range orders {
 		go k.send(ctx, o)
 	}
 	k.poll(ctx, stored, polled)
 }
 
+// decide returns the orders of one step, and the endpoints whose reports are needed: none
+// if the term has ended meanwhile, by the refusal of an order.
+func (k *Keeper) decide(snap Snapshot) (orders []Order, polled []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.planner == nil {
+		return nil, nil
+	}
+	orders = k.planner.Step(snap)
+	polled = k.planner.ReportsNeeded(snap)
+	k.noteSlow(k.planner.SlowEndpoints())
+	k.announce()
+	return orders, polled
+}
+
 // recordLastModels records the model of each engine's last group. The engine keeps
 // its weights after leaving the group, but no report shows it then, so every daemon
 // records it in case it becomes keeper.
@@ -193,7 +212,7 @@
 		}
 		state := EndpointState{Endpoint: e, Usable: stored.Usable(e) && !k.options.Leaving(e), StateAt: e.Seen}
 		if r, ok := k.reports[id]; ok {
-			state.Silent = r.misses > 0
+			state.Silent = r.misses > 0 && !k.progresses(id)
 			if r.hasState && r.state.Started == e.State.Started {
 				state.Report = r.state
 				state.ReportAt = r.stateRequestedAt - service.Engine.ReportLag
@@ -214,6 +233,16 @@
 	return snap
 }
 
+// progresses reports whether an endpoint is in a group that serves and whose requests go
+// on. Then it lives, though it may be slow to report. The lock must be held.
+func (k *Keeper) progresses(id string) bool {
+	if k.planner == nil {
+		return false
+	}
+	g := k.planner.groupOf(id)
+	return g != nil && g.stage == serving && k.options.Progresses(g.leader())
+}
+
 // totalDemand returns the demand at all daemons, in slots, by model.
 func (k *Keeper) totalDemand(service string) map[string]int {
 	all := map[string]int{}
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -21,15 +21,23 @@
 	unusable         string // error of the latest answer if it could not be used, as logged
 }
 
-// noteStalled schedules checks of the groups that other daemons report as stalled or slow,
-// and records whether there was traffic.
+// noteTraffic records whether there was traffic. Every daemon does, in case it becomes
+// keeper.
+func (k *Keeper) noteTraffic() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hadTraffic = k.hadTraffic || len(k.options.Demand()) > 0
+	for _, m := range k.options.Alive() {
+		k.hadTraffic = k.hadTraffic || m.Traffic || len(m.Demand) > 0
+	}
+}
+
+// noteStalled schedules checks of the groups that other daemons report as stalled or slow.
 func (k *Keeper) noteStalled() {
 	now := k.options.Boot()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.hadTraffic = k.hadTraffic || len(k.options.Demand()) > 0
 	for _, m := range k.options.Alive() {
-		k.hadTraffic = k.hadTraffic || len(m.Demand) > 0
 		for id, reported := range m.Endpoints {
 			if reported.Stalled {
 				k.checkMembers(k.checks, id, now)
@@ -41,9 +49,12 @@
 	}
 }
 
-// checkMembers schedules checks of the members of an endpoint's group. The lock must
-// be held.
+// checkMembers schedules checks of the members of an endpoint's group, unless the term has
+// ended. The lock must be held.
 func (k *Keeper) checkMembers(checks map[string]time.Duration, id string, now time.Duration) {
+	if k.planner == nil {
+		return
+	}
 	for _, member := range append(k.planner.MembersOf(id), id) {
 		checks[member] = now + checkDuration
 	}
@@ -141,6 +152,8 @@
 	r := k.reports[e.ID]
 	r.inFlight = false
 	switch {
+	case err == nil && r.hasState && olderState(state, r.state):
+		k.options.Log.Info("report not taken", "endpoint", e.ID, "error", "older than one before", "sequence", state.Sequence, "before", r.state.Sequence)
 	case err == nil:
 		r.state, r.stateRequestedAt, r.hasState, r.misses, r.unusable = state, requestedAt, true, 0, ""
 	case lost && (late > reportTimeout-secondRequestAfter || !pathSound):
@@ -159,6 +172,12 @@
 	k.reports[e.ID] = r
 }
 
+// olderState reports whether a state is from before an order that the endpoint had accepted
+// in another state of the same life: a late answer to an earlier request.
+func olderState(s, than site.State) bool {
+	return s.Started == than.Started && s.Sequence < than.Sequence
+}
+
 // logUncounted logs that an endpoint's missing answer doesn't count, one line each
 // lateLogInterval at the most. The lock must be held.
 func (k *Keeper) logUncounted(id string, now, late time.Duration, pathSound bool) {
