--- a/front/body.go
+++ b/front/body.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"clementinehead.example/chead/hold"
 	"clementinehead.example/chead/site"
 )
 
@@ -14,23 +14,27 @@
 // sends the refusal and closes the connection.
 const restTime = 500 * time.Millisecond
 
-// readBody reads the request's body, up to the configured limit and until the deadline.
+// readBody reads the request's body, up to the configured limit and until the deadline. What
+// it takes counts as held by the request.
 func (f *Front) readBody(j *job, limits site.Limits) *refusal {
 	limit := limits.Body
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	j.share = f.options.Hold.Open(j.deadline, func(why hold.Reason) { f.evict(j, why) })
 	f.setReadDeadline(j, j.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	body, err := f.readHeld(j, hold.Request, http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength, limit)
 	if errors.Is(err, os.ErrDeadlineExceeded) && j.remaining() <= 0 {
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not whole in time"}
 	}
 	f.setReadDeadline(j, time.Time{})
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge), errors.Is(err, errTooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	if err != nil {
+	case errors.Is(err, errNoRoom):
+		return &refusal{http.StatusServiceUnavailable, errNoRoom.Error(), defaultRetryAfter, true}
+	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: "body not whole"}
 	}
 	j.body = body
--- a/front/room.go
+++ b/front/room.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"clementinehead.example/chead/hold"
-	"clementinehead.example/chead/site"
 )
 
 const (
@@ -24,31 +23,6 @@
 	errTooLarge = errors.New("body too large")
 )
 
-// readBody reads the request's body, up to the configured limit and until the deadline.
-func (f *Front) readBody(j *job, limits site.Limits) *refusal {
-	limit := limits.Body
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	j.share = f.options.Hold.Open(j.deadline, func(why hold.Reason) { f.evict(j, why) })
-	control := http.NewResponseController(j.w)
-	_ = control.SetReadDeadline(j.deadline) // fails only without a connection
-	body, err := f.readHeld(j, hold.Request, http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength, limit)
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	case errors.Is(err, errNoRoom):
-		return &refusal{http.StatusServiceUnavailable, errNoRoom.Error(), defaultRetryAfter, true}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "body not whole"}
-	}
-	j.body = body
-	j.digest = digest(j)
-	return nil
-}
-
 // readHeld reads a body of at most limit bytes. What it takes counts as held by the request.
 // The size is that of the body, or negative if it isn't known. The error is errNoRoom,
 // errTooLarge or the reader's.
