--- a/soak/path.go
+++ b/soak/path.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -14,13 +16,15 @@
 	pathDelay  = 150 * time.Millisecond
 	pathBuffer = 16 << 10 // bytes
 	pathPoll   = 20 * time.Millisecond
+	acceptTime = 5 * time.Millisecond // for which a slow path accepts connections
 )
 
 // Path is a TCP proxy on loopback that can be disturbed. Use NewPath.
 type Path struct {
 	target   string
-	listener net.Listener
+	listener *net.TCPListener
 	onBytes  func([]byte) // called with the bytes to the target, may be nil; set before use
+	pause    atomic.Int64 // nanoseconds between the times at which connections are accepted, 0 for none
 	mu       sync.Mutex
 	cuts     map[int]cutFrom     // in force, by the number of the step that set it
 	conns    map[net.Conn]string // by the address that they were accepted from
@@ -37,7 +41,7 @@
 
 // NewPath returns a path to a target. The error is that of the listener.
 func NewPath(target string) (*Path, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
 	}
@@ -67,6 +71,13 @@
 	}
 }
 
+// Slow makes the path accept connections only once in each period, as endpoints on an
+// instance under heavy load do; 0 ends that. Paths of one period accept at the same times.
+func (p *Path) Slow(period time.Duration) {
+	p.pause.Store(int64(period))
+	_ = p.listener.SetDeadline(time.Now()) // fails only on a closed listener, which accepts nothing
+}
+
 // Close closes the listener and all connections.
 func (p *Path) Close() {
 	_ = p.listener.Close()
@@ -106,6 +117,10 @@
 func (p *Path) accept() {
 	for {
 		from, err := p.listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			p.awaitTurn()
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -113,6 +128,17 @@
 	}
 }
 
+// awaitTurn waits until the path accepts connections again, and sets until when.
+func (p *Path) awaitTurn() {
+	deadline := time.Time{}
+	if period := time.Duration(p.pause.Load()); period > 0 {
+		now := time.Now()
+		time.Sleep(now.Truncate(period).Add(period).Sub(now))
+		deadline = time.Now().Add(acceptTime)
+	}
+	_ = p.listener.SetDeadline(deadline) // fails only on a closed listener, as Accept does next
+}
+
 // serve connects an accepted connection to the target and forwards bytes both
 // ways until both directions end.
 func (p *Path) serve(from net.Conn) {
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -117,3 +117,37 @@
 		p.SetFrom(1, Pass, "127.0.1.1")
 	}
 }
+
+// A slow path accepts connections once in each period, and leaves open ones alone.
+func TestSlowPath(t *testing.T) {
+	is := is.New(t)
+	p, err := NewPath(echo(t))
+	is.NoErr(err)
+	defer p.Close()
+	answered := func(c net.Conn) time.Time {
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		_, err := c.Write([]byte("x\n"))
+		is.NoErr(err)
+		_, err = bufio.NewReader(c).ReadString('\n')
+		is.NoErr(err)
+		return time.Now()
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp4", p.Address())
+		is.NoErr(err)
+		return c
+	}
+	const period = 200 * time.Millisecond
+	open := dial()
+	answered(open)
+	p.Slow(period)
+	answered(dial()) // at the beginning of a period
+	time.Sleep(4 * acceptTime)
+	began := time.Now()
+	is.True(answered(open).Sub(began) < period/2)
+	is.True(answered(dial()).Sub(began) >= period/2)
+	p.Slow(0)
+	answered(dial())
+	began = time.Now()
+	is.True(answered(dial()).Sub(began) < period/2)
+}
