--- a/groups/election.go
+++ b/groups/election.go
@@ -152,6 +152,7 @@
 	defer k.mu.Unlock()
 	k.term = term.Number
 	k.termEra = term.Era
+	k.termAt = k.options.Boot()
 	k.planner = NewPlanner(term.Number, k.lastModel)
 	k.reports = map[string]report{}
 	k.options.Log.Info("keeper takes office", "term", term.Number, "before", stored.Keeper.Daemon, "era", term.Era)
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -25,6 +25,9 @@
 	earlyPollInterval  = time.Second             // the same before there is traffic
 	checkInterval      = 200 * time.Millisecond  // between reports of an endpoint that is checked, as it may be stalled
 	slowInterval       = time.Second             // between reports of an endpoint that is or may be slow
+	firstLooks         = 2 * time.Second         // after a daemon became keeper, within which one missing answer is no evidence
+	silenceTime        = 1500 * time.Millisecond // for which an endpoint has to be silent that fell silent then
+	silenceMisses      = 3                       // requests without an answer meanwhile, at least
 	checkDuration      = 3 * time.Second         // for which an endpoint is checked after it was reported as stalled or did not answer
 	takeoverWait       = 200 * time.Millisecond  // time for which the keeper must be seen gone before another daemon becomes keeper
 	startWait          = 300 * time.Millisecond  // after the start, before this daemon may become keeper
@@ -63,6 +66,7 @@
 	mu              sync.Mutex
 	term            int64                    // 0 while not the keeper
 	termEra         int64                    // era of the store in which the term began
+	termAt          time.Duration            // boot clock: when the term began
 	planner         *Planner                 // nil while not the keeper
 	lastModel       map[string]string        // model of each engine's last group, by endpoint
 	lastStarted     map[string]int64         // site.State.Started of the engine when lastModel was recorded
@@ -193,7 +197,7 @@
 		}
 		state := EndpointState{Endpoint: e, Usable: stored.Usable(e) && !k.options.Leaving(e), StateAt: e.Seen}
 		if r, ok := k.reports[id]; ok {
-			state.Silent = r.misses > 0
+			state.Silent = k.silent(r, snap.Now)
 			if r.hasState && r.state.Started == e.State.Started {
 				state.Report = r.state
 				state.ReportAt = r.stateRequestedAt - service.Engine.ReportLag
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -16,6 +16,7 @@
 	lastRequestAt    time.Duration // when a report was last requested; 0 requests one at the next poll
 	stateRequestedAt time.Duration // when the report that holds state was requested
 	misses           int           // consecutive requests without an answer
+	missedAt         time.Duration // when the first of these was made
 	inFlight         bool
 	hasState         bool
 	unusable         string // error of the latest answer if it could not be used, as logged
@@ -150,7 +151,8 @@
 		r.misses++
 		k.checks[e.ID] = now + checkDuration
 		if r.misses == 1 {
-			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error(), "calls", calls, "late_ms", late.Milliseconds())
+			r.missedAt = requestedAt
+			k.options.Log.Info("endpoint silent", "endpoint", e.ID, "error", err.Error(), "calls", calls, "late_ms", late.Milliseconds(), "counts", k.silent(r, now))
 		}
 	case r.unusable != err.Error():
 		r.unusable = err.Error()
@@ -159,6 +161,16 @@
 	k.reports[e.ID] = r
 }
 
+// silent reports whether an endpoint counts as silent. One that fell silent within firstLooks
+// of a term has to be so for a time: those looks are the first over this daemon's path, and
+// all endpoints at once may be slow to accept its connections. The lock must be held.
+func (k *Keeper) silent(r report, now time.Duration) bool {
+	if r.misses == 0 || r.missedAt-k.termAt >= firstLooks {
+		return r.misses > 0
+	}
+	return r.misses >= silenceMisses && now-r.missedAt >= silenceTime
+}
+
 // logUncounted logs that an endpoint's missing answer doesn't count, one line each
 // lateLogInterval at the most. The lock must be held.
 func (k *Keeper) logUncounted(id string, now, late time.Duration, pathSound bool) {
