--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,7 +41,10 @@
 	if err := c.ready(caller); err != nil {
 		return report, err
 	}
-	c.began = time.Now()
+	if o.slowEndpoints() {
+		c.slowDown()
+	}
+	c.begin()
 	load, stop := context.WithCancel(ctx)
 	var senders sync.WaitGroup
 	p := newProbe(c, caller)
--- a/soak/start.go
+++ b/soak/start.go
@@ -109,7 +109,7 @@
 	if err := writeSettings(path, d.settings); err != nil {
 		return &Error{Op: "settings", Kind: Start, Err: err}
 	}
-	d.proc = proc{name: name, log: log, command: []string{c.options.Chead, "edge", "--settings", path}}
+	d.proc = proc{name: name, log: log, onLine: func(line string) { c.checkSound(i, line) }, command: []string{c.options.Chead, "edge", "--settings", path}}
 	c.daemons = append(c.daemons, d)
 	return d.start()
 }
