reach: a cut-off daemon goes on only once no other one reached endpoints for a second

Cause: at a machine load of 40 on 7 cores processes ran 0.3 to 0.6 s late, the sound daemon was not heard for a moment, and a cut-off one took itself for the last (goes on, others_reach 0, then cut off again 1.5 s later). Change: it has to be so for a second, by all looks.

--- a/reach/evidence.go
+++ b/reach/evidence.go
@@ -47,6 +47,19 @@
 	return None
 }
 
+// isAlone reports whether no other daemon has reached endpoints for aloneTime, by all calls
+// since the state was set. The lock must be held.
+func (r *Reach) isAlone() bool {
+	now := r.options.Boot()
+	switch {
+	case r.others().Reach > 0:
+		r.alone = 0
+	case r.alone == 0:
+		r.alone = now
+	}
+	return r.alone > 0 && now-r.alone >= aloneTime
+}
+
 // others returns what other daemons say of their paths.
 func (r *Reach) others() Others {
 	if r.options.Others == nil {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -35,6 +35,7 @@
 	maxLate     = 200 * time.Millisecond  // lateness of the process from which a round without an answer says nothing
 	soundRounds = 2                       // rounds in a row that reach endpoints, from which the daemon is no longer cut off
 	slowTimeout = 1500 * time.Millisecond // limits one Options.Probe while cut off, or where endpoints answered slowly
+	aloneTime   = time.Second             // for which no other daemon reaches endpoints, until one that is cut off goes on: they may not be heard for a moment
 	muteLimit   = 3 * time.Second         // without a byte of endpoints, from which it says nothing that most others are cut off
 	// ProbeTimeout limits one Options.Probe in doubt where endpoints answer quickly.
 	ProbeTimeout = 500 * time.Millisecond
@@ -68,6 +69,7 @@
 	reached time.Duration            // boot clock: when one was reached last over a new connection
 	sound   int                      // rounds in a row that reached endpoints
 	usual   time.Duration            // how long the last answer took in the latest round that got one
+	alone   time.Duration            // boot clock: since when no other daemon reaches endpoints, while cut off, or 0
 	settled chan struct{}            // closed unless there is doubt
 }
 
@@ -173,7 +175,7 @@
 	if r.State() == Sound && silent >= suspicious && all {
 		r.doubt()
 	}
-	if r.State() == Cut && r.others().Reach == 0 {
+	if r.State() == Cut && r.isAlone() {
 		r.goOn(Alone, round{})
 	}
 	state, since := r.State(), r.since
@@ -211,6 +213,7 @@
 	}
 	r.since = r.options.Boot()
 	r.sound = 0
+	r.alone = 0
 }
 
 // needed returns the number of endpoints that have to fail for a doubt. The lock must be
--- a/reach/slow_test.go
+++ b/reach/slow_test.go
@@ -108,8 +108,13 @@
 		r.find(hung(Others{Reach: 2}))
 		time.Sleep(time.Second)
 		is.Equal(r.State(), Cut)
+		r.find(hung(Others{Cut: 2})) // for a moment
+		time.Sleep(aloneTime / 2)
+		r.find(hung(Others{Reach: 2}))
+		time.Sleep(5 * time.Second)
+		is.Equal(r.State(), Cut)
 		r.find(hung(Others{Cut: 2}))
-		time.Sleep(slowTimeout + 2*period)
+		time.Sleep(2*slowTimeout + pause + 2*period)
 		is.Equal(r.State(), Slow)
 	})
 	run(t, "most others are cut off", 60, func(is *is.I, r *rig) {
