--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,7 +49,7 @@
 	2, // requests that ran were said not to have run
 }
 
-// buildSeeds are seeds of the profile Builds. None has failed yet.
+// buildSeeds are seeds of the profile Builds, which have not failed.
 var buildSeeds = []uint64{1}
 
 // Seeds that failed in the past break no promise any more.
