Review of the shared room, the memory, the relief and the levels: faults mended

The end is the successor's own now; the wait ends with the request too (TestSlowEndpointFallsSilentAfterAFailedRelief panicked before). - pick: a request that lacked memory held up small ones though slots were free, and one whose reserve exceeded the memory could never run (TestLargeRequestHoldsUpNoSmallOnes); one too large was asked for too late. - pick: one endpoint's wrong statement of its load closed all endpoints of its queue for seconds (TestWrongStatedLoad); what is concluded never fills an endpoint. The bound in TestHiddenLoadCountsAsLoad follows: four slots instead of none of ten. - fair, gossip: the rest of a relay's sum was taken for requests without an account; retries were charged again; own work stayed in the rest (TestOwnWorkIsTakenOff). - front: one caller with a very long deadline switched the recognition of returned ones off. - pick: in a lasting overload more counted as sent than is served (by reading); the turn of the least urgent holds for each slot; chead where counts 500 choices of the code that chooses, and tells of what can't be sent at all. - gossip: the delay counts only daemons that are heard, without making a sum.

--- a/cmd/chead/where.go
+++ b/cmd/chead/where.go
@@ -81,6 +81,8 @@
 // verdict returns what would be done, in a sentence.
 func verdict(found pick.Explanation) string {
 	switch {
+	case found.Refusal != "":
+		return "sent to no endpoint from here: " + found.Refusal
 	case len(found.Options) == 0:
 		return "no endpoint serves it"
 	case found.Served:
--- a/fair/usage.go
+++ b/fair/usage.go
@@ -14,7 +14,7 @@
 )
 
 // Rest is the name under which the work of accounts without an entry of their own is
-// reported.
+// reported. It is no account's.
 const Rest = ""
 
 // Usage holds the work of client accounts in recent time. Use New to make one.
@@ -102,7 +102,7 @@
 	usual := u.usualTotal()
 	return func(account string) int {
 		recent := u.recent[account] + u.others[account]
-		if accounts < 2 || recent <= 0 {
+		if account == Rest || accounts < 2 || recent <= 0 {
 			return 0
 		}
 		due := total / float64(accounts)
--- a/front/deadline.go
+++ b/front/deadline.go
@@ -7,7 +7,8 @@
 
 const (
 	minPriorTime = 150 * time.Millisecond // least time before the earliest usual deadline from which a request counts as a further try of its caller
-	medianStep   = 0.005                  // step of the running median, as a fraction of the longest deadline
+	medianStep   = 0.005                  // step of the running median, as a fraction of it
+	longestStep  = 0.003                  // by which the longest deadline nears the median with each one, so that a single long one is forgotten
 )
 
 // deadlines estimates from the deadlines of each route which requests are further tries of
@@ -27,8 +28,9 @@
 
 // add adds the deadline of a request.
 func (u *usualDeadline) add(deadline time.Duration) {
+	u.longest -= time.Duration(longestStep * float64(u.longest-u.median))
 	u.longest = max(u.longest, deadline)
-	step := time.Duration(medianStep * float64(u.longest))
+	step := time.Duration(medianStep * float64(max(u.median, deadline)))
 	switch {
 	case u.median == 0:
 		u.median = deadline
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -30,6 +30,7 @@
 
 	takesOver bool // another send is left for it: its first event must have content
 
+	decided chan struct{} // of a successor: closed once it has proved itself or failed
 	givenUp atomic.Bool   // broken off by this daemon, which says nothing of the endpoint
 	opened  chan struct{} // closed by open, which sets the fields below
 
--- a/front/handover.go
+++ b/front/handover.go
@@ -13,10 +13,15 @@
 	w.giveUp("silent as well")
 	x := w.front.begin(w.ctx, w.job, slot, w.point)
 	x.takesOver = true
+	x.decided = make(chan struct{})
 	w.successor = x
 	w.avoid[slot.Endpoint.ID] = true
 	w.front.options.Metrics.retries.WithLabelValues(unknown.String()).Inc()
-	w.front.options.Log.Info("endpoint stands still", append(w.fields(cause), "successor", slot.Endpoint.ID)...)
+	line := "endpoint stands still"
+	if cause == tooSlow {
+		line = "stream too slow"
+	}
+	w.front.options.Log.Info(line, append(w.fields(cause), "successor", slot.Endpoint.ID)...)
 	w.job.successors.Go(func() {
 		x.open()
 		w.decide(x)
@@ -26,11 +31,9 @@
 // decide leaves the watched send for a successor that has proved itself. The watched send
 // goes on if the successor failed.
 func (w *watchdog) decide(x *exchange) {
+	defer close(x.decided)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.relief.decided != nil {
-		defer close(w.relief.decided)
-	}
 	switch {
 	case x.givenUp.Load():
 		x.end(x.abandoned())
@@ -90,8 +93,12 @@
 // successor if it has content: it would go on from an earlier point. It reports false if the watched send
 // was left.
 func (w *watchdog) accept(e event) bool {
+	arrived := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if e.content {
+		w.lastEvent = arrived
+	}
 	w.awaitRelief()
 	if w.left {
 		return false
@@ -106,7 +113,7 @@
 		return true
 	}
 	w.timer.Reset(stallAfter)
-	if w.relief.note(w.lastEvent, w.job, w.watched.slot) {
+	if w.relief.note(arrived, w.job, w.watched.slot) {
 		w.relieve()
 	}
 	return true
--- a/front/relief.go
+++ b/front/relief.go
@@ -18,6 +18,9 @@
 	reliefPause   = 200 * time.Millisecond // between two looks
 )
 
+// tooSlow is the cause of a search for an endpoint that ends the stream in time.
+const tooSlow = "too slow for the deadline"
+
 // outlook is what is expected of a stream in progress.
 type outlook struct {
 	left      int           // events that are still to come
@@ -27,9 +30,7 @@
 	remaining time.Duration // until its deadline
 }
 
-// late reports whether the stream can't end in time where it is, but can elsewhere. The load
-// that it answers is that of one endpoint among many which is slowed down for some seconds
-// with all its slots taken.
+// late reports whether the stream can't end in time where it is, but can elsewhere.
 func (o outlook) late() bool {
 	here := time.Duration(o.left) * o.interval
 	elsewhere := o.first + time.Duration(o.left)*o.usual
@@ -49,11 +50,11 @@
 
 // relief is the search of a watched send for a successor that ends its stream in time.
 type relief struct {
-	events  int           // that the stream is expected to have, 0 if that isn't known
-	first   time.Time     // when the first event of the send came
-	count   int           // events of the send
-	notYet  time.Time     // no search before
-	decided chan struct{} // closed once the successor has proved itself or failed; nil without a search
+	events  int       // that the stream is expected to have, 0 if that isn't known
+	first   time.Time // when the first event of the send came
+	count   int       // events of the send
+	notYet  time.Time // no search before
+	pending *exchange // the successor that was found; nil once it has proved itself or failed
 }
 
 // note counts an event and reports whether a successor is to be searched for.
@@ -62,7 +63,7 @@
 	if r.count == 1 {
 		r.first = now
 	}
-	if r.events == 0 || r.count <= reliefEvents || now.Before(r.notYet) || r.decided != nil {
+	if r.events == 0 || r.count <= reliefEvents || now.Before(r.notYet) || r.pending != nil {
 		return false
 	}
 	r.notYet = now.Add(reliefPause)
@@ -76,32 +77,32 @@
 // relieve sends the rest of the stream to a successor, if a retry is permitted and a slot is
 // free elsewhere. The lock must be held.
 func (w *watchdog) relieve() {
-	const cause = "too slow for the deadline"
 	successor, decision, reason := w.takeOver()
 	if reason != allowed {
-		w.logDenied(cause, reason, decision)
+		w.logDenied(tooSlow, reason, decision)
 		return
 	}
-	w.relief.decided = make(chan struct{})
-	w.send(cause, successor)
+	w.send(tooSlow, successor)
+	w.relief.pending = w.successor
 }
 
 // awaitRelief waits until the successor of a send that is too slow has proved itself or
 // failed, since what the watched send delivers meanwhile can't be passed on if the successor
 // goes on from before it. The lock must be held; it is released meanwhile.
 func (w *watchdog) awaitRelief() {
-	decided := w.relief.decided
-	if decided == nil {
+	pending := w.relief.pending
+	if pending == nil {
 		return
 	}
 	w.mu.Unlock()
-	timeout := time.NewTimer(reliefWait)
+	timeout := time.NewTimer(min(reliefWait, w.job.remaining()))
 	defer timeout.Stop()
 	select {
-	case <-decided:
+	case <-pending.decided:
 	case <-timeout.C:
+	case <-w.ctx.Done():
 	}
 	w.mu.Lock()
-	w.relief.decided = nil
+	w.relief.pending = nil
 	w.relief.notYet = time.Now().Add(reliefWait)
 }
--- a/front/relief_test.go
+++ b/front/relief_test.go
@@ -70,3 +70,36 @@
 	is.True(time.Since(began) < 1500*time.Millisecond)
 	is.True(b.last().Header.Get("Last-Event-Id") != "")
 }
+
+// The endpoint that the stream is to go on at refuses it, and the slow one falls silent after
+// that. The daemon ended with a panic, as the search's end was told twice.
+func TestSlowEndpointFallsSilentAfterAFailedRelief(t *testing.T) {
+	is := is.New(t)
+	const count = 40
+	notRun := raw("HTTP/1.1 503 X\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", true)
+	slow := func(w io.Writer, _ *http.Request) bool {
+		_, err := io.WriteString(w, streamHead)
+		for i := 1; i <= 5 && err == nil; i++ {
+			time.Sleep(100 * time.Millisecond)
+			_, err = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+		}
+		time.Sleep(2 * time.Second)
+		return false
+	}
+	a, b, c := newStub(t, "a", slow), newStub(t, "b", withInterval(count, 10*time.Millisecond)), newStub(t, "c", notRun)
+	f := newFixture(t, "engines", a, b, c)
+	sized := func(r *http.Request) { r.Header.Set("X-Token-Usage", fmt.Sprintf("100,%d", count)) }
+	whole := f.snapshot.Load()
+	f.snapshot.Store(&watch.Snapshot{Revision: 8, Config: whole.Config, Endpoints: map[string]site.Endpoint{"b": whole.Endpoints["b"]}})
+	is.Equal(f.call(t, "POST", "/talk/", sized).status, 200) // shows the pace of b
+	f.snapshot.Store(whole)
+	b.mu.Lock()
+	b.script = notRun
+	b.mu.Unlock()
+	f.call(t, "POST", "/talk/", func(r *http.Request) {
+		sized(r)
+		longDeadline(r)
+	})
+	is.True(b.count()+c.count() > 1)                       // it was searched for again
+	is.Equal(f.call(t, "POST", "/read/", nil).status, 503) // the daemon lives; no plain endpoint
+}
--- a/front/send.go
+++ b/front/send.go
@@ -176,7 +176,7 @@
 	if pause := platform.Pause(x.resp.StatusCode, h); pause > 0 {
 		x.slot.Pause(pause)
 	}
-	if load, stated := platform.ParseLoad(h); stated {
+	if load, stated := platform.ParseLoad(h); stated && x.resp.StatusCode != http.StatusMisdirectedRequest {
 		x.slot.State(load.Running + load.Waiting)
 	}
 	x.recordLimit()
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -1,5 +1,7 @@
 package gossip
 
+import "clementinehead.example/chead/fair"
+
 import "clementinehead.example/chead/learn"
 
 // add adds the loads of a message to a sum.
@@ -68,7 +70,7 @@
 		rest.Queues[key] = rest.Queues[key].plus(q, -1)
 	}
 	for account, v := range own.Work {
-		rest.Work[account] = max(0, rest.Work[account]-v)
+		rest.takeWork(account, v)
 	}
 	for id, part := range own.Parts {
 		rest.Parts[id] = rest.Parts[id].plus(part, -1)
@@ -79,6 +81,16 @@
 	return rest
 }
 
+// takeWork takes an account's work off a sum: off the rest if the sum doesn't name it.
+func (m Message) takeWork(account string, v float64) {
+	if _, named := m.Work[account]; !named {
+		account = fair.Rest
+	}
+	if m.Work[account] -= v; m.Work[account] <= 0 {
+		delete(m.Work, account)
+	}
+}
+
 // emptySum returns a message without loads, with the other fields of m.
 func emptySum(m Message) Message {
 	m.Endpoints = map[string]EndpointLoad{}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -29,13 +29,14 @@
 func (g *Gossip) Delay() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.followedSum(g.options.Boot()) != nil {
+	now := g.options.Boot()
+	if p, known := g.peers[g.relay]; known && p.message.Scope == All && now-p.lastHeard < p.silenceLimit() {
 		return (followerRounds + 1 + followerCycle) * period / 2
 	}
 	sum, n := time.Duration(0), 0
 	for _, p := range g.peers {
-		if g.counts(p.message) {
-			sum += min(p.interval, p.silenceLimit())
+		if g.counts(p.message) && now-p.lastHeard < p.silenceLimit() {
+			sum += p.interval
 			n++
 		}
 	}
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -10,10 +10,10 @@
 )
 
 // candidate returns an endpoint with the load and health on which Choose decides.
-func (p *Placer) candidate(e site.Endpoint, request Request, q *queue, now time.Time) Candidate {
+func (p *Placer) candidate(e site.Endpoint, request Request, q *queue, delay time.Duration, now time.Time) Candidate {
 	s := p.endpoint(e.ID)
 	c := Candidate{
-		ID: e.ID, Load: s.running + s.othersRunning, Expected: expectedLoad(s.running, s.othersRunning, p.options.Delay(), seconds(q.holdSeconds)), Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(now),
+		ID: e.ID, Load: s.running + s.othersRunning, Expected: expectedLoad(s.running, s.othersRunning, delay, seconds(q.holdSeconds)), Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(now),
 		SameDomain: e.Domain == p.options.Domain, Stalled: now.Before(s.suspectedUntil), Paused: now.Before(s.pausedUntil),
 	}
 	service, ok := p.service(request.Service)
--- a/pick/explain.go
+++ b/pick/explain.go
@@ -1,10 +1,6 @@
 package pick
 
-import (
-	"time"
-
-	"clementinehead.example/chead/level"
-)
+import "time"
 
 // Option is an endpoint as a request that arrives now would find it.
 type Option struct {
@@ -23,15 +19,19 @@
 // Explanation is what would be done with a request that arrives now.
 type Explanation struct {
 	Options  []Option      `json:"options"`
-	Sent     float64       `json:"sent"`   // requests that other daemons are expected to have sent since their reports
-	Delay    time.Duration `json:"delay"`  // mean time until the load of another daemon is known
-	Queue    QueueState    `json:"queue"`  // as the request would find it
-	Served   bool          `json:"served"` // a slot is free for it
-	Decision Decision      `json:"decision"`
+	Sent     float64       `json:"sent"`              // requests that other daemons are expected to have sent since their reports
+	Delay    time.Duration `json:"delay"`             // mean time until the load of another daemon is known
+	Queue    QueueState    `json:"queue"`             // as the request would find it
+	Served   bool          `json:"served"`            // it would get a slot at once
+	Refusal  string        `json:"refusal,omitempty"` // why it is sent to no endpoint whatever their load, empty if it may be
+	Decision Decision      `json:"decision"`          // if it gets no slot at once
 }
 
+// explainDraws is the number of choices from which the shares are counted.
+const explainDraws = 500
+
 // Explain tells where a request would go now, and why, and whether it would wait otherwise.
-// It changes nothing and sends nothing.
+// It gives no slot and sends nothing.
 func (p *Placer) Explain(request Request) Explanation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -40,33 +40,41 @@
 	if !known {
 		q = &queue{service: request.Service}
 	}
-	found := Explanation{Queue: q.state(request, now), Sent: p.sentSince(q), Delay: p.options.Delay()}
+	delay := p.options.Delay()
+	found := Explanation{Queue: q.state(request, now), Sent: p.sentSince(q, delay), Delay: delay, Refusal: p.refusal(request)}
 	eligible := p.eligible(request)
 	p.addLimits(&found.Queue, eligible, q, now)
 	p.addCompetition(&found.Queue, request, q)
-	room := 0.0
-	endpoints := make([]level.Endpoint, len(eligible))
+	candidates := make([]Candidate, len(eligible))
 	for i, e := range eligible {
-		c := p.candidate(e, request, q, now)
-		endpoints[i] = c.endpoint()
-		reason := c.reason()
-		if reason != "" {
-			endpoints[i].Room = 0
-		}
-		room += endpoints[i].Room
+		c := p.candidate(e, request, q, delay, now)
+		candidates[i] = c
 		found.Options = append(found.Options, Option{
 			Endpoint: e.ID, Domain: e.Domain, Load: c.Load, Expected: c.Expected, Slots: c.Slots, Read: c.ReadTime,
-			Slow: c.Slowdown, Cost: c.costAt(c.Expected), Reason: reason,
+			Slow: c.Slowdown, Cost: c.costAt(c.Expected), Reason: c.reason(),
 		})
 	}
-	for i, share := range level.Fill(endpoints, 1+found.Sent) {
-		found.Options[i].Share = share / max(1+found.Sent, 1)
+	for range explainDraws {
+		if i := ChooseStale(candidates, found.Sent, p.options.Random); i >= 0 {
+			found.Options[i].Share += 1.0 / explainDraws
+			found.Served = found.Refusal == "" && (!q.hasInTime(now) || request.Resumed)
+		}
 	}
-	found.Served = room > 0 && (!q.hasInTime(now) || request.Resumed)
 	found.Decision = Admit(found.Queue)
 	return found
 }
 
+// refusal returns why a request is sent to no endpoint from here, or an empty text.
+func (p *Placer) refusal(request Request) string {
+	switch {
+	case p.tooLarge(request):
+		return TooLarge.String()
+	case p.cutOffFor(request):
+		return CutOff.String()
+	}
+	return ""
+}
+
 // reason returns why a candidate is not available, or an empty text.
 func (c Candidate) reason() string {
 	switch {
--- a/pick/memory.go
+++ b/pick/memory.go
@@ -40,18 +40,19 @@
 }
 
 // lacksMemory reports whether a request doesn't fit into what is left of an endpoint's
-// memory. One that is alone there may use the margin too.
+// memory. One that is alone there always does.
 func (s *endpointState) lacksMemory(e *site.Engine, tokens int) bool {
 	held := s.tokens + s.othersTokens
 	if held == 0 {
-		return tokens > e.Memory
+		return false
 	}
 	return held+tokens > e.Memory-e.Memory/memoryMargin
 }
 
-// tooLarge reports whether a request doesn't fit into the memory of any endpoint.
+// tooLarge reports whether a request that has not run doesn't fit into the memory of any
+// endpoint.
 func (p *Placer) tooLarge(r Request) bool {
 	service, _ := p.service(r.Service)
 	e := service.Engine
-	return e != nil && e.Memory > 0 && r.PromptTokens > e.Memory
+	return e != nil && e.Memory > 0 && !r.Begun && !r.Resumed && r.PromptTokens+r.AnswerTokens > e.Memory
 }
--- a/pick/order.go
+++ b/pick/order.go
@@ -51,18 +51,19 @@
 }
 
 // oldestLeastUrgent returns the first request of the least urgent priority in an order, or
-// nil if all have the same.
+// nil if the first one has it. Interrupted streams don't count.
 func oldestLeastUrgent(ordered []*waiter) *waiter {
-	if len(ordered) == 0 {
-		return nil
-	}
-	found := ordered[0]
+	var first, found *waiter
 	for _, w := range ordered {
-		if w.request.Priority > found.request.Priority {
+		switch {
+		case w.request.Resumed:
+		case first == nil:
+			first, found = w, w
+		case w.request.Priority > found.request.Priority:
 			found = w
 		}
 	}
-	if found == ordered[0] {
+	if found == first {
 		return nil
 	}
 	return found
@@ -119,10 +120,10 @@
 	}
 }
 
-// charge adds the work of a request that got a slot to that of its account, if callers
-// compete.
+// charge adds the work of a request that got its first slot to that of its account, if
+// callers compete.
 func (p *Placer) charge(request Request, q *queue) {
-	if !p.competes(request.Service) {
+	if request.Account == "" || len(request.Avoid) > 0 || !p.competes(request.Service) {
 		return
 	}
 	p.usage.Add(p.options.Boot(), request.Account, p.work(request, q))
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -93,7 +93,11 @@
 		q.arrivals.add(began) // one that is sent through another daemon arrives there
 	}
 	state := q.state(request, began)
-	if !q.hasInTime(began) || request.Resumed || cut {
+	if p.tooLarge(request) {
+		p.mu.Unlock()
+		return nil, &Error{Op: "acquire", Kind: TooLarge, State: state}
+	}
+	if !q.hasInTime(began) || request.Resumed || cut || p.tokens(request) > 0 {
 		if slot := p.tryAcquire(request, q, began); slot != nil {
 			p.mu.Unlock()
 			return slot, nil
@@ -103,10 +107,6 @@
 		p.mu.Unlock()
 		return nil, &Error{Op: "acquire", Kind: CutOff, RetryAfter: minRetryAfter, State: state}
 	}
-	if p.tooLarge(request) {
-		p.mu.Unlock()
-		return nil, &Error{Op: "acquire", Kind: TooLarge, State: state}
-	}
 	endpoints := p.eligible(request)
 	eligible := len(endpoints)
 	p.addLimits(&state, endpoints, q, began)
@@ -175,20 +175,32 @@
 }
 
 // dispatchQueue assigns free slots to the requests of a queue in their order. It ends
-// at the first request that gets none, unless that request avoids endpoints: the
-// next may get a slot at one of these.
+// at the first request that gets none, unless that request avoids endpoints or may lack
+// memory there: the next may get a slot at one of these.
 func (p *Placer) dispatchQueue(q *queue, now time.Time) {
-	for _, w := range q.order(now, p.levels(q)) {
+	for p.dispatchTurn(q, now) {
+	}
+}
+
+// dispatchTurn is dispatchQueue until the order changes by a turn (see order). It reports
+// whether it has.
+func (p *Placer) dispatchTurn(q *queue, now time.Time) bool {
+	levels := p.levels(q)
+	for _, w := range q.order(now, levels) {
 		slot := p.tryAcquire(w.request, q, now)
-		if slot == nil && len(w.request.Avoid) == 0 {
-			return
+		if slot == nil && len(w.request.Avoid) == 0 && p.tokens(w.request) == 0 {
+			return false
 		}
 		if slot != nil {
 			q.remove(w)
 			q.granted++
 			w.slot <- slot
+			if levels != nil && q.granted%turns <= 1 {
+				return true
+			}
 		}
 	}
+	return false
 }
 
 // tryAcquire returns a slot that is free now, or nil. If this daemon is cut off from
@@ -198,11 +210,12 @@
 		return p.peerSlot(request, now)
 	}
 	eligible := p.eligible(request)
+	delay := p.options.Delay()
 	candidates := make([]Candidate, len(eligible))
 	for i, e := range eligible {
-		candidates[i] = p.candidate(e, request, q, now)
+		candidates[i] = p.candidate(e, request, q, delay, now)
 	}
-	i := ChooseStale(candidates, p.sentSince(q), p.options.Random)
+	i := ChooseStale(candidates, p.sentSince(q, delay), p.options.Random)
 	if i < 0 {
 		return nil
 	}
@@ -227,8 +240,12 @@
 
 // sentSince returns the requests that the other daemons are expected to have sent since the
 // loads that they reported, and that are in progress yet.
-func (p *Placer) sentSince(q *queue) float64 {
-	return expectedSent(q.others.ArrivalRate, p.options.Delay(), seconds(q.holdSeconds))
+func (p *Placer) sentSince(q *queue, delay time.Duration) float64 {
+	rate := q.others.ArrivalRate
+	if q.others.InTime+q.others.Late > 0 {
+		rate = min(rate, q.others.FreeRate) // more wait for a slot
+	}
+	return expectedSent(rate, delay, seconds(q.holdSeconds))
 }
 
 // lateSince returns the longest time for which this process ran late since a time.
--- a/pick/report.go
+++ b/pick/report.go
@@ -45,7 +45,7 @@
 		Leaving: p.reportLeaving(v, s.id), Slow: p.isSlow(v, s), Limit: p.reportLimit(s), Learned: p.reportLearned(s),
 	}
 	if s.noProgress(now) && !p.options.Reached() {
-		load.Running, load.UnreadTokens = 0, 0 // what hangs at a path that may be cut is no load there
+		load.Running, load.UnreadTokens, load.Tokens = 0, 0, 0 // what hangs at a path that may be cut is no load there
 	}
 	if s.limit.inForce() {
 		load.Sent = s.recentSends(now)
--- a/pick/retry.go
+++ b/pick/retry.go
@@ -32,6 +32,7 @@
 	if !decision.Allowed || q.hasInTime(now) && !request.Resumed {
 		return nil, decision
 	}
+	request.Account = "" // charged with the first send
 	slot := p.tryAcquire(request, q, now)
 	if slot != nil {
 		b.AllowRetry(now)
--- a/pick/stated.go
+++ b/pick/stated.go
@@ -33,9 +33,10 @@
 	return h.load * math.Exp(-now.Sub(h.updated).Seconds()/hiddenMemory.Seconds())
 }
 
-// requests returns the hidden load in whole requests, at most what an endpoint may hold.
+// requests returns the hidden load in whole requests, fewer than the slots of
+// an endpoint, so that what is only concluded never fills one.
 func (h *hidden) requests(now time.Time, slots int) int {
-	return min(slots+overcommit, max(0, int(math.Round(h.at(now)))))
+	return min(slots-1, max(0, int(math.Round(h.at(now)))))
 }
 
 // State records that an endpoint stated in an answer how many requests of all daemons it
@@ -46,5 +47,8 @@
 	if s.done || s.Peer {
 		return
 	}
-	s.queue.hidden.add(time.Now(), requests-s.state.running-s.state.othersRunning)
+	service, _ := s.placer.service(s.Endpoint.Service)
+	most := configuredSlots(service, s.Endpoint) + overcommit
+	excess := requests - s.state.running - s.state.othersRunning
+	s.queue.hidden.add(time.Now(), min(most, max(-most, excess)))
 }
