--- a/conns/long.go
+++ b/conns/long.go
@@ -81,7 +81,7 @@
 }
 
 // unanswered reports whether packets are unanswered and nothing came for userTimeout. An
-// endpoint that takes nothing still answers probes.
+// endpoint that takes nothing still answers probes, of which one may be lost.
 func unanswered(info *unix.TCPInfo) bool {
-	return (info.Probes > 0 || info.Retransmits > 0) && time.Duration(info.Last_ack_recv)*time.Millisecond >= userTimeout
+	return (info.Probes > 1 || info.Retransmits > 1) && time.Duration(info.Last_ack_recv)*time.Millisecond >= userTimeout
 }
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -22,6 +22,7 @@
 // waits until it holds one as new as theirs.
 type catchUp struct {
 	self      string        // ID of this daemon
+	peer      string        // its address for other daemons, which its earlier starts had too
 	startedAt time.Duration // boot clock
 	done      atomic.Bool
 }
@@ -48,10 +49,11 @@
 	}
 }
 
-// listsOthers reports whether the store lists a daemon besides this one.
+// listsOthers reports whether the store lists a daemon besides this one and its earlier
+// starts.
 func (c *catchUp) listsOthers(held *watch.Snapshot) bool {
-	for id := range held.Daemons {
-		if id != c.self {
+	for id, d := range held.Daemons {
+		if id != c.self && (c.peer == "" || d.Peer != c.peer) {
 			return true
 		}
 	}
--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -62,4 +62,8 @@
 	alone := catchUp{self: "d0"}
 	alone.update(held, nil, catchUpWait)
 	is.True(alone.done.Load())
+	held.Daemons["d0"] = site.Daemon{ID: "d0", Peer: "here"}
+	again := catchUp{self: "d1", peer: "here"} // d0 is an earlier start of it
+	again.update(held, nil, catchUpWait)
+	is.True(again.done.Load())
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,7 +77,7 @@
 	d.self = site.Daemon{
 		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: s.Peer, Cores: s.Cores,
 	}
-	d.catchUp.self = d.self.ID
+	d.catchUp.self, d.catchUp.peer = d.self.ID, d.self.Peer
 	conn, err := net.ListenPacket("udp4", s.Peer)
 	if err != nil {
 		return nil, &Error{Op: "listen peer", Kind: Address, Err: err}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -28,8 +28,8 @@
 // otherPaths returns what the other daemons say of their paths to endpoints.
 func (d *Daemon) otherPaths() reach.Others {
 	others := reach.Others{Reach: len(d.relayPeers())}
-	for _, m := range d.gossip.Alive() {
-		if m.Ready && (m.Cut || m.Blind) {
+	for _, m := range currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons) {
+		if m.Ready && m.From.Region == d.self.Region && (m.Cut || m.Blind) {
 			others.Cut++
 		}
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -93,6 +93,8 @@
 	successor  *exchange      // of the last send, for the next try
 	successors sync.WaitGroup // the opening of successors
 	progress   progress
+	writes     sync.Mutex     // guards written
+	written    bool           // nothing more is written to the caller
 	unlogged   bool           // the end isn't logged
 	relay      platform.Relay // if another daemon sent the request here
 	outlet     outlet
--- a/front/outlet.go
+++ b/front/outlet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -166,11 +168,18 @@
 		return
 	}
 	j.share.Add(hold.Ahead, size, time.Now())
-	got, err := f.run(ctx, j, x)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.got, o.err = got, err
-	close(o.added)
+	got, err := unknown, error(nil)
+	defer func() {
+		if fault := recover(); fault != nil { // as net/http does for the handler
+			f.options.Log.Info("reader broke off", "id", j.id, "fault", fmt.Sprint(fault), "stack", string(debug.Stack()))
+			j.abandon()
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.got, o.err = got, err
+		close(o.added)
+	}()
+	got, err = f.run(ctx, j, x)
 }
 
 // holdEvent adds an event to those held, as soon as there is room.
--- a/front/relief.go
+++ b/front/relief.go
@@ -63,6 +63,9 @@
 	if r.count == 1 {
 		r.first = now
 	}
+	if j.outlet.isSplit() { // the times are those of a slow caller
+		return false
+	}
 	if r.events == 0 || r.count <= reliefEvents || now.Before(r.notYet) || r.pending != nil {
 		return false
 	}
--- a/front/room.go
+++ b/front/room.go
@@ -118,11 +118,20 @@
 	return func() {
 		stop()
 		stopLeave()
+		j.writes.Lock()
+		defer j.writes.Unlock()
+		j.written = true
 	}
 }
 
-// breakWrites makes the present write to the caller fail, and all further ones.
+// breakWrites makes the present write to the caller fail, and all further ones of the
+// request.
 func (j *job) breakWrites() {
+	j.writes.Lock()
+	defer j.writes.Unlock()
+	if j.written {
+		return // the connection may carry the next request
+	}
 	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Now()) // fails only without a connection
 }
 
--- a/groups/election.go
+++ b/groups/election.go
@@ -108,7 +108,7 @@
 func (k *Keeper) heardFresh(id string) bool {
 	for _, m := range k.options.Alive() {
 		if m.From.ID == id {
-			return m.Fresh && !m.Cut
+			return m.Fresh && !m.Cut && !m.Blind
 		}
 	}
 	return false
@@ -126,7 +126,7 @@
 		}
 	}
 	for _, m := range k.options.Alive() {
-		if m.Fresh && m.Ready && !m.Cut && m.From.Precedes(k.options.Self) {
+		if m.Fresh && m.Ready && !m.Cut && !m.Blind && m.From.Precedes(k.options.Self) {
 			return false
 		}
 	}
--- a/hold/book.go
+++ b/hold/book.go
@@ -60,7 +60,7 @@
 	if k == Ahead && s.waiting > 0 && s.waiting+n > b.limits.Each {
 		return nil, false
 	}
-	if k == Ahead && s.waiting == 0 {
+	if k == Ahead && s.waiting <= 0 { // below, if what is added now was taken already
 		s.count(n)
 		s.wait(n, now)
 		return nil, true
--- a/learn/judge.go
+++ b/learn/judge.go
@@ -62,7 +62,7 @@
 	if e.Limited {
 		least = stillExcess
 	}
-	if e.Excess() < least {
+	if !(e.Excess() >= least) { // also where it isn't a number
 		return e.Slots
 	}
 	line := e.Sums.fit(e.Expected)
--- a/learn/sums.go
+++ b/learn/sums.go
@@ -10,6 +10,7 @@
 	leastSamples = 1e-6                    // below which nothing is left
 	clip         = 4                       // multiple of the usual time at which a sample is cut, so that a single long one says little
 	most         = 128                     // samples that a daemon's sums hold; many fast ones of before would hide fewer slow ones
+	roundedOff   = 0.99                    // part of the loads that is left after Rounded, at least
 	missTime     = 4                       // multiple of what callers need that a rejection or a failure counts as
 )
 
@@ -94,8 +95,12 @@
 	return rest
 }
 
-// Sound reports whether the sums can be those of samples: nothing is negative or infinite.
+// Sound reports whether the sums can be those of samples: nothing is negative or infinite,
+// and each was seen with a request in progress.
 func (s Sums) Sound() bool {
+	if s.Loads < roundedOff*s.Samples {
+		return false
+	}
 	for _, v := range []float64{s.Samples, s.Loads, s.Times, s.Squares, s.Products} {
 		if !(v >= 0) || math.IsInf(v, 1) {
 			return false
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -66,7 +66,7 @@
 // hear adds what another daemon passed on.
 func (l *learned) hear(told gossip.Learned, peer string) {
 	old := time.Duration(told.Age)*time.Millisecond > maxLearnedAge
-	if !told.Known() || old || !told.Gaps.Sound() || !told.Firsts.Sound() {
+	if !told.Known() || old || told.Age < 0 || !told.Gaps.Sound() || !told.Firsts.Sound() {
 		return
 	}
 	l.others = l.others.Plus(told)
@@ -134,7 +134,11 @@
 	if !known || l == nil || load <= 1 || load > configuredSlots(service, s.Endpoint) {
 		return
 	}
-	l.own[firsts].AddMiss(load, p.needs(service.Name)[firsts])
+	need := p.needs(service.Name)[firsts]
+	if need == 0 {
+		need = seconds(s.queue.firsts.mean)
+	}
+	l.own[firsts].AddMiss(load, need)
 }
 
 // configuredSlots returns the requests that an endpoint of a service runs at once.
--- a/pick/slot.go
+++ b/pick/slot.go
@@ -124,8 +124,8 @@
 	defer s.placer.mu.Unlock()
 	sum, n := 0.0, 0
 	for _, other := range s.placer.endpoints {
-		if mean := other.learned.own[gaps].Mean(); other.learned.queue == s.queue && other != s.state && mean > 0 {
-			sum += mean.Seconds()
+		if l := &other.learned; l.queue == s.queue && other != s.state && l.own[gaps].Samples >= peerSamples && s.placer.options.Boot()-l.newest <= maxLearnedAge {
+			sum += l.own[gaps].Mean().Seconds()
 			n++
 		}
 	}
