reach: three refusals are no cut while others may answer

Half of the endpoints had crashed at once; a doubt asks three, and refused connections are never taken for slowness. Change: if all that were asked in doubt refuse, as many others are asked at once. Ruled out: to count open connections, since a cut that refuses new ones leaves these (TestCutOffDaemonServesFarLess).

--- a/reach/judge.go
+++ b/reach/judge.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"time"
+
+	"clementinehead.example/chead/site"
 )
 
 // round is what came of asking endpoints.
@@ -16,18 +18,29 @@
 	late            time.Duration // lateness of this process meanwhile
 }
 
-// ask asks some endpoints at random, all at once.
+// ask asks some endpoints at random, all at once. If all refuse in doubt, it asks as many
+// others: those may have crashed together.
 func (r *Reach) ask(ctx context.Context) round {
 	endpoints := r.options.Endpoints()
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
-	endpoints = endpoints[:min(probed, len(endpoints))]
-	got := round{asked: len(endpoints), began: r.options.Boot()}
+	got := round{began: r.options.Boot()}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout())
 	defer cancel()
+	r.askAll(ctx, endpoints[:min(probed, len(endpoints))], &got)
+	if r.State() != Cut && got.refused == got.asked {
+		r.askAll(ctx, endpoints[got.asked:min(2*probed, len(endpoints))], &got)
+	}
+	got.late = r.options.Late(got.began)
+	return got
+}
+
+// askAll asks endpoints all at once, and adds what comes of it to a round.
+func (r *Reach) askAll(ctx context.Context, endpoints []site.Endpoint, got *round) {
 	answers := make(chan error, len(endpoints))
 	for _, e := range endpoints {
 		go func() { answers <- r.options.Probe(ctx, e) }()
 	}
+	got.asked += len(endpoints)
 	for range endpoints {
 		switch err := <-answers; {
 		case err == nil:
@@ -37,8 +50,6 @@
 			got.refused++
 		}
 	}
-	got.late = r.options.Late(got.began)
-	return got
 }
 
 // timedOut reports whether an error says that time ran out.
--- a/reach/slow_test.go
+++ b/reach/slow_test.go
@@ -143,3 +143,17 @@
 		}
 	})
 }
+
+// Endpoints that crashed together refuse connections while others serve. Three of them asked
+// at the same time were taken for a cut.
+func TestCrashedEndpointsAreNoCut(t *testing.T) {
+	for range 60 {
+		run(t, "half of six", 6, func(is *is.I, r *rig) {
+			r.find(world{dead: 3})
+			r.Failed("a")
+			r.Failed("b")
+			time.Sleep(time.Second)
+			is.Equal(r.State(), Sound)
+		})
+	}
+}
