--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -57,6 +57,7 @@
 	b, _, stop := startDaemon(t, "b", func() map[string]site.Daemon { return map[string]site.Daemon{"a": one} })
 	waitFor(t, "b at a", func() bool { return a.IsAlive("b") })
 	waitFor(t, "a at b, though nobody lists b", func() bool { return b.IsAlive("a") })
+	waitFor(t, "b's load at a", func() bool { return len(a.Alive()) > 0 }) // kept for aliveMemory from before b was heard
 	is.Equal(a.Alive()[0].Endpoints["e"].Running, 2)
 	stop()
 	waitFor(t, "b away", func() bool { return !a.IsAlive("b") && len(a.Alive()) == 0 })
