reach: refusals count though the endpoints asked after them are slow

The log: asked 6, refused 3, open connections. The second three had not answered in time, so that not all had refused. Change: as many refusals as are asked at first are enough. Figures: TestRefusalsAreACutThoughOthersAreSlow fails without it.

--- a/reach/evidence.go
+++ b/reach/evidence.go
@@ -33,7 +33,7 @@
 // as a path may refuse new connections alone. That most others are cut off as well says
 // little once nothing came for long, if there is one that isn't. The lock must be held.
 func (r *Reach) weigh(got round) Evidence {
-	refused := got.refused == got.asked
+	refused := got.refused >= min(probed, got.asked) // if so, others were asked too
 	others := r.others()
 	heard := max(r.reached, time.Duration(r.heard.Load()))
 	switch {
--- a/reach/slow_test.go
+++ b/reach/slow_test.go
@@ -157,3 +157,19 @@
 		})
 	}
 }
+
+// All that were asked first refuse, and those asked after them say nothing in time: that is a
+// cut, whatever open connections deliver.
+func TestRefusalsAreACutThoughOthersAreSlow(t *testing.T) {
+	run(t, "three of six", 60, func(is *is.I, r *rig) {
+		r.find(world{dead: 60, hangs: true})
+		r.mu.Lock()
+		r.doubt()
+		r.mu.Unlock()
+		began := r.options.Boot()
+		time.Sleep(time.Millisecond)
+		r.Heard()
+		r.judge(round{asked: 2 * probed, refused: probed, began: began})
+		is.Equal(r.State(), Cut)
+	})
+}
