--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -31,6 +31,8 @@
 	revokeTime = 5 * time.Second
 	applyTime  = 2 * time.Second
 	drainTime  = 2 * time.Second
+
+	evacuateTime = 5 * time.Second
 )
 
 // cluster is the system under test with its stand-ins.
@@ -39,6 +41,7 @@
 	rec     *record
 	dir     string
 	store   *simul.Store
+	silent  atomic.Bool // the store answers no call
 	daemons []*daemon
 	runners []*runner
 	servers []*http.Server
@@ -50,6 +53,8 @@
 	caller     string // address for callers
 	ready      string // address for readiness checks
 	turnedAway atomic.Bool
+	chead      string // path of the program
+	settings   string // path of the settings file
 	cmd        *exec.Cmd
 	log        *os.File
 }
@@ -65,7 +70,7 @@
 	rec.note("trouble: %v", trouble)
 	c.store.Put(simul.ConfigKey, simul.Config(1))
 	for i := range 2 {
-		if err := c.addRunner(fmt.Sprintf("i-%d", i+1)); err != nil {
+		if err := c.addRunner(fmt.Sprintf("i-%d", i+1), fmt.Sprintf("zone-%d", i+1)); err != nil {
 			return c, err
 		}
 	}
@@ -107,11 +112,22 @@
 	})
 }
 
+// serveUnlessSilent passes calls on to the store, or leaves them without an answer.
+func (c *cluster) serveUnlessSilent(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	})
+}
+
 // addDaemon starts a daemon with the settings that the template of the deploy file yields.
 func (c *cluster) addDaemon(i int, chead string) error {
 	d := &daemon{name: fmt.Sprintf("edge-%d", i+1), caller: freeAddress(), ready: freeAddress()}
 	c.daemons = append(c.daemons, d)
-	store, err := c.serve(d.serveStore(paged(c.store)))
+	store, err := c.serve(d.serveStore(c.serveUnlessSilent(paged(c.store))))
 	if err != nil {
 		return err
 	}
@@ -132,13 +148,25 @@
 	if d.log, err = os.Create(filepath.Join(c.dir, d.name+".log")); err != nil {
 		return err
 	}
-	d.cmd = exec.Command(chead, "edge")
-	d.cmd.Env = append(os.Environ(), "CLEMENTINEHEAD_NODE_FILE="+path)
+	d.chead, d.settings = chead, path
+	return d.start()
+}
+
+// start starts the daemon's process.
+func (d *daemon) start() error {
+	d.cmd = exec.Command(d.chead, "edge")
+	d.cmd.Env = append(os.Environ(), "CLEMENTINEHEAD_NODE_FILE="+d.settings)
 	d.cmd.Stdout = d.log
 	d.cmd.Stderr = d.log
 	return d.cmd.Start()
 }
 
+// kill kills the daemon's process.
+func (d *daemon) kill() {
+	_ = d.cmd.Process.Kill()
+	_ = d.cmd.Wait()
+}
+
 // isReady reports whether the daemon says that it is ready.
 func (d *daemon) isReady() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,6 +20,7 @@
 	"copy":    olderCopy,
 	"writer":  otherWriter,
 	"backlog": backlog,
+	"restart": restart,
 	"storm":   storm,
 }
 
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -20,6 +20,7 @@
 type runner struct {
 	id      string
 	address string
+	zone    string
 	rec     *record
 	put     func(key string, value []byte)
 	ticker  *time.Ticker // of heartbeats
@@ -32,8 +33,8 @@
 }
 
 // addRunner starts a runner that writes its entry now and at each heartbeat.
-func (c *cluster) addRunner(id string) error {
-	r := &runner{id: id, rec: c.rec, put: c.store.Put, born: time.Now().UnixMilli(), state: "ready", runs: map[string]time.Time{}}
+func (c *cluster) addRunner(id, zone string) error {
+	r := &runner{id: id, zone: zone, rec: c.rec, put: c.store.Put, born: time.Now().UnixMilli(), state: "ready", runs: map[string]time.Time{}}
 	address, err := c.serve(r)
 	if err != nil {
 		return err
@@ -55,7 +56,7 @@
 	r.mu.Lock()
 	r.sequence++
 	entry, _ := json.Marshal(map[string]any{ // its types can be encoded
-		"service": "plain", "address": r.address, "zone": "zone-1", "version": "v1", "slots": 6, "state": r.state,
+		"service": "plain", "address": r.address, "zone": r.zone, "version": "v1", "slots": 6, "state": r.state,
 		"cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born,
 	})
 	r.mu.Unlock()
@@ -86,8 +87,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if id == "" {
-		return // a health check
+	if id == "" { // a health check
+		if r.isLeaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
 	}
 	_, _ = io.Copy(io.Discard, q.Body)
 	r.mu.Lock()
--- a/review/stand/writer.go
+++ b/review/stand/writer.go
@@ -24,7 +24,7 @@
 		if !c.trouble {
 			return
 		}
-		entry, _ := json.Marshal(map[string]any{"service": "plain", "address": leaving.address, "zone": "zone-1", "state": "ready"}) // its types can be encoded
+		entry, _ := json.Marshal(map[string]any{"service": "plain", "address": leaving.address, "zone": leaving.zone, "state": "ready"}) // its types can be encoded
 		c.store.Put("servers/"+leaving.id, entry)
 		c.rec.note("another writer writes the entry of %s: %s", leaving.id, entry)
 	}()
