--- a/review/stand/main.go
+++ b/review/stand/main_test.go
@@ -1,11 +1,17 @@
 //go:build review
 
-package main
+// Package stand plays the scripted cases of the review. Each case starts daemons as
+// separate processes on loopback addresses, with stand-ins for the store, the operator,
+// the runners and the callers in this process, and checks one rule by what the runners
+// and the callers saw. The test binary exits with 1 if the rule was broken, 0 if it held
+// and 2 if the case could not run.
+package stand
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 )
 
 // Exit codes.
@@ -24,7 +30,8 @@
 	"storm":   storm,
 }
 
-func main() { os.Exit(run()) }
+// TestMain plays a case in place of tests.
+func TestMain(*testing.M) { os.Exit(run()) }
 
 // run plays the case that the arguments name: CASE CHEAD RECORD, the path of the daemon's
 // program and that of the record to be written.
--- a/review/stand/record.go
+++ b/review/stand/record_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package stand
 
 import (
 	"fmt"
