--- a/pick/budget.go
+++ b/pick/budget.go
@@ -13,6 +13,7 @@
 	Extra  float64 // retries allowed in a window in addition
 	Window time.Duration
 	Since  time.Time // start of the count; retries sent before are unknown
+	Shares int       // daemons that Extra has been divided among, for the log
 
 	requests []time.Time
 	retries  []time.Time
@@ -25,9 +26,11 @@
 
 // RetryDecision is the answer of a Budget to one retry.
 type RetryDecision struct {
-	Allowed bool
-	Used    int     // retries in the window before this one
-	Limit   float64 // limit of retries in the window
+	Allowed  bool
+	Used     int     // retries in the window before this one
+	Limit    float64 // limit of retries in the window
+	Requests int     // callers' requests in the window
+	Shares   int     // as Budget.Shares
 }
 
 // AllowRetry allows a retry and counts it, or refuses it.
@@ -46,7 +49,10 @@
 	b.requests = trim(b.requests, now.Add(-b.Window))
 	b.retries = trim(b.retries, now.Add(-b.Window))
 	extra := b.Extra * min(1, float64(now.Sub(b.Since))/float64(b.Window))
-	decision := RetryDecision{Used: len(b.retries), Limit: b.Ratio*float64(len(b.requests)) + extra}
+	decision := RetryDecision{
+		Used: len(b.retries), Limit: b.Ratio*float64(len(b.requests)) + extra,
+		Requests: len(b.requests), Shares: b.Shares,
+	}
 	decision.Allowed = float64(decision.Used+1) <= decision.Limit
 	return decision
 }
--- a/pick/retry.go
+++ b/pick/retry.go
@@ -60,7 +60,8 @@
 	inForce := p.options.Budget()
 	b.Ratio = inForce.Ratio
 	b.Window = inForce.Window
-	b.Extra = inForce.Extra / float64(max(1, p.options.Daemons()))
+	b.Shares = max(1, p.options.Daemons())
+	b.Extra = inForce.Extra / float64(b.Shares)
 	return b
 }
 
