--- a/front/send.go
+++ b/front/send.go
@@ -97,7 +97,7 @@
 			_, ran := j.tries.counts()
 			f.options.Log.Info("not sent again", "id", j.id, "reason", reason.String(), "result", got.String(), "sends", j.progress.sends.Load(), "ran", ran,
 				"attempts", j.route.Attempts, "left_ms", j.remaining().Milliseconds(), "spent", j.retry.Used, "budget", j.retry.Limit,
-				"asked", j.retry.Requests, "shares", j.retry.Shares)
+				"asked", j.retry.Requests, "shares", j.retry.Shares, "whole_spent", round(j.retry.Whole.Retries), "whole_budget", round(j.retry.Whole.Limit))
 			return got, nil
 		}
 		f.options.Metrics.retries.WithLabelValues(got.String()).Inc()
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -35,6 +35,7 @@
 	Endpoints map[string]EndpointLoad `json:"heads,omitempty"`   // by endpoint ID
 	Demand    map[string]int          `json:"demand,omitempty"`  // slots that its requests would take if each was served on arrival, by "service/model"
 	Queues    map[string]Queue        `json:"lines,omitempty"`   // waiting requests, by "service/model"
+	Retries   map[string]Retries      `json:"retries,omitempty"` // by service
 	Work      map[string]float64      `json:"work,omitempty"`    // seconds of endpoints' time that requests took lately, by client account; of the heaviest, and the rest as one
 	Crashes   map[string]int          `json:"strikes,omitempty"` // crashes of endpoints, by digest of the request
 	Parts     map[string]PromptPart   `json:"parts,omitempty"`   // parts of prompts that may crash endpoints, by ID
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -1,8 +1,9 @@
 package gossip
 
-import "clementinehead.example/chead/fair"
-
-import "clementinehead.example/chead/learn"
+import (
+	"clementinehead.example/chead/fair"
+	"clementinehead.example/chead/learn"
+)
 
 // add adds the loads of a message to a sum.
 func (m *Message) add(other Message) {
@@ -19,6 +20,9 @@
 	for key, q := range other.Queues {
 		m.Queues[key] = m.Queues[key].plus(q, 1)
 	}
+	for service, r := range other.Retries {
+		m.Retries[service] = m.Retries[service].Plus(r)
+	}
 	for account, v := range other.Work {
 		m.Work[account] += v
 	}
@@ -69,6 +73,9 @@
 	for key, q := range own.Queues {
 		rest.Queues[key] = rest.Queues[key].plus(q, -1)
 	}
+	for service, r := range own.Retries {
+		rest.Retries[service] = rest.Retries[service].minus(r)
+	}
 	for account, v := range own.Work {
 		rest.takeWork(account, v)
 	}
@@ -96,6 +103,7 @@
 	m.Endpoints = map[string]EndpointLoad{}
 	m.Demand = map[string]int{}
 	m.Queues = map[string]Queue{}
+	m.Retries = map[string]Retries{}
 	m.Work = map[string]float64{}
 	m.Crashes = map[string]int{}
 	m.Parts = map[string]PromptPart{}
--- a/pick/budget.go
+++ b/pick/budget.go
@@ -8,15 +8,23 @@
 // Budget limits the retries that a daemon sends to one service, over a sliding
 // window. A retry is each send of a request after its first. The zero value
 // allows none.
+//
+// Two limits hold. The daemon's own is by its own requests and its part of what is allowed
+// in addition. It doesn't suffice, since requests move: those of a daemon that ended, or
+// that callers left, count anew where they come next, though their retries were sent. So
+// retries are denied, too, once all daemons together have sent what is allowed to them.
 type Budget struct {
 	Ratio  float64 // retries allowed for each request in the window
 	Extra  float64 // retries allowed in a window in addition
 	Window time.Duration
-	Since  time.Time // start of the count; retries sent before are unknown
-	Shares int       // daemons that Extra has been divided among, for the log
+	Since  time.Time     // start of the count; retries sent before are unknown
+	Shares int           // daemons that share Whole; the others' retries don't count if it is at most 1
+	Whole  float64       // Extra of all daemons together
+	News   time.Duration // in which others may send retries that aren't known here
 
 	requests []time.Time
 	retries  []time.Time
+	others   spent
 }
 
 // CountRequest adds a request to the window.
@@ -31,6 +39,7 @@
 	Limit    float64 // limit of retries in the window
 	Requests int     // callers' requests in the window
 	Shares   int     // as Budget.Shares
+	Whole    Total   // of all daemons
 }
 
 // AllowRetry allows a retry and counts it, or refuses it.
@@ -51,9 +60,9 @@
 	extra := b.Extra * min(1, float64(now.Sub(b.Since))/float64(b.Window))
 	decision := RetryDecision{
 		Used: len(b.retries), Limit: b.Ratio*float64(len(b.requests)) + extra,
-		Requests: len(b.requests), Shares: b.Shares,
+		Requests: len(b.requests), Shares: b.Shares, Whole: b.total(now),
 	}
-	decision.Allowed = float64(decision.Used+1) <= decision.Limit
+	decision.Allowed = float64(decision.Used+1) <= decision.Limit && b.hasShare(decision.Whole, now)
 	return decision
 }
 
--- a/pick/report.go
+++ b/pick/report.go
@@ -34,6 +34,7 @@
 			m.Queues[key] = own
 		}
 	}
+	m.Retries = p.reportRetries(now)
 	m.Work = p.usage.Report(p.options.Boot(), ownAccounts)
 	return m
 }
@@ -121,6 +122,7 @@
 		}
 	}
 	p.usage.Hear(work)
+	p.hearRetries(messages, now)
 	p.dropUnlisted(now)
 	p.dropPeers(now)
 	p.dropLeaving(now)
--- a/pick/retry.go
+++ b/pick/retry.go
@@ -1,6 +1,10 @@
 package pick
 
-import "time"
+import (
+	"time"
+
+	"clementinehead.example/chead/gossip"
+)
 
 // AllowRetry asks the budget of a service for a retry, which is counted if allowed.
 // Extra is divided among the daemons.
@@ -61,7 +65,9 @@
 	b.Ratio = inForce.Ratio
 	b.Window = inForce.Window
 	b.Shares = max(1, p.options.Daemons())
-	b.Extra = inForce.Extra / float64(b.Shares)
+	b.Whole = inForce.Extra
+	b.Extra = b.Whole / float64(b.Shares)
+	b.News = max(minNews, 2*p.options.Delay())
 	return b
 }
 
@@ -76,3 +82,31 @@
 	}
 	return b
 }
+
+// hearRetries adds what the other daemons sent of late to the budgets. The lock must be
+// held.
+func (p *Placer) hearRetries(messages []gossip.Message, now time.Time) {
+	heard := map[string]gossip.Retries{}
+	for _, m := range messages {
+		for service, r := range m.Retries {
+			heard[service] = heard[service].Plus(r)
+		}
+	}
+	for service := range heard {
+		p.budget(service)
+	}
+	for service, b := range p.budgets {
+		b.others.update(heard[service], b.Since, now, b.Window)
+	}
+}
+
+// reportRetries returns what this daemon sent of late by service. The lock must be held.
+func (p *Placer) reportRetries(now time.Time) map[string]gossip.Retries {
+	reports := map[string]gossip.Retries{}
+	for service, b := range p.budgets {
+		if r := b.reportRetries(now); r != (gossip.Retries{}) {
+			reports[service] = r
+		}
+	}
+	return reports
+}
