--- a/front/ending.go
+++ b/front/ending.go
@@ -22,7 +22,7 @@
 		h.Set(platform.HeaderRequest, j.id)
 	}
 	if r.elsewhere && j.relay.Daemon != "" {
-		platform.SetElsewhere(h)
+		platform.SetElsewhere(h, j.progress.sends.Load() > 0)
 	}
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(jitter(r.retryAfter).Seconds(), 'f', 3, 64))
--- a/front/relay.go
+++ b/front/relay.go
@@ -108,7 +108,10 @@
 		return x.breaksOff("no answer of the daemon", err)
 	}
 	x.cause = strconv.Itoa(resp.StatusCode)
-	if platform.Elsewhere(resp.Header) {
+	if elsewhere, sent := platform.Elsewhere(resp.Header); elsewhere {
+		if sent {
+			j.progress.sends.Add(1) // an endpoint had the request, so that the next send is a retry
+		}
 		x.slot.Suspect()
 		return notRun
 	}
--- a/front/relay_test.go
+++ b/front/relay_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/site"
 )
@@ -209,3 +210,33 @@
 	is.Equal(r.cut.call(t, "GET", "/read/x", nil).status, http.StatusGatewayTimeout)
 	is.Equal(r.unreached.count(), 1)
 }
+
+// Guards against BUDGET: an endpoint refused a request that came through another daemon,
+// which then stopped; the next daemon's send wasn't counted as a retry.
+func TestRetryThroughAThirdDaemonCounts(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		extra  float64
+		status int
+		third  int
+	}{{"none left", 0, http.StatusServiceUnavailable, 0}, {"one left", 1, http.StatusOK, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRelayRig(t, "plain", nil, nil)
+			o := placerOptions(r.cut.snapshot.Load, pick.Budget{Extra: c.extra, Window: time.Second})
+			o.CutOff = r.cut.cut.Load
+			o.Peers = func() []site.Daemon { return r.cut.peers }
+			r.cut.front.options.Placer = pick.New(o)
+			r.endpoint.script = func(w io.Writer, req *http.Request) bool {
+				r.sound.front.phase.Store(int32(ending))
+				return raw("HTTP/1.1 503 X\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", true)(w, req)
+			}
+			last := newStub(t, "l", signed(200, "ok"))
+			third := newFixture(t, "plain", last)
+			r.cut.peers = []site.Daemon{third.peerOf(t, "third", nil), r.cut.peers[0]} // the second one is chosen first
+			is.Equal(r.cut.call(t, "GET", "/read/x", nil).status, c.status)
+			is.Equal(r.endpoint.count(), 1)
+			is.Equal(last.count(), c.third)
+		})
+	}
+}
