--- a/entry/budget.go
+++ b/entry/budget.go
@@ -8,6 +8,11 @@
 	maxDaemonBalance  = 100
 )
 
+// startBalance is the balance of a daemon that starts, in retries. What it spent before, if
+// it was killed, isn't known: a daemon that is started again and again must not save up anew
+// each time.
+const startBalance = 10
+
 // budget limits retries to a share of the requests, for each client account and
 // for the whole daemon. Each request adds a share of a retry to the balance,
 // and a retry takes one off. The balance hides a short fault from callers; a
@@ -19,7 +24,7 @@
 }
 
 func newBudget() *budget {
-	return &budget{daemon: maxDaemonBalance, accounts: map[string]float64{}}
+	return &budget{daemon: startBalance, accounts: map[string]float64{}}
 }
 
 // deposit adds an accepted request's share of a retry to the balances.
