--- a/edge/left_test.go
+++ b/edge/left_test.go
@@ -27,7 +27,7 @@
 		_, _ = w.Write([]byte("done by " + id))
 	}))
 	c.servers[id] = server
-	c.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"plain","address":%q,"zone":%q,"slots":8,"state":"ready","cold_remaining_ms":0,"born":7,"sequence":1}`, server.Listener.Addr().String(), domain))
+	c.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"plain","address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"born":7,"sequence":1}`, server.Listener.Addr().String(), domain))
 	return &came
 }
 
--- a/watch/rewind_test.go
+++ b/watch/rewind_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-const entryOther = `{"service":"s","address":"127.0.0.1:2","zone":"north","slots":4,"state":"ready","cold_remaining_ms":0,"born":7,"sequence":1}`
+const entryOther = `{"service":"s","address":"127.0.0.1:2","zone":"north","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"born":7,"sequence":1}`
 
 // The store comes back from a copy in which an endpoint that drains was ready, one
 // that has left was there, a failure domain was in service and an older
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -20,8 +20,8 @@
 	configV5   = `{"version":5,"routes":[],"services":[],"limits":{}}`
 	configV9   = `{"version":9,"routes":[],"services":[],"limits":{}}`
 	configV7   = `{"version":7,"routes":[],"services":[],"limits":{}}`
-	entryReady = `{"service":"s","address":"127.0.0.1:1","zone":"north","slots":4,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1}`
-	entryDrain = `{"service":"s","address":"127.0.0.1:1","zone":"north","slots":4,"state":"draining","cold_remaining_ms":0,"born":1,"sequence":2}`
+	entryReady = `{"service":"s","address":"127.0.0.1:1","zone":"north","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1}`
+	entryDrain = `{"service":"s","address":"127.0.0.1:1","zone":"north","version":"v1","slots":4,"state":"draining","cold_remaining_ms":0,"born":1,"sequence":2}`
 )
 
 type fixture struct {
