--- a/store/client.go
+++ b/store/client.go
@@ -34,6 +34,8 @@
 // Calls counts a client's calls of the service, by kind.
 type Calls struct {
 	Reads, Writes, Watches, Leases, Lists atomic.Uint64
+
+	OddRows atomic.Uint64 // rows of lists that named no instance
 }
 
 // New returns a client that sends its requests with do. The key-value service
--- a/store/list.go
+++ b/store/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -42,10 +41,11 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, statusError(op, response.StatusCode, body)
 	}
-	var instances []Instance
-	if err := json.Unmarshal(body, &instances); err != nil {
+	instances, odd, err := decodeInstances(body)
+	if err != nil {
 		return nil, &Error{Op: op, Kind: Lost, Err: err}
 	}
+	c.Calls.OddRows.Add(uint64(odd))
 	c.list.set(response.Header.Get("ETag"), instances)
 	return instances, nil
 }
