--- a/front/exchange.go
+++ b/front/exchange.go
@@ -130,12 +130,18 @@
 	}
 }
 
+// otherKind is the cause of a failure where a stream can't go on with an answer.
+const otherKind = "not a stream that goes on"
+
 // readFirst reads the first event of a stream.
 func (x *exchange) readFirst() result {
 	if !platform.Signed(x.resp.Header) {
 		return x.fail(unknown, "no signature", nil)
 	}
 	x.reader = bufio.NewReaderSize(x.resp.Body, eventBufferSize)
+	if !x.continues(x.from) {
+		return x.fail(unknown, otherKind, nil)
+	}
 	e, err := x.firstEvent()
 	switch {
 	case errors.Is(err, io.EOF):
--- a/front/handover.go
+++ b/front/handover.go
@@ -107,6 +107,9 @@
 		return true // no progress
 	}
 	w.giveUp("the watched send goes on")
+	if !w.point.headSent {
+		w.point.kind = mediaType(w.watched.resp.Header)
+	}
 	w.point = w.point.after(e)
 	w.lastEvent = time.Now()
 	if w.timer == nil {
--- a/front/send.go
+++ b/front/send.go
@@ -156,6 +156,9 @@
 
 // forward passes the answer of an exchange on to the caller.
 func (f *Front) forward(ctx context.Context, j *job, x *exchange) result {
+	if !x.continues(j.stream.point) {
+		return x.fail(unknown, otherKind, nil)
+	}
 	if x.reader != nil {
 		return f.forwardStream(ctx, j, x)
 	}
--- a/front/stream.go
+++ b/front/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,7 @@
 // point is a place in a stream.
 type point struct {
 	headSent bool   // the response's head comes before it
+	kind     string // media type of the response, once its head was sent
 	lastID   string // of the last event before it
 	nextID   int64  // id that the next event must have, 0 if unknown
 }
@@ -110,10 +112,32 @@
 	f.markLast(h)
 	j.w.WriteHeader(resp.StatusCode)
 	j.stream.headSent = true
+	j.stream.kind = mediaType(resp.Header)
 	j.progress.headSent.Store(true)
 	f.options.Metrics.firstEvent.Observe(time.Since(j.arrived).Seconds())
 }
 
+// mediaType returns the type of a response's body without parameters, empty if none is
+// stated.
+func mediaType(h http.Header) string {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
+// eventStream is the media type of streams of events.
+const eventStream = "text/event-stream"
+
+// continues reports whether an answer may go on with a stream after a point: only a
+// success does whose type is that of the first answer, or of streams, or whatever its
+// endpoint has to say comes in the middle of the stream, or ends it as if it was complete.
+func (x *exchange) continues(p point) bool {
+	if !p.headSent || x.reader == nil {
+		return !p.headSent
+	}
+	kind := mediaType(x.resp.Header)
+	return kind == p.kind || kind == eventStream
+}
+
 // record updates the times and the count after an event was sent to the caller.
 func (s *stream) record(arrived, now time.Time) {
 	if s.forwarded == 0 {
