--- a/cmd/chsoak/main.go
+++ b/cmd/chsoak/main.go
@@ -23,7 +23,7 @@
 type commands struct {
 	Seed    uint64        `default:"0" help:"First seed; drawn by the clock where 0."`
 	Seeds   int           `default:"1" help:"Seeds to run, one after the other."`
-	Profile string        `default:"mixed" enum:"mixed,stops,crashes,limits,cuts,builds" help:"Mix of faults, endpoints and load: mixed, stops, crashes, limits, cuts or builds."`
+	Profile string        `default:"mixed" enum:"mixed,stops,crashes,limits,cuts,storms,builds" help:"Mix of faults, endpoints and load: mixed, stops, crashes, limits, cuts, storms or builds."`
 	Daemons int           `default:"3" help:"Daemons."`
 	Runners int           `default:"8" help:"Runners, of which two, or with stops a third, serve plain calls."`
 	Length  time.Duration `default:"10s" help:"How long faults are injected."`
@@ -83,8 +83,8 @@
 			fmt.Println("  ", step)
 		}
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d lost %v, %d crashes, %d limits, %d cuts, %d upgrades, %d promises broken\n",
-		seed, len(report.Steps), report.Requests, report.Served, report.Refused, report.Lost, report.Excused, report.Crashes, report.Limited, report.Cuts, report.Upgraded, len(report.Failures))
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d lost %v, %d crashes, %d limits, %d cuts, %d retries, %d upgrades, %d promises broken\n",
+		seed, len(report.Steps), report.Requests, report.Served, report.Refused, report.Lost, report.Excused, report.Crashes, report.Limited, report.Cuts, report.Retried, report.Upgraded, len(report.Failures))
 	for _, text := range report.Failures {
 		fmt.Println("  BROKEN", text)
 	}
--- a/simul/answer.go
+++ b/simul/answer.go
@@ -41,7 +41,7 @@
 		return
 	}
 	fault, chances := r.options.Faults.draw(r.options.ID, id, r.runs[id])
-	if r.active >= r.options.Slots || fault == busy {
+	if r.active >= r.options.Slots || fault == busy && !r.options.Faults.calm(time.Now()) {
 		r.mu.Unlock()
 		r.refuse(w, id, http.StatusServiceUnavailable)
 		return
--- a/simul/faults.go
+++ b/simul/faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"time"
 )
 
 // Faults are the faults of a Runner, each as the share of the requests that it
@@ -19,6 +20,13 @@
 	Fail     float64 `help:"Share of requests answered with 500."`
 	Expire   float64 `help:"Share of requests answered with 504 at their deadline."`
 	Busy     float64 `help:"Share of requests that do not run and are answered so."`
+
+	Waves time.Duration `help:"Busy holds only in every second span of this length, by the time of day; always where 0."`
+}
+
+// calm reports whether Busy doesn't hold at a time.
+func (f Faults) calm(now time.Time) bool {
+	return f.Waves > 0 && now.UnixNano()/int64(f.Waves)%2 == 0
 }
 
 // fault is what goes wrong with a run.
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -58,6 +58,7 @@
 	crashes    []time.Time // when endpoints ended at a prompt
 	limited    int         // spans in which an endpoint stated a limit
 	upgraded   int         // daemons whose old build was replaced, by the profile Builds
+	retried    int         // most retries of a service within the budget's window
 	compared   int         // cuts of daemons from all endpoints that were compared with the others
 	violations []string    // broken promises that were seen during the load
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -85,6 +85,9 @@
 	if o.Profile == Cuts {
 		return planCuts(o.Seed, o.Length, o.Daemons, o.Runners)
 	}
+	if o.Profile == Storms {
+		return planStorms(o.Seed, o.Length, o.Daemons, o.Runners)
+	}
 	if o.Profile != Mixed {
 		return planStops(o.Seed, o.Length, o.Daemons, o.Runners)
 	}
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -22,6 +22,8 @@
 	Limits
 	// Cuts cuts daemons off from all endpoints while others are stopped.
 	Cuts
+	// Storms kills daemons in series while endpoints refuse most requests for seconds at a time.
+	Storms
 	// Builds is Stops with one daemon after the other replaced by another build.
 	Builds
 )
@@ -30,7 +32,7 @@
 
 // Profiles returns all profiles by name.
 func Profiles() map[string]Profile {
-	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits, "cuts": Cuts, "builds": Builds}
+	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits, "cuts": Cuts, "storms": Storms, "builds": Builds}
 }
 
 // traits are the properties of a profile.
@@ -44,6 +46,7 @@
 	slow           bool // whether some callers and some runners read slowly
 	limits         bool // whether endpoints state limits
 	cuts           bool // whether daemons are cut off from endpoints, so that their connections come from addresses of their own
+	storms         bool // whether arrivals are compared with the retry budget
 	builds         bool // whether a stopped daemon starts with the other build
 	faults         simul.Faults
 }
@@ -75,6 +78,12 @@
 			faults: simul.Faults{Stutter: 0.02, Fail: 0.01, Busy: 0.02},
 		}
 	}
+	if p == Storms {
+		return traits{
+			events: 5, streamInterval: 25 * time.Millisecond, fileInterval: 25 * time.Millisecond, plainShare: 3, kept: true, storms: true,
+			faults: simul.Faults{Busy: 0.7, Fail: 0.02, Reset: 0.01, Waves: stormWaves},
+		}
+	}
 	return traits{events: 20, streamInterval: 50 * time.Millisecond, fileInterval: 40 * time.Millisecond, plainShare: 1 << 30}
 }
 
@@ -93,10 +102,10 @@
 // pace is the range of the times between two events of an endpoint.
 type pace struct{ shortest, longest time.Duration }
 
-// pace returns the pace of an endpoint. In Crashes, Limits and Cuts it is the usual one. In Stops and
+// pace returns the pace of an endpoint. In Crashes, Limits, Cuts and Storms it is the usual one. In Stops and
 // Builds no, a third or all of the endpoints, by seed, are far slower than usual, but sound.
 func (p Profile) pace(seed uint64, runner int, plain bool) pace {
-	if p == Limits || p == Cuts || p == Crashes && !plain {
+	if p == Limits || p == Cuts || p == Storms || p == Crashes && !plain {
 		return pace{20 * time.Millisecond, 120 * time.Millisecond}
 	}
 	slow := seed%3 == 2 || seed%3 == 1 && runner%3 == 0
--- a/soak/profile_string.go
+++ b/soak/profile_string.go
@@ -13,12 +13,13 @@
 	_ = x[Crashes-2]
 	_ = x[Limits-3]
 	_ = x[Cuts-4]
-	_ = x[Builds-5]
+	_ = x[Storms-5]
+	_ = x[Builds-6]
 }
 
-const _Profile_name = "MixedStopsCrashesLimitsCutsBuilds"
+const _Profile_name = "MixedStopsCrashesLimitsCutsStormsBuilds"
 
-var _Profile_index = [...]uint8{0, 5, 10, 17, 23, 27, 33}
+var _Profile_index = [...]uint8{0, 5, 10, 17, 23, 27, 33, 39}
 
 func (i Profile) String() string {
 	idx := int(i) - 0
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,6 +20,7 @@
 	Limited  int            // spans in which an endpoint stated a limit
 	Upgraded int            // daemons whose old build was replaced by the present one
 	Cuts     int            // of daemons from all endpoints, compared with the others
+	Retried  int            // most retries of a service within the budget's window, in the profile Storms
 	Failures []string       // broken promises, each with the request or daemon
 }
 
@@ -76,6 +77,8 @@
 	report.Upgraded = c.upgraded
 	report.Failures = append(report.Failures, c.checkCuts(caller.records())...)
 	report.Cuts = c.compared
+	report.Failures = append(report.Failures, c.checkBudget(caller.records())...)
+	report.Retried = c.retried
 	return report, nil
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,6 +49,9 @@
 	2, // requests that ran were said not to have run
 }
 
+// stormSeeds are seeds of the profile Storms, which have not failed.
+var stormSeeds = []uint64{1}
+
 // buildSeeds are seeds of the profile Builds, which have not failed.
 var buildSeeds = []uint64{1}
 
@@ -179,6 +182,55 @@
 	is.Equal(len(hows), len(endpointCuts))
 }
 
+// While daemons are killed in series and endpoints refuse most requests, all daemons
+// together keep to the retry budget.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	runSeeds(t, stormSeeds, Options{Profile: Storms, Daemons: 3, Runners: 10, Length: 18 * time.Second})
+}
+
+// The plans of the profile Storms kill one daemon at least in each round or stop it, and
+// never all.
+func TestPlansOfStorms(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(40) {
+		is.Equal(planStorms(seed, 20*time.Second, 3, 10), planStorms(seed, 20*time.Second, 3, 10))
+		ended := map[int]bool{}
+		for _, s := range planStorms(seed, killEvery, 3, 10) {
+			if s.Fault == KillDaemon || s.Fault == StopDaemon {
+				ended[s.Target] = true
+			}
+		}
+		is.True(len(ended) == 1 || len(ended) == 2)
+	}
+}
+
+// The budget is exceeded only where more requests come again than it allows, in a window,
+// by the window that has most requests.
+func TestOverBudget(t *testing.T) {
+	at := func(every time.Duration, n int) (times []time.Time) {
+		for i := range n {
+			times = append(times, time.Unix(1000, 0).Add(time.Duration(i)*every))
+		}
+		return times
+	}
+	for name, c := range map[string]struct {
+		requests, again []time.Time
+		over            bool
+	}{
+		"none":                  {at(time.Millisecond, 100), nil, false},
+		"extra":                 {nil, at(time.Millisecond, extraRetries), false},
+		"one more":              {nil, at(time.Millisecond, extraRetries+1), true},
+		"by requests":           {at(time.Millisecond, 500), at(time.Millisecond, extraRetries+100), false},
+		"more than by requests": {at(time.Millisecond, 500), at(time.Millisecond, extraRetries+101), true},
+		"spread":                {nil, at(time.Second, 1000), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal((&cluster{}).overBudget(c.requests, c.again) != "", c.over)
+		})
+	}
+}
+
 // Daemons are replaced one by one and back again without a broken promise. Both builds are the
 // same program here; with chsoak they differ.
 func TestPromisesHoldWhileDaemonsAreReplaced(t *testing.T) {
--- a/soak/start.go
+++ b/soak/start.go
@@ -50,6 +50,9 @@
 	if c.traits.crashes && !plain {
 		r.command = append(r.command, "--crash", crashingPart)
 	}
+	if f.Waves > 0 {
+		r.command = append(r.command, "--waves", f.Waves.String())
+	}
 	if c.traits.slow && i%2 == 0 {
 		r.command = append(r.command, "--sip", sip.String())
 	}
