--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -46,6 +46,7 @@
 	unreachable bool         // the last call failed
 	listed      bool         // a listing was applied
 	missed      bool         // changes were missed, so that a listing is needed
+	behind      bool         // the last watch may have returned a part of the changes
 	rewind      rewind
 	daemonIDs   map[string]string // ID of the daemon that is listed for an instance
 	history     history
@@ -104,7 +105,9 @@
 }
 
 // readStore reads the store once: all keys at first and when changes were missed, and
-// otherwise the changes. Changes are followed by a pause, and failures by another one.
+// otherwise the changes. Changes are followed by a pause unless they may be a part of
+// them, and failures by another one. After two parts all keys are read, which takes less
+// than each change of a backlog.
 func (w *Watcher) readStore(ctx context.Context) {
 	if !w.listed || w.missed {
 		if err := w.list(ctx); err != nil {
@@ -112,13 +115,16 @@
 		}
 		return
 	}
+	before := w.behind
 	changed, err := w.watch(ctx)
 	switch {
-	case platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound):
+	case platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound) || platform.Is(err, platform.Large):
 		w.missed = true
-		w.options.Log.Info("history gone, listing anew", "revision", w.Snapshot().Revision, "error", err.Error())
+		w.options.Log.Info("changes not to be had, listing anew", "revision", w.Snapshot().Revision, "error", err.Error())
 	case err != nil:
 		w.recordFailure(ctx, "watch", err)
+	case w.behind:
+		w.missed = before
 	case changed:
 		clock.Sleep(ctx, w.pause())
 	}
@@ -164,13 +170,14 @@
 	}
 	w.replace(listing)
 	w.missed = false
+	w.behind = false
 	w.options.Log.Info("store listed", "era", listing.Era, "revision", listing.Revision, "keys", len(listing.Items))
 	w.recordSuccess(sent)
 	return nil
 }
 
 // watch applies the changes that arrive within one watch, and reports whether
-// there were any.
+// there were any. The snapshot is confirmed only if these were all.
 func (w *Watcher) watch(ctx context.Context) (bool, error) {
 	wait := w.waitTime()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
@@ -182,14 +189,36 @@
 		return false, err
 	}
 	w.applyChanges(listing)
-	w.recordSuccess(sent)
+	w.behind = mayBePart(listing)
+	if w.behind {
+		w.signalRead() // followers need not wait for the rest
+	} else {
+		w.recordSuccess(sent)
+	}
 	return len(listing.Items) > 0, nil
 }
 
+// An answer to a watch with more than this may hold a part of the changes: the store ends
+// answers at about 1 MB or 500 changes, and sooner where the next value is a large one.
+const (
+	partBytes = 256 << 10 // of values and keys
+	partItems = 250
+)
+
+// mayBePart reports whether there may be changes that were made before the answer and
+// aren't in it.
+func mayBePart(listing platform.Listing) bool {
+	bytes := 0
+	for _, item := range listing.Items {
+		bytes += len(item.Key) + len(item.Value)
+	}
+	return bytes > partBytes || len(listing.Items) > partItems
+}
+
 // waitTime returns how long the next watch may wait. The age counts from when the
 // last read was sent, so it grows until the watch ends.
 func (w *Watcher) waitTime() time.Duration {
-	if w.unreachable {
+	if w.unreachable || w.behind {
 		return time.Millisecond
 	}
 	return max(time.Millisecond, min(maxWait, maxAge-w.Age()))
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -175,3 +179,63 @@
 	f.store.Remove("chead/daemons/north-1")
 	f.await(t, "removal", func(s *Snapshot) bool { return len(s.Daemons) == 0 })
 }
+
+// Guards against CONFIG: an answer that may hold a part of the changes counted as all of
+// them. The snapshot was taken for fresh, and the rest was read after a pause.
+func TestPartOfTheChangesConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	var calls []string
+	var times []time.Time
+	var ages []time.Duration
+	var mu sync.Mutex
+	var w atomic.Pointer[Watcher]
+	large := base64.StdEncoding.EncodeToString(make([]byte, partBytes))
+	store := func(out http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		n := len(calls)
+		calls = append(calls, r.URL.Path)
+		times = append(times, time.Now())
+		if held := w.Load(); held != nil {
+			ages = append(ages, held.Age())
+		} else {
+			ages = append(ages, 0)
+		}
+		switch {
+		case r.URL.Path == "/api/kv-range":
+			fmt.Fprintf(out, `{"items":[{"key":"op/config","value":%q,"revision":%d}],"as_of":%d}`, base64.StdEncoding.EncodeToString([]byte(configV5)), 5+n, 5+n)
+		case n == 1:
+			time.Sleep(300 * time.Millisecond)
+			fmt.Fprintf(out, `{"events":[{"key":"a","value":%q,"revision":6}],"as_of":6}`, large)
+		case n == 2:
+			fmt.Fprintf(out, `{"events":[{"key":"a","value":%q,"revision":7}],"as_of":7}`, large)
+		default:
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprintf(out, `{"events":[],"as_of":%d}`, 5+n)
+		}
+	}
+	w.Store(runWatcher(t, serveTest(t, store), nil))
+	awaitSnapshot(t, w.Load(), "the second listing", func(s *Snapshot) bool { return s.Revision >= 8 })
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(calls[:4], []string{"/api/kv-range", "/api/kv-watch", "/api/kv-watch", "/api/kv-range"})
+	is.True(times[3].Sub(times[1]) < 300*time.Millisecond+quickPause) // no pause
+	is.True(ages[3] >= 300*time.Millisecond)                          // neither part confirmed the snapshot
+}
+
+// An answer too large to be read is not asked for again and again.
+func TestAnswerTooLargeToBeRead(t *testing.T) {
+	f := simul.NewStore()
+	var watches atomic.Int64
+	store := func(out http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/api/kv-watch" && watches.Add(1) == 1 {
+			f.Put("op/config", []byte(configV9))
+			_, _ = out.Write([]byte(`{"events":[{"key":"a","value":"` + strings.Repeat("A", 9<<20) + `","revision":6}],"as_of":6}`))
+			return
+		}
+		f.ServeHTTP(out, r)
+	}
+	f.Put("op/config", []byte(configV5))
+	w := runWatcher(t, serveTest(t, store), nil)
+	awaitSnapshot(t, w, "configuration version 9", func(s *Snapshot) bool { return s.Config != nil && s.Config.Version == 9 })
+}
