--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -67,3 +67,39 @@
 	again.update(held, nil, catchUpWait)
 	is.True(again.done.Load())
 }
+
+// Guards against CONFIG: a running daemon that the store had turned away while the
+// configuration changed took up the older one of the copy from which the store came back.
+func TestRunningDaemonTakesUpAnOlderConfiguration(t *testing.T) {
+	others := func(version int64) []gossip.Message { return []gossip.Message{{Version: version}} }
+	listed := map[string]site.Daemon{"d0": {ID: "d0"}, "d1": {ID: "d1"}}
+	for _, c := range []struct {
+		name    string
+		version int64 // held, in the new era
+		alive   []gossip.Message
+		waited  time.Duration // since the new era was seen
+		want    bool
+	}{
+		{"older than the others'", 1, others(2), time.Minute, false},
+		{"as new", 2, others(2), 0, true},
+		{"newer", 3, others(2), 0, true},
+		{"the others saw the store come back too", 2, []gossip.Message{{Version: 2, Rewound: true}}, 0, true},
+		{"none heard yet", 2, nil, unheardWait / 2, false},
+		{"none heard for long", 2, nil, unheardWait, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			alive := func() []gossip.Message { return c.alive }
+			state := catchUp{self: "d1"}
+			before := &watch.Snapshot{Era: 4, Config: &site.Config{Version: 1}, Daemons: listed}
+			state.update(before, others(1), time.Minute)
+			is.True(state.allows(before, alive)) // in the same era a newer one arrives by the watch
+			copied := &watch.Snapshot{Era: 5, Config: &site.Config{Version: c.version}, Daemons: listed}
+			state.update(copied, c.alive, time.Hour)
+			state.update(copied, c.alive, time.Hour+c.waited)
+			is.Equal(state.allows(copied, alive), c.want)
+			copied.Config = &site.Config{Version: 2} // written again
+			is.True(state.allows(copied, func() []gossip.Message { return others(2) }))
+		})
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -139,13 +139,17 @@
 
 // ready reports whether this daemon accepts callers.
 func (d *Daemon) ready() bool {
-	return d.fresh() && d.catchUp.done.Load()
+	return d.fresh() && d.caughtUp()
 }
 
+// caughtUp reports whether the configuration is as new as that of the other daemons, as
+// far as the store may have lost a newer one.
+func (d *Daemon) caughtUp() bool { return d.catchUp.allows(d.watcher.Snapshot(), d.gossip.Alive) }
+
 // maxKeyAge returns the greatest age of a snapshot by which keys are accepted, or 0 if
 // none are.
 func (d *Daemon) maxKeyAge() time.Duration {
-	if !d.catchUp.done.Load() {
+	if !d.caughtUp() {
 		return 0
 	}
 	return d.settings().revoke() - revokeMargin
