--- a/edge/relays.go
+++ b/edge/relays.go
@@ -1,12 +1,16 @@
 package edge
 
-import "clementinehead.example/chead/watch"
+import (
+	"clementinehead.example/chead/reach"
+	"clementinehead.example/chead/watch"
+)
 
 // fresh reports whether this daemon reaches the store and does not shut down.
 func (d *Daemon) fresh() bool { return !d.leaving.Load() && d.watcher.Age() < maxReadyAge }
 
 // othersReachStore reports whether most of the other daemons that are heard reach the store
-// and don't shut down.
+// and don't shut down, so that it is this one alone that doesn't. If it hears none of those
+// that are listed, they tell nothing: it is cut off itself unless it reaches endpoints.
 func (d *Daemon) othersReachStore() bool {
 	heard, fresh := 0, 0
 	for _, m := range d.gossip.Alive() {
@@ -15,6 +19,9 @@
 			fresh++
 		}
 	}
+	if heard == 0 && d.listedCount() > 1 {
+		return d.reach.State() != reach.Sound
+	}
 	return 2*fresh > heard
 }
 
