--- a/edge/relays.go
+++ b/edge/relays.go
@@ -1,28 +1,33 @@
 package edge
 
 import (
-	"clementinehead.example/chead/reach"
+	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/watch"
 )
 
 // fresh reports whether this daemon reaches the store and does not shut down.
 func (d *Daemon) fresh() bool { return !d.leaving.Load() && d.watcher.Age() < maxReadyAge }
 
-// othersReachStore reports whether most of the other daemons that are heard reach the store
-// and don't shut down, so that it is this one alone that doesn't. If it hears none of those
-// that are listed, they tell nothing: it is cut off itself unless it reaches endpoints.
-func (d *Daemon) othersReachStore() bool {
-	heard, fresh := 0, 0
-	for _, m := range d.gossip.Alive() {
-		heard++
-		if m.Fresh {
-			fresh++
+// outagePart is the part of the known daemons, in fifths, that must be without the store for
+// that to be an outage. If fewer are, they may be cut off together.
+const outagePart = 2
+
+// othersReachStore reports whether there is no evidence that the store is away for others
+// too, by those that are heard and don't shut down.
+func (d *Daemon) othersReachStore() bool { return reachesStore(d.gossip.Alive(), d.listedCount()) }
+
+// reachesStore reports whether most of the other daemons that are heard reach the store, or
+// so many of the known ones aren't heard that this daemon may be cut off, with others or
+// alone.
+func reachesStore(heard []gossip.Message, known int) bool {
+	without := 1 // this daemon
+	for _, m := range heard {
+		if !m.Fresh {
+			without++
 		}
 	}
-	if heard == 0 && d.listedCount() > 1 {
-		return d.reach.State() != reach.Sound
-	}
-	return 2*fresh > heard
+	fresh := len(heard) - (without - 1)
+	return 2*fresh > len(heard) || 5*without < outagePart*known
 }
 
 // mayFollow reports whether changes need not be in force before a relay that lost the
