--- a/soak/plan.go
+++ b/soak/plan.go
@@ -79,19 +79,18 @@
 
 // plan returns the faults of a soak.
 func (o Options) plan() []Step {
-	if o.Profile == Builds {
+	switch o.Profile {
+	case Mixed:
+		return Plan(o.Seed, o.Length, o.Daemons, o.Runners)
+	case Builds:
 		return planBuilds(o.Seed, o.Length, o.Daemons, o.Runners)
-	}
-	if o.Profile == Cuts {
+	case Cuts:
 		return planCuts(o.Seed, o.Length, o.Daemons, o.Runners)
-	}
-	if o.Profile == Storms {
+	case Storms:
 		return planStorms(o.Seed, o.Length, o.Daemons, o.Runners)
-	}
-	if o.Profile != Mixed {
+	default:
 		return planStops(o.Seed, o.Length, o.Daemons, o.Runners)
 	}
-	return Plan(o.Seed, o.Length, o.Daemons, o.Runners)
 }
 
 // byTime sorts steps by time.
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -54,37 +54,35 @@
 // traits returns the properties of a profile. In Stops and Builds a stream has few events, since
 // those of slow endpoints have to come before the deadline.
 func (p Profile) traits() traits {
-	if p == Stops || p == Builds {
+	switch p {
+	case Stops, Builds:
 		return traits{
 			events: 5, streamInterval: 600 * time.Millisecond, fileInterval: 200 * time.Millisecond, plainShare: 3, kept: true, slow: true, builds: p == Builds,
 			faults: simul.Faults{Stutter: 0.08, Lose: 0.01, Reset: 0.01, Truncate: 0.01, Unsized: 0.05, Fail: 0.02, Expire: 0.01, Busy: 0.02},
 		}
-	}
-	if p == Crashes {
+	case Crashes:
 		return traits{
 			events: 8, streamInterval: 100 * time.Millisecond, fileInterval: 200 * time.Millisecond, plainShare: 3, kept: true, crashes: true,
 			faults: simul.Faults{Lose: 0.01, Reset: 0.01, Unsized: 0.05},
 		}
-	}
-	if p == Limits {
+	case Limits:
 		return traits{
 			events: 5, streamInterval: 30 * time.Millisecond, fileInterval: 30 * time.Millisecond, plainShare: 3, kept: true, limits: true,
 			faults: simul.Faults{Stutter: 0.02, Reset: 0.01, Fail: 0.01, Busy: 0.02},
 		}
-	}
-	if p == Cuts {
+	case Cuts:
 		return traits{
 			events: 8, streamInterval: 60 * time.Millisecond, fileInterval: 60 * time.Millisecond, plainShare: 3, kept: true, cuts: true,
 			faults: simul.Faults{Stutter: 0.02, Fail: 0.01, Busy: 0.02},
 		}
-	}
-	if p == Storms {
+	case Storms:
 		return traits{
 			events: 5, streamInterval: 25 * time.Millisecond, fileInterval: 25 * time.Millisecond, plainShare: 3, kept: true, storms: true,
 			faults: simul.Faults{Busy: 0.7, Fail: 0.02, Reset: 0.01, Waves: stormWaves},
 		}
+	default:
+		return traits{events: 20, streamInterval: 50 * time.Millisecond, fileInterval: 40 * time.Millisecond, plainShare: 1 << 30}
 	}
-	return traits{events: 20, streamInterval: 50 * time.Millisecond, fileInterval: 40 * time.Millisecond, plainShare: 1 << 30}
 }
 
 // usualDaemons is the number of daemons for which the intervals of the load are meant.
