--- a/pick/budget.go
+++ b/pick/budget.go
@@ -14,13 +14,13 @@
 // that callers left, count anew where they come next, though their retries were sent. So
 // retries are denied, too, once all daemons together have sent what is allowed to them.
 type Budget struct {
-	Ratio  float64 // retries allowed for each request in the window
-	Extra  float64 // retries allowed in a window in addition
-	Window time.Duration
-	Since  time.Time     // start of the count; retries sent before are unknown
-	Shares int           // daemons that share Whole; the others' retries don't count if it is at most 1
-	Whole  float64       // Extra of all daemons together
-	News   time.Duration // in which others may send retries that aren't known here
+	Ratio    float64 // retries allowed for each request in the window
+	Extra    float64 // retries allowed in a window in addition
+	Window   time.Duration
+	Since    time.Time     // start of the count; retries sent before are unknown
+	Shares   int           // daemons that share AllExtra; the others' retries don't count if it is at most 1
+	AllExtra float64       // Extra of all daemons together
+	News     time.Duration // in which others may send retries that aren't known here
 
 	requests []time.Time
 	retries  []time.Time
--- a/pick/retry.go
+++ b/pick/retry.go
@@ -65,8 +65,8 @@
 	b.Ratio = inForce.Ratio
 	b.Window = inForce.Window
 	b.Shares = max(1, p.options.Daemons())
-	b.Whole = inForce.Extra
-	b.Extra = b.Whole / float64(b.Shares)
+	b.AllExtra = inForce.Extra
+	b.Extra = b.AllExtra / float64(b.Shares)
 	b.News = max(minNews, 2*p.options.Delay())
 	return b
 }
--- a/pick/spent.go
+++ b/pick/spent.go
@@ -89,17 +89,19 @@
 func (b *Budget) total(now time.Time) Total {
 	asked, retried := b.others.totals(now, b.Window)
 	asked += float64(len(b.requests))
-	return Total{Requests: asked, Retries: retried + float64(len(b.retries)), Limit: b.Ratio*asked + b.Whole}
+	return Total{Requests: asked, Retries: retried + float64(len(b.retries)), Limit: b.Ratio*asked + b.AllExtra}
 }
 
 // hasShare reports whether this daemon may send a retry as far as all daemons together
 // spent the budget: within the time until it hears of the others' retries, it sends at most
-// its share, by requests, of what they all have left.
+// its share of what they all have left: half by requests, half the same for each, since
+// callers move, and other daemons send their callers' requests here.
 func (b *Budget) hasShare(all Total, now time.Time) bool {
 	if b.Shares <= 1 {
 		return true
 	}
-	share := float64(len(b.requests)+1) / (all.Requests + float64(b.Shares))
+	byRequests := float64(len(b.requests)) / max(1, all.Requests)
+	share := (byRequests + 1/float64(b.Shares)) / 2
 	recent := float64(countAfter(b.retries, now.Add(-b.News)))
 	return recent+1 <= share*(all.Limit-all.Retries+recent)
 }
