--- a/pick/spent.go
+++ b/pick/spent.go
@@ -94,14 +94,12 @@
 
 // hasShare reports whether this daemon may send a retry as far as all daemons together
 // spent the budget: within the time until it hears of the others' retries, it sends at most
-// its share of what they all have left: half by requests, half the same for each, since
-// callers move, and other daemons send their callers' requests here.
+// its share, by requests, of what they all have left.
 func (b *Budget) hasShare(all Total, now time.Time) bool {
 	if b.Shares <= 1 {
 		return true
 	}
-	byRequests := float64(len(b.requests)) / max(1, all.Requests)
-	share := (byRequests + 1/float64(b.Shares)) / 2
+	share := float64(len(b.requests)+1) / (all.Requests + float64(b.Shares))
 	recent := float64(countAfter(b.retries, now.Add(-b.News)))
 	return recent+1 <= share*(all.Limit-all.Retries+recent)
 }
