--- a/watch/apply.go
+++ b/watch/apply.go
@@ -8,6 +8,11 @@
 	"clementinehead.example/chead/site"
 )
 
+const (
+	lapseGrace   = 1800 * time.Millisecond // how long a lapsed endpoint is kept, since it may register again
+	outageWindow = 2500 * time.Millisecond // within this time after an outage of the store, removals may be lapses
+)
+
 // replace makes the snapshot equal to a listing of all keys. Known keys that are
 // not listed count as removed.
 func (w *Watcher) replace(listing platform.Listing) {
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -71,12 +71,26 @@
 // runWatcherBeside is like runWatcher, with the answer to whether other daemons reach the
 // store.
 func runWatcherBeside(t *testing.T, store string, relays []string, others func() bool) *Watcher {
+	t.Helper()
+	w := newWatcher(t, store, relays, others)
+	runUntilEnd(t, w)
+	return w
+}
+
+// newWatcher returns a watcher that doesn't run yet.
+func newWatcher(t *testing.T, store string, relays []string, others func() bool) *Watcher {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{}}
-	w := New(Options{
+	t.Cleanup(client.CloseIdleConnections)
+	return New(Options{
 		Store: platform.NewStore(store, client.Do), Do: client.Do, Relays: func() []string { return relays }, Boot: clock.Boot, Log: logr.Discard(),
 		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true }, Others: others,
 	})
+}
+
+// runUntilEnd runs a watcher until the test ends.
+func runUntilEnd(t *testing.T, w *Watcher) {
+	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -86,9 +100,7 @@
 	t.Cleanup(func() {
 		stop()
 		<-done
-		client.CloseIdleConnections()
 	})
-	return w
 }
 
 func awaitSnapshot(t *testing.T, w *Watcher, what string, condition func(*Snapshot) bool) {
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -9,21 +9,9 @@
 
 	"github.com/go-logr/logr"
 
-	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/platform"
 )
 
-const (
-	maxWait      = 1500 * time.Millisecond // of one watch
-	quickPause   = 250 * time.Millisecond  // as Options.Pause, if Quick returns true
-	answerMargin = 700 * time.Millisecond  // for the answer of a watch, beyond its wait
-	listTimeout  = 2 * time.Second         // for all pages of a listing
-	retryPause   = 300 * time.Millisecond  // after a failed call
-	maxAge       = 2100 * time.Millisecond // watches end before the snapshot is older, unless the store is unreachable
-	lapseGrace   = 1800 * time.Millisecond // how long a lapsed endpoint is kept, since it may register again
-	outageWindow = 2500 * time.Millisecond // within this time after an outage of the store, removals may be lapses
-)
-
 // Options configures a Watcher.
 type Options struct {
 	Store  *platform.Store
@@ -40,13 +28,13 @@
 type Watcher struct {
 	options     Options
 	snapshot    atomic.Pointer[Snapshot]
-	freshAt     atomic.Int64 // boot clock when the last successful read was sent
+	freshAt     atomic.Int64 // boot clock: the snapshot holds all that was acknowledged before
 	outageAt    atomic.Int64 // boot clock when the store was last known to be in an outage
 	rewoundAt   atomic.Int64 // boot clock when the store was last found to have come back from an older copy
 	unreachable bool         // the last call failed
 	listed      bool         // a listing was applied
 	missed      bool         // changes were missed, so that a listing is needed
-	behind      bool         // the last watch may have returned a part of the changes
+	goal        goal         // the latest revision of the store that was read
 	rewind      rewind
 	daemonIDs   map[string]string // ID of the daemon that is listed for an instance
 	history     history
@@ -104,134 +92,6 @@
 	return ctx.Err()
 }
 
-// readStore reads the store once: all keys at first and when changes were missed, and
-// otherwise the changes. Changes are followed by a pause unless they may be a part of
-// them, and failures by another one. After two parts all keys are read, which takes less
-// than each change of a backlog.
-func (w *Watcher) readStore(ctx context.Context) {
-	if !w.listed || w.missed {
-		if err := w.list(ctx); err != nil {
-			w.recordFailure(ctx, "list", err)
-		}
-		return
-	}
-	before := w.behind
-	changed, err := w.watch(ctx)
-	switch {
-	case platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound) || platform.Is(err, platform.Large):
-		w.missed = true
-		w.options.Log.Info("changes not to be had, listing anew", "revision", w.Snapshot().Revision, "error", err.Error())
-	case err != nil:
-		w.recordFailure(ctx, "watch", err)
-	case w.behind:
-		w.missed = before
-	case changed:
-		clock.Sleep(ctx, w.pause())
-	}
-}
-
-// recordFailure records a failed call, logs the first of a series, and sleeps for
-// retryPause. The store is in an outage only if most other daemons don't reach it either:
-// it may turn single daemons away, or the path to it may be cut.
-func (w *Watcher) recordFailure(ctx context.Context, op string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	outage := !w.options.Others()
-	if outage {
-		w.outageAt.Store(int64(w.options.Boot()))
-	}
-	if !w.unreachable {
-		w.unreachable = true
-		w.options.Log.Info("store lost", "op", op, "error", err.Error(), "age", w.Age().String(), "outage", outage)
-	}
-	w.nextDirect = w.options.Boot() + directPause
-	clock.Sleep(ctx, retryPause)
-}
-
-// recordSuccess records a successful read; sent is the boot clock when it was sent.
-func (w *Watcher) recordSuccess(sent time.Duration) {
-	w.freshAt.Store(int64(sent))
-	w.signalRead()
-	if w.unreachable {
-		w.unreachable = false
-		w.options.Log.Info("store regained", "revision", w.Snapshot().Revision)
-	}
-}
-
-// list replaces the snapshot by a listing of all keys.
-func (w *Watcher) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	sent := w.options.Boot()
-	listing, err := w.options.Store.List(ctx, platform.AllKeys)
-	if err != nil {
-		return err
-	}
-	w.replace(listing)
-	w.missed = false
-	w.behind = false
-	w.options.Log.Info("store listed", "era", listing.Era, "revision", listing.Revision, "keys", len(listing.Items))
-	w.recordSuccess(sent)
-	return nil
-}
-
-// watch applies the changes that arrive within one watch, and reports whether
-// there were any. The snapshot is confirmed only if these were all.
-func (w *Watcher) watch(ctx context.Context) (bool, error) {
-	wait := w.waitTime()
-	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
-	defer cancel()
-	sent := w.options.Boot()
-	held := w.Snapshot()
-	listing, err := w.options.Store.Watch(ctx, platform.AllKeys, held.Era, held.Revision, wait)
-	if err != nil {
-		return false, err
-	}
-	w.applyChanges(listing)
-	w.behind = mayBePart(listing)
-	if w.behind {
-		w.signalRead() // followers need not wait for the rest
-	} else {
-		w.recordSuccess(sent)
-	}
-	return len(listing.Items) > 0, nil
-}
-
-// An answer to a watch with more than this may hold a part of the changes: the store ends
-// answers at about 1 MB or 500 changes, and sooner where the next value is a large one.
-const (
-	partBytes = 256 << 10 // of values and keys
-	partItems = 250
-)
-
-// mayBePart reports whether there may be changes that were made before the answer and
-// aren't in it.
-func mayBePart(listing platform.Listing) bool {
-	bytes := 0
-	for _, item := range listing.Items {
-		bytes += len(item.Key) + len(item.Value)
-	}
-	return bytes > partBytes || len(listing.Items) > partItems
-}
-
-// waitTime returns how long the next watch may wait. The age counts from when the
-// last read was sent, so it grows until the watch ends.
-func (w *Watcher) waitTime() time.Duration {
-	if w.unreachable || w.behind {
-		return time.Millisecond
-	}
-	return max(time.Millisecond, min(maxWait, maxAge-w.Age()))
-}
-
-// pause returns the time between a watch that returned changes and the next.
-func (w *Watcher) pause() time.Duration {
-	if w.options.Quick() {
-		return quickPause
-	}
-	return w.options.Pause()
-}
-
 // publish makes next the latest snapshot and signals the change.
 func (w *Watcher) publish(next *Snapshot) {
 	w.snapshot.Store(next)
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -138,10 +138,14 @@
 // 2.2 s after the call began.
 func TestPauseOutlastsCallTimeout(t *testing.T) {
 	is := is.New(t)
-	var calls atomic.Int64
+	var lists, watches atomic.Int64
 	store := simul.NewStore()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		calls.Add(1)
+		if r.URL.Path == "/api/kv-watch" {
+			watches.Add(1)
+		} else {
+			lists.Add(1)
+		}
 		store.ServeHTTP(w, r)
 	}))
 	defer server.Close()
@@ -163,7 +167,8 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	<-done
-	is.Equal(calls.Load(), int64(2)) // one list and one watch
+	is.Equal(lists.Load(), int64(2))   // the revision and all keys
+	is.Equal(watches.Load(), int64(1)) // then comes the pause
 }
 
 // A daemon that was killed and starts again takes the place of its earlier start, whose
@@ -180,47 +185,53 @@
 	f.await(t, "removal", func(s *Snapshot) bool { return len(s.Daemons) == 0 })
 }
 
-// Guards against CONFIG: an answer that may hold a part of the changes counted as all of
-// them. The snapshot was taken for fresh, and the rest was read after a pause.
+// Guards against CONFIG: an answer that holds a part of the changes counted as all of them.
+// The snapshot was taken for fresh, and the rest was read after a pause.
 func TestPartOfTheChangesConfirmsNothing(t *testing.T) {
+	const first = 300 * time.Millisecond // until the first change
 	is := is.New(t)
 	var calls []string
 	var times []time.Time
 	var ages []time.Duration
 	var mu sync.Mutex
 	var w atomic.Pointer[Watcher]
-	large := base64.StdEncoding.EncodeToString(make([]byte, partBytes))
+	value := base64.StdEncoding.EncodeToString([]byte(configV5))
+	// The revision that each answer states. From the second of the store itself there are
+	// always more changes than an answer holds.
+	revisions := []int64{5, 5, 6, 9, 7, 8, 9, 9}
 	store := func(out http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		defer mu.Unlock()
 		n := len(calls)
-		calls = append(calls, r.URL.Path)
-		times = append(times, time.Now())
-		if held := w.Load(); held != nil {
-			ages = append(ages, held.Age())
-		} else {
-			ages = append(ages, 0)
+		call := r.URL.Path
+		if r.URL.Query().Get("path_prefix") != platform.AllKeys {
+			call = "revision"
 		}
-		switch {
-		case r.URL.Path == "/api/kv-range":
-			fmt.Fprintf(out, `{"items":[{"key":"op/config","value":%q,"revision":%d}],"as_of":%d}`, base64.StdEncoding.EncodeToString([]byte(configV5)), 5+n, 5+n)
-		case n == 1:
-			time.Sleep(300 * time.Millisecond)
-			fmt.Fprintf(out, `{"events":[{"key":"a","value":%q,"revision":6}],"as_of":6}`, large)
-		case n == 2:
-			fmt.Fprintf(out, `{"events":[{"key":"a","value":%q,"revision":7}],"as_of":7}`, large)
+		calls = append(calls, call)
+		times = append(times, time.Now())
+		ages = append(ages, w.Load().Age())
+		revision := revisions[min(n, len(revisions)-1)]
+		switch call {
+		case "revision":
+			fmt.Fprintf(out, `{"items":[],"as_of":%d}`, revision)
+		case "/api/kv-range":
+			fmt.Fprintf(out, `{"items":[{"key":"op/config","value":%q,"revision":5}],"as_of":%d}`, value, revision)
 		default:
-			time.Sleep(100 * time.Millisecond)
-			fmt.Fprintf(out, `{"events":[],"as_of":%d}`, 5+n)
+			if n == 2 {
+				time.Sleep(first)
+			}
+			fmt.Fprintf(out, `{"events":[{"key":"a","value":"","revision":%d}],"as_of":%d}`, revision, revision)
 		}
 	}
-	w.Store(runWatcher(t, serveTest(t, store), nil))
-	awaitSnapshot(t, w.Load(), "the second listing", func(s *Snapshot) bool { return s.Revision >= 8 })
+	w.Store(newWatcher(t, serveTest(t, store), nil, func() bool { return false }))
+	runUntilEnd(t, w.Load())
+	awaitSnapshot(t, w.Load(), "the second listing", func(s *Snapshot) bool { return s.Revision >= 9 })
 	mu.Lock()
 	defer mu.Unlock()
-	is.Equal(calls[:4], []string{"/api/kv-range", "/api/kv-watch", "/api/kv-watch", "/api/kv-range"})
-	is.True(times[3].Sub(times[1]) < 300*time.Millisecond+quickPause) // no pause
-	is.True(ages[3] >= 300*time.Millisecond)                          // neither part confirmed the snapshot
+	is.Equal(calls[:7], []string{"revision", "/api/kv-range", "/api/kv-watch", "revision", "/api/kv-watch", "/api/kv-watch", "/api/kv-range"})
+	is.True(times[6].Sub(times[3]) < quickPause)   // no pause between the parts
+	is.True(ages[6] >= first+quickPause)           // no part confirmed the snapshot
+	is.True(w.Load().Age() < time.Since(times[2])) // the listing did
 }
 
 // An answer too large to be read is not asked for again and again.
