--- a/relay/watch.go
+++ b/relay/watch.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"clementinehead.example/chead/clock"
-	"clementinehead.example/chead/store"
 )
 
 const (
@@ -20,6 +19,7 @@
 	rosterInterval = time.Second            // how often a daemon that does not watch checks whether it should
 	maxUnverified  = 30 * time.Second       // after this time without verification, every daemon lists the store itself
 	startPeers     = 5                      // peers to fetch from at the start while the store is unavailable
+	maxParts       = 2                      // answers with changes one after the other, after which all documents are listed
 )
 
 // loadDocuments gets the documents from the store or, while it is unavailable,
@@ -113,6 +113,9 @@
 		case r.isWatcher():
 			err := r.listOrWatch(ctx, prefix, &pos)
 			pause = watchInterval
+			if pos.parts > 0 {
+				pause = 0
+			}
 			if err != nil {
 				pause = r.jitter(wait)
 				wait = min(2*wait, maxRetryDelay)
@@ -134,6 +137,7 @@
 type watchPosition struct {
 	listed bool   // whether after is valid; if not, the next call is a list
 	after  uint64 // revision up to which all changes are known
+	parts  int    // answers with changes since the last one that proved that there are no others
 }
 
 // isWatcher reports whether this daemon is one of its failure domain's watchers.
@@ -147,17 +151,22 @@
 }
 
 // listOrWatch makes one call, a list at first and then a watch, and advances the
-// position.
+// position. An answer with changes may hold a part of them, so it verifies nothing: the
+// next watch doesn't wait, and its answer without changes does.
 func (r *Relay) listOrWatch(ctx context.Context, prefix string, pos *watchPosition) error {
-	if !pos.listed {
+	if !pos.listed || pos.parts >= maxParts {
 		revision, err := r.list(ctx, prefix)
-		pos.listed, pos.after = err == nil, revision
+		*pos = watchPosition{listed: err == nil, after: revision}
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+	wait := watchWait
+	if pos.parts > 0 {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	sent := time.Now()
-	listing, err := r.options.Store.Watch(ctx, prefix, pos.after, watchWait)
+	listing, err := r.options.Store.Watch(ctx, prefix, pos.after, wait)
 	r.metrics.watches.WithLabelValues(outcome(err)).Inc()
 	if err != nil {
 		return &Error{Op: "watch", Kind: Store, Err: err}
@@ -168,19 +177,23 @@
 	}
 	r.apply("store", 0, listing.Entries...)
 	pos.after = max(pos.after, listing.Revision)
+	if len(listing.Entries) > 0 {
+		pos.parts++
+		return nil
+	}
+	pos.parts = 0
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.markVerified(verifiedAsOf(sent, listing), prefix)
+	r.markVerified(verifiedAsOf(sent, wait), prefix)
 	return nil
 }
 
-// verifiedAsOf returns the latest time as of which the answer to a watch is
-// known to be complete. sent is when the request was sent. The store waits for
-// the full watchWait before it answers that nothing changed, so such an answer
-// is complete as of that time.
-func verifiedAsOf(sent time.Time, listing store.Listing) time.Time {
-	if len(listing.Entries) == 0 && time.Since(sent) >= watchWait {
-		return sent.Add(watchWait)
+// verifiedAsOf returns the latest time as of which an answer to a watch is known to tell
+// that nothing changed. sent is when the request was sent. The store waits for the full
+// time before it answers so.
+func verifiedAsOf(sent time.Time, wait time.Duration) time.Time {
+	if time.Since(sent) >= wait {
+		return sent.Add(wait)
 	}
 	return sent
 }
