--- a/front/front.go
+++ b/front/front.go
@@ -131,12 +131,11 @@
 // admit finds the route and the client account of a request and reads its body.
 // It returns nil if the request is accepted.
 func (f *Front) admit(j *job) *refusal {
-	v := f.options.Snapshot()
-	age := f.options.SnapshotAge()
+	stale := f.options.SnapshotAge() > f.options.MaxKeyAge()
+	v := f.options.Snapshot() // after its age: it may be replaced in between
 	if v.Config == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter, true}
 	}
-	stale := age > f.options.MaxKeyAge()
 	route, found := v.Config.Route(hostOf(j.r), j.r.URL.Path)
 	if !found {
 		return staleOr(stale, http.StatusNotFound, "no such route")
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"clementinehead.example/chead/site"
+	"clementinehead.example/chead/watch"
 )
 
 // A request is forwarded with the caller's own headers, without the caller's key
@@ -193,6 +197,33 @@
 	}
 }
 
+// Guards against CONFIG: a request was judged by an old snapshot with the age of the one that
+// replaced it in between, so that a withdrawn key was accepted.
+func TestSnapshotIsNoYoungerThanItsAge(t *testing.T) {
+	is := is.New(t)
+	b := newStub(t, "a", signed(200, "x"))
+	f := newFixture(t, "plain", b)
+	withdrawn := *testConfig
+	withdrawn.Accounts = map[string]site.Account{"other-key": {Name: "guild"}}
+	old := *f.snapshot.Load()
+	next := old
+	next.Config = &withdrawn
+	var replaced atomic.Bool
+	// The age is read as the new snapshot comes.
+	f.front.options.SnapshotAge = func() time.Duration {
+		replaced.Store(true)
+		return 0
+	}
+	f.front.options.Snapshot = func() *watch.Snapshot {
+		if replaced.Load() {
+			return &next
+		}
+		return &old
+	}
+	is.Equal(f.call(t, "GET", "/read/", nil).status, 401)
+	is.Equal(b.count(), 0)
+}
+
 // When the caller of a stream disconnects, the connection to the endpoint is
 // closed, so that the endpoint can stop its work.
 func TestCallerDisconnects(t *testing.T) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -108,9 +108,9 @@
 // the roster and the time.
 func (g *Gate) refresh(ctx context.Context, group *errgroup.Group) {
 	now := time.Now()
+	verifiedAt := g.options.VerifiedAt() // before the view that it speaks of, which may be replaced in between
 	v := g.options.View()
 	daemons := g.options.Daemons()
-	verifiedAt := g.options.VerifiedAt()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quorum.update(now, g.options.Self, daemons, verifiedAt)
