--- a/edge/leave_test.go
+++ b/edge/leave_test.go
@@ -290,3 +290,56 @@
 	}
 	<-r.ended
 }
+
+// Guards against LOST: requests that came late in the grace period were passed on and cut
+// at its end without an answer (issue 45, reports of others). Callers send over kept and new
+// connections until the end, and the endpoint never answers: whatever was read is answered,
+// at once where it came too late, and nothing that came later has run.
+func TestStopAnswersWhatItReads(t *testing.T) {
+	t.Parallel()
+	const (
+		pause = 50 * time.Millisecond
+		late  = 3.0 / 8 // part of the grace period after which no request may be passed on
+	)
+	is := is.New(t)
+	r := newStopRig(t, 4*time.Second, time.Minute)
+	kept := make([]callerConn, 80)
+	for i := range kept {
+		kept[i] = r.mustConnect(t)
+	}
+	r.sendStop()
+	var callers sync.WaitGroup
+	send := func(c callerConn, id string) {
+		part := float64(time.Since(r.stopped)) / float64(r.grace)
+		if c.send(id, "x") != nil {
+			return // the connection was closed before
+		}
+		callers.Go(func() {
+			sent := time.Now()
+			status, _ := c.receive()
+			switch {
+			case part > late && r.hasRun(id):
+				t.Errorf("%s, sent after %.3f of the grace period, ran", id, part)
+			case status == http.StatusServiceUnavailable && r.hasRun(id):
+				t.Errorf("%s was refused and ran", id)
+			case status == 0 && r.hasRun(id):
+				t.Errorf("%s, sent after %.3f of the grace period, ran and got no answer", id, part)
+			case status != 0 && part > late && time.Since(sent) > 500*time.Millisecond:
+				t.Errorf("%s was refused after %v", id, time.Since(sent))
+			}
+		})
+	}
+	refused := 0
+	for i := range kept {
+		send(kept[i], fmt.Sprint("kept-", i))
+		if c, err := r.connect(); err == nil {
+			send(c, fmt.Sprint("new-", i))
+		} else {
+			refused++
+		}
+		time.Sleep(pause)
+	}
+	callers.Wait()
+	<-r.ended
+	is.True(r.hasRun("kept-0") && refused > 0) // the stop was seen from its begin to its end
+}
