--- a/edge/edge.go
+++ b/edge/edge.go
@@ -87,7 +87,7 @@
 	client := &http.Client{Transport: transport}
 	d.store = platform.NewStore(s.Store, platform.OwnConnections(transport).Do)
 	d.watcher = watch.New(watch.Options{
-		Store: d.store, Do: client.Do, Relays: d.storeRelays, Boot: clock.Boot, Log: o.Log,
+		Store: d.store, Do: client.Do, Relays: d.storeRelays, Index: d.indexDaemon, Boot: clock.Boot, Log: o.Log,
 		Pause: func() time.Duration { return d.settings().watchPause() },
 		Quick: func() bool { return d.keeper.IsKeeper() }, Others: d.othersReachStore,
 	})
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
 
@@ -46,3 +47,30 @@
 	}
 	return addresses
 }
+
+// soleIndex is the number of known daemons up to which one reads the store's revision for
+// all; beyond it, one of each failure domain does for its own, which divides the calls.
+const soleIndex = 30
+
+// indexDaemon returns the address of the daemon that reads the store's revision for this
+// one, too, or an empty string if this one reads it.
+func (d *Daemon) indexDaemon() string {
+	heard := currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons)
+	return firstFresh(d.self, heard, d.listedCount() > soleIndex)
+}
+
+// firstFresh returns the address of the first daemon, by site.Daemon.Precedes, of those that
+// are heard and reach the store, of the own failure domain alone if local is set. It is
+// empty if this daemon precedes them.
+func firstFresh(self site.Daemon, heard []gossip.Message, local bool) string {
+	first := self
+	for _, m := range heard {
+		if m.Fresh && m.From.Precedes(first) && (!local || m.From.Domain == self.Domain) {
+			first = m.From
+		}
+	}
+	if first.ID == self.ID {
+		return ""
+	}
+	return first.Peer
+}
--- a/edge/relays_test.go
+++ b/edge/relays_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"clementinehead.example/chead/gossip"
+	"clementinehead.example/chead/site"
 )
 
 // Where changes must be in force sooner than a relay that lost the store is noticed,
@@ -49,3 +50,26 @@
 		})
 	}
 }
+
+func TestFirstFresh(t *testing.T) {
+	daemon := func(id, domain string) site.Daemon { return site.Daemon{ID: id, Domain: domain, Peer: "peer-" + id} }
+	self := daemon("c", "north")
+	heard := func(fresh bool, d site.Daemon) gossip.Message { return gossip.Message{From: d, Fresh: fresh} }
+	for _, c := range []struct {
+		name  string
+		heard []gossip.Message
+		local bool
+		want  string
+	}{
+		{name: "alone"},
+		{name: "it precedes the others", heard: []gossip.Message{heard(true, daemon("d", "north"))}},
+		{name: "the first of two", heard: []gossip.Message{heard(true, daemon("b", "north")), heard(true, daemon("a", "south"))}, want: "peer-a"},
+		{name: "the first has lost the store", heard: []gossip.Message{heard(true, daemon("b", "north")), heard(false, daemon("a", "south"))}, want: "peer-b"},
+		{name: "of its failure domain", heard: []gossip.Message{heard(true, daemon("b", "north")), heard(true, daemon("a", "south"))}, local: true, want: "peer-b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(firstFresh(self, c.heard, c.local), c.want)
+		})
+	}
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -35,8 +35,11 @@
 // servers returns the daemon's HTTP servers, including the given one for callers.
 func (d *Daemon) servers(callerServer *http.Server) []httpServer {
 	s := d.options.Settings
-	peer := newServer("GET "+watch.RelayPath, http.HandlerFunc(d.watcher.Relay))
-	peer.Handler = d.servePeer(peer.Handler)
+	others := http.NewServeMux()
+	others.HandleFunc("GET "+watch.RelayPath, d.watcher.Relay)
+	others.HandleFunc("GET "+watch.IndexPath, d.watcher.Index)
+	peer := newServer("/", others)
+	peer.Handler = d.servePeer(others)
 	all := []httpServer{
 		{callerName, s.Caller, callerServer},
 		{peerName, s.Peer, peer},
--- a/groups/handover_test.go
+++ b/groups/handover_test.go
@@ -104,7 +104,7 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	w := watch.New(watch.Options{
-		Store: platform.NewStore(server.Listener.Addr().String(), server.Client().Do), Relays: func() []string { return nil }, Boot: clock.Boot,
+		Store: platform.NewStore(server.Listener.Addr().String(), server.Client().Do), Relays: func() []string { return nil }, Index: func() string { return "" }, Boot: clock.Boot,
 		Log: logr.Discard(), Pause: func() time.Duration { return 0 }, Quick: func() bool { return true }, Others: func() bool { return true },
 	})
 	ctx, stop := context.WithCancel(t.Context())
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -127,26 +127,37 @@
 // the boot clock. The relay's snapshot was confirmed before it answered by its age, and
 // it answered no sooner than the time for which it held the request.
 func decodeRelayed(response *http.Response, sent time.Duration) (relayed, error) {
-	numbers := map[string]int64{}
-	for _, name := range []string{headerEra, headerRevision, headerAge, headerHeld, headerOutage} {
-		n, err := strconv.ParseInt(response.Header.Get(name), 10, 64)
-		if err != nil || n < 0 {
-			return relayed{}, fmt.Errorf("header %s: %q", name, response.Header.Get(name))
-		}
-		numbers[name] = n
+	numbers, err := parseNumbers(response.Header, headerEra, headerRevision, headerAge, headerHeld, headerOutage)
+	if err != nil {
+		return relayed{}, err
 	}
-	duration := func(name string) time.Duration { return time.Duration(numbers[name]) * time.Microsecond }
 	got := relayed{
 		listing: platform.Listing{Era: numbers[headerEra], Revision: numbers[headerRevision]},
 		full:    response.Header.Get(headerFull) == "1",
-		freshAt: sent + duration(headerHeld) - duration(headerAge),
-		outage:  duration(headerOutage),
+		freshAt: sent + microsecondsOf(numbers[headerHeld]) - microsecondsOf(numbers[headerAge]),
+		outage:  microsecondsOf(numbers[headerOutage]),
 	}
 	items, err := decodeItems(response.Body)
 	got.listing.Items = items
 	return got, err
 }
 
+// parseNumbers returns the numbers, none below 0, that headers state.
+func parseNumbers(h http.Header, names ...string) (map[string]int64, error) {
+	numbers := map[string]int64{}
+	for _, name := range names {
+		n, err := strconv.ParseInt(h.Get(name), 10, 64)
+		if err != nil || n < 0 {
+			return nil, fmt.Errorf("header %s: %q", name, h.Get(name))
+		}
+		numbers[name] = n
+	}
+	return numbers, nil
+}
+
+// microsecondsOf returns the duration of so many microseconds.
+func microsecondsOf(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 // decodeItems decodes the items of a relay's response. An empty body holds none.
 func decodeItems(body io.Reader) ([]platform.Item, error) {
 	zip, err := gzip.NewReader(body)
--- a/watch/proof_test.go
+++ b/watch/proof_test.go
@@ -177,6 +177,12 @@
 			relay := serveTest(t, w.Relay)
 			follower := runWatcher(t, serveTest(t, c.store.ServeHTTP), []string{relay})
 			awaitSnapshot(t, follower, "the first version", func(s *Snapshot) bool { return s.configVersion() == 1 })
+			// A third one reads the store itself, by the revisions that the first one read.
+			asker := newWatcher(t, serveTest(t, c.store.ServeHTTP), nil, func() bool { return false })
+			index := serveTest(t, w.Index)
+			asker.options.Index = func() string { return index }
+			runUntilEnd(t, asker)
+			awaitSnapshot(t, asker, "the first version", func(s *Snapshot) bool { return s.configVersion() == 1 })
 			c.store.away.Store(c.away > 0)
 			time.AfterFunc(c.away, func() { c.store.away.Store(false) })
 			began := time.Now()
@@ -184,6 +190,7 @@
 			var wait sync.WaitGroup
 			wait.Go(func() { checkClaims(t, w, &acks, end) })
 			wait.Go(func() { checkClaims(t, follower, &acks, end) })
+			wait.Go(func() { checkClaims(t, asker, &acks, end) })
 			for n := 0; time.Since(began) < changesFor; n++ {
 				acks.put(c.store.Store, c.size)
 				if c.compact && n%5 == 0 {
@@ -199,6 +206,7 @@
 			is := is.New(t)
 			is.Equal(w.Snapshot().configVersion(), newest)
 			is.Equal(follower.Snapshot().configVersion(), newest)
+			is.Equal(asker.Snapshot().configVersion(), newest)
 			wait.Wait()
 		})
 	}
--- a/watch/read.go
+++ b/watch/read.go
@@ -19,21 +19,11 @@
 	maxParts     = 2                       // answers to watches towards one goal, after which all keys are listed
 )
 
-// goal is a revision that the store had at a time, or later.
-type goal struct {
-	era, revision int64
-	sent          time.Duration // boot clock when it was asked for
-}
-
-// reached reports whether a snapshot is complete to the goal. It then holds all that the
-// store had acknowledged when the goal was asked for.
-func (g goal) reached(s *Snapshot) bool { return s.Era == g.era && s.Revision >= g.revision }
-
 // readStore reads the store up to a goal, and waits for further changes if there were none.
 // Nothing but a goal that is reached proves how old the snapshot is: an answer to a watch
 // may hold a part of the changes, or none of them.
 func (w *Watcher) readStore(ctx context.Context) {
-	if err := w.setGoal(ctx); err != nil {
+	if err := w.renewGoal(ctx); err != nil {
 		w.recordFailure(ctx, "revision", err)
 		return
 	}
@@ -47,7 +37,7 @@
 		clock.Sleep(ctx, retryPause)
 		return // the store came back from an older copy meanwhile
 	}
-	w.recordSuccess(w.goal.sent)
+	w.confirm(w.goal)
 	if !changed {
 		changed = w.await(ctx)
 	}
@@ -56,20 +46,6 @@
 	}
 }
 
-// setGoal sets the goal to the present revision of the store. Changes can't be had if it is
-// of another era than the snapshot, or before it.
-func (w *Watcher) setGoal(ctx context.Context) error {
-	sent := w.options.Boot()
-	revision, era, err := w.options.Store.Revision(ctx, answerMargin)
-	if err != nil {
-		return err
-	}
-	w.goal = goal{era: era, revision: revision, sent: sent}
-	held := w.Snapshot()
-	w.missed = w.missed || era != held.Era || revision < held.Revision
-	return nil
-}
-
 // catchUp reads up to the goal, and reports whether there were changes to be read. All keys
 // are listed instead at first, when changes were missed, and when they come in so many parts
 // that reading them one by one might take longer than new ones take to come.
@@ -136,6 +112,15 @@
 	clock.Sleep(ctx, retryPause)
 }
 
+// confirm records that the snapshot is complete to a goal.
+func (w *Watcher) confirm(g goal) {
+	if p := w.proved.Load(); p != nil && *p == g {
+		return
+	}
+	w.proved.Store(&g)
+	w.recordSuccess(max(g.sent, time.Duration(w.freshAt.Load())))
+}
+
 // recordSuccess records that the snapshot holds all that was acknowledged before a reading
 // of the boot clock.
 func (w *Watcher) recordSuccess(freshAt time.Duration) {
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -20,7 +20,7 @@
 	headerEra      = "Watch-Era"
 	headerRevision = "Watch-Revision"
 	headerFull     = "Watch-Full"   // 1 if the items are all keys rather than changes
-	headerAge      = "Watch-Age"    // age of the relay's snapshot, in microseconds
+	headerAge      = "Watch-Age"    // age of the relay's snapshot, or of a goal, in microseconds
 	headerHeld     = "Watch-Held"   // time from the request to the response, in microseconds
 	headerOutage   = "Watch-Outage" // time since the relay last found the store in an outage, in microseconds
 )
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -84,7 +84,7 @@
 	t.Cleanup(client.CloseIdleConnections)
 	return New(Options{
 		Store: platform.NewStore(store, client.Do), Do: client.Do, Relays: func() []string { return relays }, Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true }, Others: others,
+		Index: func() string { return "" }, Pause: func() time.Duration { return time.Second }, Quick: func() bool { return true }, Others: others,
 	})
 }
 
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -18,6 +18,7 @@
 	Do     func(*http.Request) (*http.Response, error) // sends a request to a relay
 	Relays func() []string                             // addresses of the relays to follow, in order of preference; none if this daemon is to read the store itself
 	Boot   func() time.Duration                        // boot clock
+	Index  func() string                               // address of the daemon that reads the store's revision for this one, too; empty if this one reads it
 	Pause  func() time.Duration                        // after a watch that returned changes, so that further changes arrive in batches
 	Others func() bool                                 // whether most of the other daemons reach the store
 	Quick  func() bool                                 // whether a shorter pause is needed, as for the keeper
@@ -28,13 +29,14 @@
 type Watcher struct {
 	options     Options
 	snapshot    atomic.Pointer[Snapshot]
-	freshAt     atomic.Int64 // boot clock: the snapshot holds all that was acknowledged before
-	outageAt    atomic.Int64 // boot clock when the store was last known to be in an outage
-	rewoundAt   atomic.Int64 // boot clock when the store was last found to have come back from an older copy
-	unreachable bool         // the last call failed
-	listed      bool         // a listing was applied
-	missed      bool         // changes were missed, so that a listing is needed
-	goal        goal         // the latest revision of the store that was read
+	freshAt     atomic.Int64         // boot clock: the snapshot holds all that was acknowledged before
+	outageAt    atomic.Int64         // boot clock when the store was last known to be in an outage
+	rewoundAt   atomic.Int64         // boot clock when the store was last found to have come back from an older copy
+	unreachable bool                 // the last call failed
+	listed      bool                 // a listing was applied
+	missed      bool                 // changes were missed, so that a listing is needed
+	goal        goal                 // what the snapshot is to be complete to
+	proved      atomic.Pointer[goal] // the last goal that it was complete to, nil at first
 	rewind      rewind
 	daemonIDs   map[string]string // ID of the daemon that is listed for an instance
 	history     history
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -153,7 +153,7 @@
 	defer client.CloseIdleConnections()
 	watcher := New(Options{
 		Store: platform.NewStore(server.Listener.Addr().String(), client.Do), Boot: clock.Boot, Log: logr.Discard(),
-		Pause: func() time.Duration { return time.Hour }, Quick: func() bool { return false }, Others: func() bool { return true }, Relays: func() []string { return nil },
+		Index: func() string { return "" }, Pause: func() time.Duration { return time.Hour }, Quick: func() bool { return false }, Others: func() bool { return true }, Relays: func() []string { return nil },
 	})
 	ctx, stop := context.WithTimeout(t.Context(), maxWait+answerMargin+time.Second)
 	defer stop()
@@ -188,7 +188,7 @@
 // Guards against CONFIG: an answer that holds a part of the changes counted as all of them.
 // The snapshot was taken for fresh, and the rest was read after a pause.
 func TestPartOfTheChangesConfirmsNothing(t *testing.T) {
-	const first = 300 * time.Millisecond // until the first change
+	const first = goalInterval // until the first change
 	is := is.New(t)
 	var calls []string
 	var times []time.Time
