--- a/watch/goal.go
+++ b/watch/goal.go
@@ -23,6 +23,7 @@
 type goal struct {
 	era, revision int64
 	sent          time.Duration // boot clock when it was asked for
+	own           bool          // this daemon asked the store for it
 }
 
 // reached reports whether a snapshot is complete to the goal. It then holds all that the
@@ -44,7 +45,7 @@
 		if err != nil {
 			return err
 		}
-		next = goal{era: era, revision: revision, sent: sent}
+		next = goal{era: era, revision: revision, sent: sent, own: true}
 		w.missed = w.missed || revision < w.Snapshot().Revision
 	}
 	w.goal = next
@@ -53,12 +54,12 @@
 }
 
 // askIndex returns the goal that another daemon has reached, which reads the store's
-// revision for this one, too. It reports false if there is no such daemon, nothing is known
-// of the store yet, that goal is too old, or the daemon doesn't answer: then it is not asked
+// revision for this one, too. It reports false if there is no such daemon, this one has not
+// listed the store yet or doesn't reach it, that goal is too old, or the daemon doesn't answer: then it is not asked
 // for relayPenalty.
 func (w *Watcher) askIndex(ctx context.Context) (goal, bool) {
 	address := w.options.Index()
-	if !w.listed || address == "" || w.options.Boot() < w.badUntil[address] {
+	if !w.listed || w.unreachable || address == "" || w.options.Boot() < w.badUntil[address] {
 		return goal{}, false
 	}
 	got, err := w.fetchIndex(ctx, address)
--- a/watch/goal_test.go
+++ b/watch/goal_test.go
@@ -73,6 +73,38 @@
 	}
 }
 
+// A daemon that the store turned away, while another one read the revision for it, goes on
+// where it was: what it missed isn't taken for lost, which cost all daemons a listing.
+func TestDaemonTurnedAwayGoesOnWithoutAListing(t *testing.T) {
+	is := is.New(t)
+	store := simul.NewStore()
+	store.Put("servers/e", []byte(entryReady))
+	other := runWatcher(t, serveTest(t, store.ServeHTTP), nil)
+	var away atomic.Bool
+	var listings atomic.Int64
+	w := newWatcher(t, serveTest(t, func(out http.ResponseWriter, r *http.Request) {
+		if away.Load() {
+			out.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.Path == "/api/kv-range" && r.URL.Query().Get("path_prefix") == platform.AllKeys {
+			listings.Add(1)
+		}
+		store.ServeHTTP(out, r)
+	}), nil, func() bool { return true })
+	address := serveTest(t, other.Index)
+	w.options.Index = func() string { return address }
+	runUntilEnd(t, w)
+	awaitSnapshot(t, w, "e", func(s *Snapshot) bool { return len(s.Endpoints) == 1 })
+	for i := range 40 {
+		away.Store(i >= 10 && i < 30)
+		store.Put(fmt.Sprintf("servers/e%d", i), []byte(entryReady))
+		time.Sleep(50 * time.Millisecond)
+	}
+	awaitSnapshot(t, w, "all changes", func(s *Snapshot) bool { return len(s.Endpoints) == 41 })
+	is.Equal(listings.Load(), int64(1))
+}
+
 // indexOf returns an answer with a goal.
 func indexOf(era, revision int64, age time.Duration) http.HandlerFunc {
 	return func(out http.ResponseWriter, _ *http.Request) {
--- a/watch/read.go
+++ b/watch/read.go
@@ -38,11 +38,16 @@
 		return // the store came back from an older copy meanwhile
 	}
 	w.confirm(w.goal)
+	pause := w.pause()
 	if !changed {
+		began := w.options.Boot()
 		changed = w.await(ctx)
+		if !changed {
+			pause = minWait - (w.options.Boot() - began) // the store may cut a watch
+		}
 	}
-	if changed {
-		clock.Sleep(ctx, w.pause())
+	if !w.missed {
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -58,8 +63,13 @@
 			return changed, nil
 		}
 		changed = true
-		if err := w.watch(ctx, 0); err != nil {
+		err := w.watch(ctx, 0)
+		switch {
+		case err == nil:
+		case w.goal.own || isMissing(err):
 			w.miss(err)
+		default:
+			return false, err // the store may not answer this daemon
 		}
 	}
 	if w.listed && !w.missed && w.goal.reached(w.Snapshot()) {
@@ -69,8 +79,13 @@
 	return false, w.list(ctx)
 }
 
-// miss records that a watch failed though the store had just answered: the changes, or
-// their number, can't be had.
+// isMissing reports whether an error says that a watch can't be answered.
+func isMissing(err error) bool {
+	return platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound) || platform.Is(err, platform.Large)
+}
+
+// miss records that the changes can't be had: a watch failed though the store had just
+// answered, or said so.
 func (w *Watcher) miss(err error) {
 	w.missed = true
 	w.options.Log.Info("changes not to be had, listing anew", "revision", w.Snapshot().Revision, "goal", w.goal.revision, "error", err.Error())
@@ -82,7 +97,7 @@
 	before := w.Snapshot().Revision
 	err := w.watch(ctx, w.waitTime())
 	switch {
-	case platform.Is(err, platform.Compacted) || platform.Is(err, platform.Rewound) || platform.Is(err, platform.Large):
+	case isMissing(err):
 		w.miss(err)
 	case err != nil:
 		w.recordFailure(ctx, "watch", err)
