--- a/front/send.go
+++ b/front/send.go
@@ -61,6 +61,9 @@
 	ctx, cancel := j.context()
 	defer j.successors.Wait()
 	defer cancel()
+	if f.reached(ending) {
+		cancel() // Answer may have come too soon to do so
+	}
 	defer j.boundWrites(ctx)()
 	j.expectAfterLast()
 	got, err := f.run(ctx, j, nil)
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -73,8 +75,22 @@
 }
 
 // A repeatable request that waits for its only endpoint's answer is not sent again as
-// the daemon stops, and one that waits for a slot is refused as not run.
+// the daemon stops, and one that waits for a slot is refused as not run. Whether one waits or
+// is refused at once hangs on how the callers come, so some stops are tried until one did.
 func TestQueuedRequestIsRefusedAtTheEndOfAStop(t *testing.T) {
+	const most = 8
+	for range most {
+		if statuses := stopWithQueue(t); statuses[http.StatusBadGateway] > 0 && statuses[http.StatusServiceUnavailable] > 0 {
+			return
+		}
+	}
+	t.Errorf("no request waited for a slot in %d stops", most)
+}
+
+// stopWithQueue stops a daemon whose endpoint is full and never answers. It checks that each
+// request gets a true answer, and returns the number of those that the stop ended, by status.
+func stopWithQueue(t *testing.T) map[int]int {
+	t.Helper()
 	is := is.New(t)
 	release := make(chan struct{})
 	defer close(release)
@@ -84,27 +100,73 @@
 	})
 	f := newFixture(t, "engines", b)
 	const all = 12
-	answers := make(chan reply, all)
-	for range all {
-		go func() { answers <- f.call(t, "POST", "/talk/", nil) }()
+	answers := make([]reply, all)
+	id := func(i int) string { return fmt.Sprint("queued-", i) }
+	var callers sync.WaitGroup
+	for i := range all {
+		callers.Go(func() {
+			answers[i] = f.call(t, "POST", "/talk/", func(r *http.Request) { r.Header.Set("X-Request-Id", id(i)) })
+		})
 	}
-	await(t, "a request waits for a slot", func() bool {
+	await(t, "the endpoint has requests", func() bool {
 		time.Sleep(50 * time.Millisecond)
-		return b.count() > 0 && f.front.Active() > b.count()
+		return b.count() > 0 && f.front.Active() >= b.count()
 	})
-	passed := b.count()
-	waiting := f.front.Active() - passed
 	f.front.Leave()
 	f.front.Refuse()
 	f.front.Answer()
+	callers.Wait()
+	ran := map[string]bool{}
+	b.mu.Lock()
+	for _, r := range b.requests {
+		ran[r.Header.Get("X-Request-Id")] = true
+	}
+	is.Equal(len(b.requests), len(ran)) // none was sent again
+	b.mu.Unlock()
 	statuses := map[int]int{}
-	for range all {
-		if got := <-answers; strings.Contains(got.body, stopReason) {
+	for i, got := range answers {
+		stopped := strings.Contains(got.body, stopReason)
+		if ran[id(i)] {
+			is.Equal(got.status, http.StatusBadGateway) // the endpoint never answers
+			is.True(stopped)
+		} else {
+			onItsWay := got.status == http.StatusBadGateway && stopped // nothing is promised of it
+			is.True(got.status == http.StatusServiceUnavailable || onItsWay)
+		}
+		if stopped {
 			statuses[got.status]++
 		}
 	}
-	is.Equal(statuses, map[int]int{http.StatusBadGateway: passed, http.StatusServiceUnavailable: waiting})
-	is.Equal(b.count(), passed)
+	return statuses
+}
+
+// Guards against LOST: a request that had been read and not yet been sent, as the daemon
+// answered what was in progress, got no answer, since its caller was taken to have left, or
+// was sent to an endpoint if it may run only once.
+func TestRequestAdmittedAsAStopEndsIsAnswered(t *testing.T) {
+	for _, path := range []string{"/file/", "/read/"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			b := newStub(t, "a", signed(200, "x"))
+			f := newFixture(t, "plain", b)
+			f.front.options.Crashes.mu.Lock() // holds the request between its admission and its first send
+			answer := make(chan reply)
+			go func() { answer <- f.call(t, "POST", path, nil) }()
+			await(t, "the request is admitted", func() bool {
+				time.Sleep(50 * time.Millisecond)
+				return f.front.Active() == 1
+			})
+			f.front.Leave()
+			f.front.Refuse()
+			f.front.Answer()
+			time.Sleep(50 * time.Millisecond) // for the server to notice
+			f.front.options.Crashes.mu.Unlock()
+			got := <-answer
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.True(strings.Contains(got.body, stopReason))
+			is.Equal(b.count(), 0)
+		})
+	}
 }
 
 // Callers that connect again and again to a daemon that refuses them must not use up the
