--- a/front/handover_test.go
+++ b/front/handover_test.go
@@ -119,8 +119,21 @@
 }
 
 // An endpoint that goes on while another one is being tried keeps the stream, of which
-// no event comes twice, and the other one's work ends.
+// no event comes twice, and the other one's work ends. Another one is tried only if a timer
+// fires within 200 ms, so some streams are tried until one was.
 func TestEndpointResumesWhileSuccessorOpens(t *testing.T) {
+	const most = 5
+	for range most {
+		if resumeWhileSuccessorOpens(t) {
+			return
+		}
+	}
+	t.Errorf("no successor was sent in %d streams", most)
+}
+
+// resumeWhileSuccessorOpens plays one such stream, and reports whether a successor was sent.
+func resumeWhileSuccessorOpens(t *testing.T) bool {
+	t.Helper()
 	is := is.New(t)
 	closed := make(chan time.Time, 9)
 	s := inTurn(paced(4, 0, 700*time.Millisecond), silent(closed))
@@ -130,6 +143,9 @@
 	began := time.Now()
 	got := f.call(t, "POST", "/talk/", longDeadline)
 	is.Equal(got.body, simul.StreamBody(4))
+	if a.count()+b.count() == 1 {
+		return false
+	}
 	is.True((<-closed).Sub(began) < 1200*time.Millisecond) // 500 ms after the second event
 	is.Equal(a.count()+b.count(), 2)
 	is.Equal(len(lines("successor given up")), 1)
@@ -138,6 +154,7 @@
 	for _, load := range f.front.options.Placer.Report().Endpoints {
 		is.Equal(load.Running, 0)
 	}
+	return true
 }
 
 // When the caller leaves, both sends end.
