--- a/simul/handlers.go
+++ b/simul/handlers.go
@@ -86,7 +86,8 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		events, revision, changed := s.since(query.Get("path_prefix"), after), s.revision, s.changed
+		events, revision := s.part(s.since(query.Get("path_prefix"), after))
+		changed := s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || timedOut {
 			reply(w, http.StatusOK, map[string]any{"events": events, "as_of": revision})
@@ -113,6 +114,20 @@
 	return found
 }
 
+// part returns the first of all changes, as SetAnswerLimit says, and the revision to which
+// they are complete. The caller holds the lock.
+func (s *Store) part(changes []item) ([]item, int64) {
+	if s.limit == 0 {
+		return changes, s.revision
+	}
+	for i := s.limit; i < len(changes); i++ {
+		if last := changes[i-1].Revision; changes[i].Revision != last {
+			return changes[:i], last
+		}
+	}
+	return changes, s.revision
+}
+
 // transaction is the body of a transaction: all changes are made if every expected
 // revision matches, none otherwise.
 type transaction struct {
--- a/simul/store.go
+++ b/simul/store.go
@@ -18,6 +18,7 @@
 	loseAnswers bool          // the answers to commits, lease grants and lease renewals are lost
 	compacted   int64         // revision up to which the history has been dropped
 	era         int64         // rises with each Restore
+	limit       int           // most changes in an answer to a watch, 0 for all
 	mux         *http.ServeMux
 }
 
@@ -90,6 +91,14 @@
 	s.loseAnswers = lose
 }
 
+// SetAnswerLimit bounds the changes in an answer to a watch, but for those of one revision;
+// 0 is for all. The daemon continues from the revision that the answer states.
+func (s *Store) SetAnswerLimit(changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = changes
+}
+
 // SetDown makes the store refuse all calls, or serve them again.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -37,6 +37,9 @@
 	startLimitPer = 200 * time.Millisecond
 )
 
+// answerLimits are the most changes in an answer of the store to a watch, by seed; 0 for all.
+var answerLimits = []int{0, 1, 4}
+
 // cluster is the system under test: daemons and runners as processes, the store
 // in this process, and a Path in front of each.
 type cluster struct {
@@ -93,6 +96,7 @@
 // cluster has to be closed if it is not nil.
 func newCluster(o Options) (*cluster, error) {
 	c := &cluster{options: o, traits: o.Profile.traits(), store: simul.NewStore(), changes: map[int]time.Time{}, acts: map[string][]simul.Act{}, given: map[string]simul.Act{}}
+	c.store.SetAnswerLimit(answerLimits[o.Seed%uint64(len(answerLimits))])
 	c.change()
 	log, err := c.createLog("soak")
 	if err != nil {
--- a/watch/proof_test.go
+++ b/watch/proof_test.go
@@ -26,7 +26,7 @@
 // partly is a store whose answers hold a part of what there is.
 type partly struct {
 	*simul.Store
-	events int           // most changes in an answer to a watch, 0 for no limit
+	events int           // as simul.Store.SetAnswerLimit
 	bytes  int           // of changes from which an answer to a watch ends, 0 for no limit
 	items  int           // most items of a page, 0 for no limit
 	delay  time.Duration // before each answer
@@ -85,7 +85,7 @@
 			Revision int64 `json:"revision"`
 		}
 		_ = json.Unmarshal(event, &of) // the store encoded it
-		full := p.events > 0 && i >= p.events || p.bytes > 0 && i > 0 && size+len(event) > p.bytes
+		full := p.bytes > 0 && i > 0 && size+len(event) > p.bytes
 		if full && of.Revision != last {
 			whole.Events, whole.AsOf = whole.Events[:i], last
 			return
@@ -166,6 +166,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			c.store.Store = simul.NewStore()
+			c.store.SetAnswerLimit(c.store.events)
 			var acks acknowledged
 			acks.put(c.store.Store, c.size)
 			for i := range 5 {
