--- a/soak/path.go
+++ b/soak/path.go
@@ -115,21 +115,28 @@
 }
 
 func (p *Path) accept() {
+	var turnEnd time.Time
 	for {
 		from, err := p.listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			p.awaitTurn()
+			turnEnd = p.awaitTurn()
 			continue
 		}
 		if err != nil {
 			return
 		}
+		// Accept may return a connection that arrives while it is woken by its deadline, or
+		// before the timer of the deadline runs.
+		if p.pause.Load() > 0 && time.Now().After(turnEnd) {
+			turnEnd = p.awaitTurn()
+		}
 		go p.serve(from)
 	}
 }
 
-// awaitTurn waits until the path accepts connections again, and sets until when.
-func (p *Path) awaitTurn() {
+// awaitTurn waits until the path accepts connections again, and sets and returns until when
+// it does, the zero time for no end.
+func (p *Path) awaitTurn() time.Time {
 	deadline := time.Time{}
 	if period := time.Duration(p.pause.Load()); period > 0 {
 		now := time.Now()
@@ -137,6 +144,7 @@
 		deadline = time.Now().Add(acceptTime)
 	}
 	_ = p.listener.SetDeadline(deadline) // fails only on a closed listener, as Accept does next
+	return deadline
 }
 
 // serve connects an accepted connection to the target and forwards bytes both
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -124,8 +124,9 @@
 	p, err := NewPath(echo(t))
 	is.NoErr(err)
 	defer p.Close()
+	const period = time.Second
 	answered := func(c net.Conn) time.Time {
-		_ = c.SetDeadline(time.Now().Add(time.Second))
+		_ = c.SetDeadline(time.Now().Add(2 * period))
 		_, err := c.Write([]byte("x\n"))
 		is.NoErr(err)
 		_, err = bufio.NewReader(c).ReadString('\n')
@@ -137,15 +138,14 @@
 		is.NoErr(err)
 		return c
 	}
-	const period = 200 * time.Millisecond
 	open := dial()
 	answered(open)
 	p.Slow(period)
-	answered(dial()) // at the beginning of a period
+	accepted := answered(dial()) // at the beginning of a period
 	time.Sleep(4 * acceptTime)
 	began := time.Now()
 	is.True(answered(open).Sub(began) < period/2)
-	is.True(answered(dial()).Sub(began) >= period/2)
+	is.True(answered(dial()).Sub(accepted) >= period/2+4*acceptTime)
 	p.Slow(0)
 	answered(dial())
 	began = time.Now()
