--- a/watch/goal.go
+++ b/watch/goal.go
@@ -55,8 +55,8 @@
 
 // askIndex returns the goal that another daemon has reached, which reads the store's
 // revision for this one, too. It reports false if there is no such daemon, this one has not
-// listed the store yet or doesn't reach it, that goal is too old, or the daemon doesn't answer: then it is not asked
-// for relayPenalty.
+// listed the store yet or doesn't reach it, that goal is too old, or the other daemon doesn't
+// answer: then it is not asked for relayPenalty.
 func (w *Watcher) askIndex(ctx context.Context) (goal, bool) {
 	address := w.options.Index()
 	if !w.listed || w.unreachable || address == "" || w.options.Boot() < w.badUntil[address] {
