--- a/cmd/chsoak/main.go
+++ b/cmd/chsoak/main.go
@@ -23,7 +23,7 @@
 type commands struct {
 	Seed    uint64        `default:"0" help:"First seed; drawn by the clock where 0."`
 	Seeds   int           `default:"1" help:"Seeds to run, one after the other."`
-	Profile string        `default:"mixed" enum:"mixed,stops,crashes,limits,cuts,storms,builds" help:"Mix of faults, endpoints and load: mixed, stops, crashes, limits, cuts, storms or builds."`
+	Profile string        `default:"mixed" enum:"mixed,stops,crashes,limits,cuts,storms,builds,turns" help:"Mix of faults, endpoints and load: mixed, stops, crashes, limits, cuts, storms, builds or turns."`
 	Daemons int           `default:"3" help:"Daemons."`
 	Runners int           `default:"8" help:"Runners, of which two, or with stops a third, serve plain calls."`
 	Length  time.Duration `default:"10s" help:"How long faults are injected."`
--- a/simul/store.go
+++ b/simul/store.go
@@ -61,7 +61,7 @@
 	s.setEra(w)
 	s.mu.Unlock()
 	if down {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	}
 	if lost {
@@ -71,6 +71,9 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// refuse answers a call that the store doesn't serve.
+func refuse(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+
 // setEra states the era in a response. The caller holds the lock.
 func (s *Store) setEra(w http.ResponseWriter) {
 	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -46,8 +46,8 @@
 	options Options
 	traits  traits
 	store   *simul.Store
-	server  *http.Server
-	log     *os.File // of the soak itself
+	servers []*http.Server // of the store: one for the runners, and one for each daemon
+	log     *os.File       // of the soak itself
 	began   time.Time
 	daemons []*daemon
 	runners []*runner
@@ -77,6 +77,7 @@
 	guide    string
 	callers  *Path // from callers
 	store    *Path
+	door     *simul.Door // of the store, for this daemon
 }
 
 // runner is an endpoint process with its path.
@@ -103,26 +104,36 @@
 		return nil, &Error{Op: "log", Kind: Start, Err: err}
 	}
 	c.log = log
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	store, err := c.serve(c.store)
 	if err != nil {
-		return nil, &Error{Op: "listen", Kind: Start, Err: err}
+		return nil, err
 	}
-	c.server = &http.Server{Handler: c.store, ReadHeaderTimeout: time.Second}
-	go func() { _ = c.server.Serve(listener) }() // ends when the cluster is closed
-	store := listener.Addr().String()
 	for i := range o.Runners {
 		if err := c.addRunner(i, store); err != nil {
 			return c, err
 		}
 	}
 	for i := range o.Daemons {
-		if err := c.addDaemon(i, store); err != nil {
+		if err := c.addDaemon(i); err != nil {
 			return c, err
 		}
 	}
 	return c, nil
 }
 
+// serve serves the store to some of its callers, until the cluster is closed, and returns
+// the address.
+func (c *cluster) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", &Error{Op: "listen", Kind: Start, Err: err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
 // change writes the next configuration.
 func (c *cluster) change() {
 	c.mu.Lock()
@@ -169,6 +180,8 @@
 		r.path.Close()
 		_ = r.log.Close()
 	}
-	_ = c.server.Close()
+	for _, server := range c.servers {
+		_ = server.Close()
+	}
 	_ = c.log.Close()
 }
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -154,5 +154,5 @@
 // inTouch reports whether a daemon was not disturbed within a span, nor within contact
 // before it.
 func (c *cluster) inTouch(daemon int, from, to time.Time) bool {
-	return !c.disturbed(daemon, from.Add(-contact), to, KillDaemon, StopDaemon, PauseDaemon, CutCallers, CutStore, StoreDown, StoreLoses)
+	return !c.disturbed(daemon, from.Add(-contact), to, KillDaemon, StopDaemon, PauseDaemon, CutCallers, CutStore, TurnAway, StoreDown, StoreLoses)
 }
--- a/soak/fault_string.go
+++ b/soak/fault_string.go
@@ -24,11 +24,12 @@
 	_ = x[StopAgain-13]
 	_ = x[Rewrite-14]
 	_ = x[CutEndpoints-15]
+	_ = x[TurnAway-16]
 }
 
-const _Fault_name = "KillDaemonStopDaemonPauseDaemonHangupKillRunnerPauseRunnerStoreDownStoreForgetsStoreLosesCutStoreCutCallersCutRunnerChangeStopAgainRewriteCutEndpoints"
+const _Fault_name = "KillDaemonStopDaemonPauseDaemonHangupKillRunnerPauseRunnerStoreDownStoreForgetsStoreLosesCutStoreCutCallersCutRunnerChangeStopAgainRewriteCutEndpointsTurnAway"
 
-var _Fault_index = [...]uint8{0, 10, 20, 31, 37, 47, 58, 67, 79, 89, 97, 107, 116, 122, 131, 138, 150}
+var _Fault_index = [...]uint8{0, 10, 20, 31, 37, 47, 58, 67, 79, 89, 97, 107, 116, 122, 131, 138, 150, 158}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -54,6 +54,10 @@
 		c.store.SetLoseAnswers(true)
 		time.Sleep(s.For)
 		c.store.SetLoseAnswers(false)
+	case TurnAway:
+		c.daemons[s.Target].door.SetAway(true)
+		time.Sleep(s.For)
+		c.daemons[s.Target].door.SetAway(false)
 	case CutStore:
 		cutPath(c.daemons[s.Target].store, n, s)
 	case CutCallers:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -28,6 +28,7 @@
 	StopAgain                 // SIGTERM to a daemon that may be stopping; it is not restarted for it
 	Rewrite                   // changes the settings file of a daemon, without a signal
 	CutEndpoints              // cuts one daemon off from all runners
+	TurnAway                  // the store refuses all calls of one daemon
 )
 
 // mixedFaults is the number of faults that the profile Mixed draws from. It stays as it
@@ -88,6 +89,8 @@
 		return planCuts(o.Seed, o.Length, o.Daemons, o.Runners)
 	case Storms:
 		return planStorms(o.Seed, o.Length, o.Daemons, o.Runners)
+	case Turns:
+		return planTurns(o.Seed, o.Length, o.Daemons, o.Runners)
 	default:
 		return planStops(o.Seed, o.Length, o.Daemons, o.Runners)
 	}
--- a/soak/probe.go
+++ b/soak/probe.go
@@ -78,7 +78,7 @@
 	if rec.status != http.StatusNotFound || rec.sent.Sub(changed) < applyLimit || p.superseded(version) {
 		return
 	}
-	if p.disturbed(i, changed.Add(-applyLimit), rec.ended, KillDaemon, StopDaemon, PauseDaemon, CutStore, StoreDown, StoreLoses) {
+	if p.disturbed(i, changed.Add(-applyLimit), rec.ended, KillDaemon, StopDaemon, PauseDaemon, CutStore, TurnAway, StoreDown, StoreLoses) {
 		return
 	}
 	p.report("version %d not in force at d%d, %v after the change", version, i, rec.sent.Sub(changed))
--- a/soak/profile.go
+++ b/soak/profile.go
@@ -26,13 +26,16 @@
 	Storms
 	// Builds is Stops with one daemon after the other replaced by another build.
 	Builds
+	// Turns has the store refuse one daemon after the other, while configurations come in
+	// quick succession.
+	Turns
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Profile -output=profile_string.go
 
 // Profiles returns all profiles by name.
 func Profiles() map[string]Profile {
-	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits, "cuts": Cuts, "storms": Storms, "builds": Builds}
+	return map[string]Profile{"mixed": Mixed, "stops": Stops, "crashes": Crashes, "limits": Limits, "cuts": Cuts, "storms": Storms, "builds": Builds, "turns": Turns}
 }
 
 // traits are the properties of a profile.
@@ -70,9 +73,9 @@
 			events: 5, streamInterval: 30 * time.Millisecond, fileInterval: 30 * time.Millisecond, plainShare: 3, kept: true, limits: true,
 			faults: simul.Faults{Stutter: 0.02, Reset: 0.01, Fail: 0.01, Busy: 0.02},
 		}
-	case Cuts:
+	case Cuts, Turns:
 		return traits{
-			events: 8, streamInterval: 60 * time.Millisecond, fileInterval: 60 * time.Millisecond, plainShare: 3, kept: true, cuts: true,
+			events: 8, streamInterval: 60 * time.Millisecond, fileInterval: 60 * time.Millisecond, plainShare: 3, kept: true, cuts: p == Cuts,
 			faults: simul.Faults{Stutter: 0.02, Fail: 0.01, Busy: 0.02},
 		}
 	case Storms:
@@ -100,10 +103,10 @@
 // pace is the range of the times between two events of an endpoint.
 type pace struct{ shortest, longest time.Duration }
 
-// pace returns the pace of an endpoint. In Crashes, Limits, Cuts and Storms it is the usual one. In Stops and
+// pace returns the pace of an endpoint. In Crashes, Limits, Cuts, Storms and Turns it is the usual one. In Stops and
 // Builds no, a third or all of the endpoints, by seed, are far slower than usual, but sound.
 func (p Profile) pace(seed uint64, runner int, plain bool) pace {
-	if p == Limits || p == Cuts || p == Storms || p == Crashes && !plain {
+	if p == Limits || p == Cuts || p == Storms || p == Turns || p == Crashes && !plain {
 		return pace{20 * time.Millisecond, 120 * time.Millisecond}
 	}
 	slow := seed%3 == 2 || seed%3 == 1 && runner%3 == 0
--- a/soak/profile_string.go
+++ b/soak/profile_string.go
@@ -15,11 +15,12 @@
 	_ = x[Cuts-4]
 	_ = x[Storms-5]
 	_ = x[Builds-6]
+	_ = x[Turns-7]
 }
 
-const _Profile_name = "MixedStopsCrashesLimitsCutsStormsBuilds"
+const _Profile_name = "MixedStopsCrashesLimitsCutsStormsBuildsTurns"
 
-var _Profile_index = [...]uint8{0, 5, 10, 17, 23, 27, 33, 39}
+var _Profile_index = [...]uint8{0, 5, 10, 17, 23, 27, 33, 39, 44}
 
 func (i Profile) String() string {
 	idx := int(i) - 0
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,6 +52,9 @@
 // stormSeeds are seeds of the profile Storms, which have not failed.
 var stormSeeds = []uint64{1}
 
+// turnSeeds are seeds of the profile Turns, which have not failed.
+var turnSeeds = []uint64{1}
+
 // buildSeeds are seeds of the profile Builds, which have not failed.
 var buildSeeds = []uint64{1}
 
@@ -204,6 +207,42 @@
 	}
 }
 
+// While the store refuses one daemon after the other and configurations come in quick
+// succession, no daemon serves a key that was taken away, or goes back to an older version.
+func TestPromisesHoldWhileTheStoreTurnsDaemonsAway(t *testing.T) {
+	runSeeds(t, turnSeeds, Options{Profile: Turns, Daemons: 3, Runners: 10, Length: 18 * time.Second})
+}
+
+// The plans of the profile Turns turn daemons away in an order that repeats, never three at
+// once, with configurations less than 100 ms apart.
+func TestPlansOfTurns(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(40) {
+		steps := planTurns(seed, 30*time.Second, 3, 10)
+		is.Equal(steps, planTurns(seed, 30*time.Second, 3, 10))
+		var turns []Step
+		quick := 0
+		changed := time.Duration(-time.Second)
+		for _, s := range steps {
+			switch s.Fault {
+			case TurnAway:
+				turns = append(turns, s)
+			case Change:
+				if s.At-changed < 100*time.Millisecond {
+					quick++
+				}
+				changed = s.At
+			}
+		}
+		is.True(quick > 0)
+		is.True(len(turns) > 3)
+		for i, s := range turns[3:] {
+			is.Equal(s.Target, turns[i].Target)
+			is.True(s.At >= turns[i+1].At+turns[i+1].For)
+		}
+	}
+}
+
 // The budget is exceeded only where more requests come again than it allows, in a window,
 // by the window that has most requests.
 func TestOverBudget(t *testing.T) {
--- a/soak/start.go
+++ b/soak/start.go
@@ -92,13 +92,17 @@
 }
 
 // addDaemon starts the daemon with index i.
-func (c *cluster) addDaemon(i int, store string) error {
+func (c *cluster) addDaemon(i int) error {
 	name := fmt.Sprintf("d%d", i)
 	log, err := c.createLog(name)
 	if err != nil {
 		return &Error{Op: "log", Kind: Start, Err: err}
 	}
-	d := &daemon{index: i, caller: simul.Address(), guide: simul.Address(), ready: simul.Address()}
+	d := &daemon{index: i, caller: simul.Address(), guide: simul.Address(), ready: simul.Address(), door: c.store.Door()}
+	store, err := c.serve(d.door)
+	if err != nil {
+		return err
+	}
 	d.store, err = NewPath(store)
 	if err != nil {
 		return &Error{Op: "path", Kind: Start, Err: err}
