--- a/edge/leave_test.go
+++ b/edge/leave_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -266,29 +267,83 @@
 }
 
 // A connection that was opened shortly before is not closed in place of an answer,
-// whatever the phase of the stop.
+// whatever the phase of the stop. A stop in which one is, while this process runs late,
+// doesn't count: it is made again, up to four times.
 func TestStopAnswersOnNewConnections(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
+	const stops = 4
+	for range stops {
+		late, faults := connectDuringStop(t)
+		if late < maxTestLate || len(faults) == 0 {
+			for _, fault := range faults {
+				t.Error(fault)
+			}
+			return
+		}
+		t.Logf("the process ran late by %v; %d connections without an answer", late, len(faults))
+	}
+	t.Error("no stop in which all connections were answered or the process ran in time")
+}
+
+// maxTestLate is how late this process may run in a stop that counts: less than the last
+// connection is dialed before the listener closes.
+const maxTestLate = 30 * time.Millisecond
+
+// connectDuringStop stops a daemon, connects up to shortly before the listener closes, and
+// sends a request on each connection 400 ms later. It returns by how much the process ran
+// late meanwhile, and which connections got no answer.
+func connectDuringStop(t *testing.T) (late time.Duration, faults []string) {
+	t.Helper()
 	r := newStopRig(t, 8*time.Second, 10*time.Millisecond)
+	lateness := watchLateness()
 	r.sendStop()
-	statuses := make([]int, 100)
+	answers := make([]string, 100)
 	var callers sync.WaitGroup
-	for i := range statuses {
+	for i := range answers {
 		r.sleepUntil(3.0/8 + 0.0003*float64(i))
-		c := r.mustConnect(t)
+		c, err := r.connect()
+		dialed := time.Since(r.stopped)
+		if err != nil {
+			answers[i] = fmt.Sprintf("connection %d, dialed %v after the signal: %v", i, dialed, err)
+			continue
+		}
 		callers.Go(func() {
 			time.Sleep(400 * time.Millisecond)
-			if c.send(fmt.Sprint("new-", i), "x") == nil {
-				statuses[i], _ = c.receive()
+			err := c.send(fmt.Sprint("new-", i), "x")
+			status, _ := c.receive()
+			if err != nil || status != http.StatusOK && status != http.StatusServiceUnavailable {
+				answers[i] = fmt.Sprintf("connection %d, dialed %v after the signal: status %d, error of sending: %v", i, dialed, status, err)
 			}
 		})
 	}
 	callers.Wait()
-	for _, status := range statuses {
-		is.True(status == http.StatusOK || status == http.StatusServiceUnavailable)
-	}
+	late = lateness()
 	<-r.ended
+	return late, slices.DeleteFunc(answers, func(fault string) bool { return fault == "" })
+}
+
+// watchLateness measures by how much this process runs late at most, until the function
+// that it returns is called.
+func watchLateness() func() time.Duration {
+	const interval = 5 * time.Millisecond
+	stop, most := make(chan struct{}), make(chan time.Duration)
+	go func() {
+		var late time.Duration
+		for {
+			began := time.Now()
+			select {
+			case <-stop:
+				most <- late
+				return
+			case <-time.After(interval):
+				late = max(late, time.Since(began)-interval)
+			}
+		}
+	}()
+	return func() time.Duration {
+		close(stop)
+		return <-most
+	}
 }
 
 // Guards against LOST: requests that came late in the grace period were passed on and cut
