--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -97,6 +97,21 @@
 	})
 }
 
+// Most endpoints crashed together and refuse connections, but some are reached: whichever of
+// them the daemon asks, it doesn't call itself cut off.
+func TestEndpointsThatCrashTogetherAreNoCut(t *testing.T) {
+	const doubts = 300
+	run(t, "8 of 11", 11, func(is *is.I, r *rig) {
+		r.find(world{dead: 8})
+		for range doubts {
+			r.Failed("a")
+			r.Failed("b")
+			time.Sleep(time.Millisecond)
+			is.Equal(r.State(), Sound)
+		}
+	})
+}
+
 // A daemon is cut off once none of the endpoints that it asks answers, by whatever it came
 // to doubt that it reaches any.
 func TestCutOff(t *testing.T) {
