--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -94,7 +94,6 @@
 		{"two of three, connections are reset", soak.Reset, []int{0, 2}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
 			system := startCluster(t, &cluster{throughPaths: true}, 8, 3)
 			await(t, "all daemons serve", 15*time.Second, func() bool {
