--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -77,7 +77,7 @@
 	guide    string
 	callers  *Path // from callers
 	store    *Path
-	door     *simul.Door // of the store, for this daemon
+	access   *simul.Access // to the store, for this daemon
 }
 
 // runner is an endpoint process with its path.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -55,9 +55,9 @@
 		time.Sleep(s.For)
 		c.store.SetLoseAnswers(false)
 	case TurnAway:
-		c.daemons[s.Target].door.SetAway(true)
+		c.daemons[s.Target].access.SetDown(true)
 		time.Sleep(s.For)
-		c.daemons[s.Target].door.SetAway(false)
+		c.daemons[s.Target].access.SetDown(false)
 	case CutStore:
 		cutPath(c.daemons[s.Target].store, n, s)
 	case CutCallers:
--- a/soak/start.go
+++ b/soak/start.go
@@ -98,8 +98,8 @@
 	if err != nil {
 		return &Error{Op: "log", Kind: Start, Err: err}
 	}
-	d := &daemon{index: i, caller: simul.Address(), guide: simul.Address(), ready: simul.Address(), door: c.store.Door()}
-	store, err := c.serve(d.door)
+	d := &daemon{index: i, caller: simul.Address(), guide: simul.Address(), ready: simul.Address(), access: c.store.Access()}
+	store, err := c.serve(d.access)
 	if err != nil {
 		return err
 	}
