--- a/edge/edge.go
+++ b/edge/edge.go
@@ -105,6 +105,9 @@
 		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
 	}, func() float64 { return float64(d.placer.Limited()) }))
 	registerLearned(o.Registry, d.placer)
+	o.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "chead_processor_seconds_total", Help: "Processor time that this process has used.",
+	}, processorSeconds))
 	d.pool = conns.New(dial)
 	d.reach = reach.New(reach.Options{
 		Boot: clock.Boot, Late: d.pulse.Late, Endpoints: d.probedEndpoints, Silence: d.placer.Silence, Probe: d.probe, Others: d.otherPaths,
@@ -119,7 +122,7 @@
 		Self: d.self, Store: d.store, Engines: d.newEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
 		Demand: d.demand, Leaving: d.placer.Leaving, Boot: clock.Boot, Late: d.pulse.Late, Reached: d.reach.Confirm, Failed: d.reach.Failed, CutOff: d.cutOff, Progresses: d.placer.Progresses, Log: o.Log, Metrics: groups.NewMetrics(o.Registry),
 	})
-	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Offered: d.offersItself, Peers: d.peers})
+	d.guide = guide.New(guide.Options{Self: d.self, Ready: d.ready, Offered: d.offersItself, Peers: d.peers, Registry: o.Registry})
 	return d, nil
 }
 
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -16,6 +16,7 @@
 	late         *prometheus.CounterVec
 	sends        *prometheus.CounterVec
 	otherAnswers *prometheus.CounterVec
+	left         *prometheus.CounterVec
 	firstEvent   prometheus.Histogram
 	duration     *prometheus.HistogramVec
 	wait         *prometheus.HistogramVec
@@ -39,6 +40,7 @@
 		sends:        counter("sends_total", "Sends by model, the endpoint's failure domain and what came of them.", "model", "domain", "result"),
 		otherAnswers: counter("other_answers_total", "Answers that named another request than the one sent, by connection and status.", "connection", "status"),
 		retries:      counter("retries_total", "Sends beyond the first, by what ended the one before.", "cause"),
+		left:         counter("left_total", "Requests whose callers left, by what had been done: waiting, sent or answering.", "stage"),
 		wait:         histogram("wait_seconds", "In the line for a place, by how it ended.", 9, "model", "end"),
 		duration:     histogram("seconds", "From arrival to the end.", 12, "outcome"),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -46,7 +48,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12),
 		}),
 	}
-	r.MustRegister(m.requests, m.accounts, m.late, m.sends, m.retries, m.otherAnswers, m.firstEvent, m.duration, m.wait)
+	r.MustRegister(m.requests, m.accounts, m.late, m.sends, m.retries, m.otherAnswers, m.left, m.firstEvent, m.duration, m.wait)
 	return m
 }
 
@@ -71,6 +73,18 @@
 	m.duration.WithLabelValues(outcome).Observe(took.Seconds())
 }
 
+// observeLeft counts a request whose caller left, by what had been done.
+func (m *Metrics) observeLeft(p *progress) {
+	stage := "waiting"
+	switch {
+	case p.headSent.Load():
+		stage = "answering"
+	case p.sends.Load() > 0:
+		stage = "sent"
+	}
+	m.left.WithLabelValues(stage).Inc()
+}
+
 // observeLate counts a request of an account that was served after its target latency.
 func (m *Metrics) observeLate(account string) { m.late.WithLabelValues(m.label(account)).Inc() }
 
--- a/guide/guide.go
+++ b/guide/guide.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/site"
 )
@@ -21,13 +23,27 @@
 	Ready   func() bool          // whether this daemon accepts callers
 	Offered func() bool          // whether callers should connect to it
 	Peers   func() []site.Daemon // other daemons that callers should connect to
+
+	Registry prometheus.Registerer
 }
 
 // Guide answers which daemons callers should connect to. Create it with New.
-type Guide struct{ options Options }
+type Guide struct {
+	options Options
+	known   prometheus.Gauge
+	named   prometheus.Gauge
+}
 
 // New returns a Guide.
-func New(o Options) *Guide { return &Guide{options: o} }
+func New(o Options) *Guide {
+	g := &Guide{
+		options: o,
+		known:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "chead_guide_known", Help: "Daemons that callers should connect to, at the latest answer."}),
+		named:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "chead_guide_named", Help: "Daemons that the latest answer named."}),
+	}
+	o.Registry.MustRegister(g.known, g.named)
+	return g
+}
 
 // Resolve answers a caller with the addresses of the ready daemons, or with status
 // 503 if it knows of none.
@@ -51,9 +67,11 @@
 		addresses = append(addresses, d.Caller)
 	}
 	sort.Strings(addresses)
+	g.known.Set(float64(len(addresses)))
 	if len(addresses) > maxAddresses {
 		addresses = addresses[:maxAddresses]
 	}
+	g.named.Set(float64(len(addresses)))
 	return addresses
 }
 
--- a/guide/guide_test.go
+++ b/guide/guide_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinehead.example/chead/site"
 )
@@ -30,7 +31,7 @@
 			is := is.New(t)
 			g := New(Options{
 				Self: site.Daemon{Caller: "a:1"}, Ready: func() bool { return c.ready }, Offered: func() bool { return c.ready && !c.cut },
-				Peers: func() []site.Daemon { return c.peers },
+				Peers: func() []site.Daemon { return c.peers }, Registry: prometheus.NewRegistry(),
 			})
 			w := httptest.NewRecorder()
 			g.Resolve(w, httptest.NewRequest(http.MethodGet, "/api/resolve?name=h", nil))
