--- a/guide/guide.go
+++ b/guide/guide.go
@@ -1,10 +1,13 @@
 package guide
 
 import (
+	"cmp"
+	"net"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinehead.example/chead/platform"
@@ -14,7 +17,7 @@
 const (
 	// TTL is how long callers may use an answer.
 	TTL          = 2 * time.Second
-	maxAddresses = 64
+	maxAddresses = 64 // that an answer may name
 )
 
 // Options configures a Guide.
@@ -45,36 +48,66 @@
 	return g
 }
 
-// Resolve answers a caller with the addresses of the ready daemons, or with status
-// 503 if it knows of none.
-func (g *Guide) Resolve(w http.ResponseWriter, _ *http.Request) {
-	addresses := g.addresses()
-	if len(addresses) == 0 {
+// Resolve answers a caller with the addresses of ready daemons, or with status 503 if it
+// knows of none.
+func (g *Guide) Resolve(w http.ResponseWriter, r *http.Request) {
+	daemons := g.daemons()
+	if len(daemons) == 0 {
 		http.Error(w, "no daemon is ready", http.StatusServiceUnavailable)
 		return
 	}
-	platform.WriteAddresses(w, addresses, TTL)
+	named := choose(daemons, hostOf(r.RemoteAddr), platform.ParseResolveRequest(r).Region)
+	g.known.Set(float64(len(daemons)))
+	g.named.Set(float64(len(named)))
+	platform.WriteAddresses(w, named, TTL)
 }
 
-// addresses returns the callers' addresses of at most maxAddresses ready daemons,
-// sorted.
-func (g *Guide) addresses() []string {
-	var addresses []string
+// daemons returns the daemons that callers should connect to.
+func (g *Guide) daemons() []site.Daemon {
+	daemons := slices.Clone(g.options.Peers())
 	if g.options.Offered() {
-		addresses = append(addresses, g.options.Self.Caller)
+		daemons = append(daemons, g.options.Self)
 	}
-	for _, d := range g.options.Peers() {
-		addresses = append(addresses, d.Caller)
+	return daemons
+}
+
+// choose returns the callers' addresses of at most maxAddresses daemons, sorted. Of more it
+// chooses those of the caller's region first, and among these by rendezvous hashing (Thaler
+// and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998) with the caller's
+// host: so callers use all daemons evenly, and one caller gets the same ones from each daemon
+// and in each answer, as it closes its connections to those that an answer leaves out.
+func choose(daemons []site.Daemon, caller, region string) []string {
+	if len(daemons) > maxAddresses {
+		slices.SortFunc(daemons, func(a, b site.Daemon) int {
+			switch near, other := a.Region == region, b.Region == region; {
+			case near && !other:
+				return -1
+			case other && !near:
+				return 1
+			}
+			return cmp.Compare(weight(caller, b), weight(caller, a))
+		})
+		daemons = daemons[:maxAddresses]
 	}
-	sort.Strings(addresses)
-	g.known.Set(float64(len(addresses)))
-	if len(addresses) > maxAddresses {
-		addresses = addresses[:maxAddresses]
+	addresses := make([]string, len(daemons))
+	for i, d := range daemons {
+		addresses[i] = d.Caller
 	}
-	g.named.Set(float64(len(addresses)))
+	slices.Sort(addresses)
 	return addresses
 }
 
+// weight returns the rendezvous hash of a caller and a daemon.
+func weight(caller string, d site.Daemon) uint64 { return xxhash.Sum64String(caller + " " + d.Caller) }
+
+// hostOf returns an address without its port.
+func hostOf(address string) string {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 // Readiness answers the platform's readiness checks, with status 503 if this daemon
 // is not ready.
 func (g *Guide) Readiness(w http.ResponseWriter, _ *http.Request) {
