--- a/guide/guide.go
+++ b/guide/guide.go
@@ -77,28 +77,42 @@
 // host: so callers use all daemons evenly, and one caller gets the same ones from each daemon
 // and in each answer, as it closes its connections to those that an answer leaves out.
 func choose(daemons []site.Daemon, caller, region string) []string {
-	if len(daemons) > maxAddresses {
-		slices.SortFunc(daemons, func(a, b site.Daemon) int {
-			switch near, other := a.Region == region, b.Region == region; {
-			case near && !other:
-				return -1
-			case other && !near:
-				return 1
-			}
-			return cmp.Compare(weight(caller, b), weight(caller, a))
-		})
-		daemons = daemons[:maxAddresses]
-	}
-	addresses := make([]string, len(daemons))
+	candidates := make([]candidate, len(daemons))
 	for i, d := range daemons {
-		addresses[i] = d.Caller
+		candidates[i] = candidate{address: d.Caller, far: d.Region != region}
+	}
+	if len(candidates) > maxAddresses {
+		for i := range candidates {
+			candidates[i].weight = xxhash.Sum64String(caller + " " + candidates[i].address)
+		}
+		slices.SortFunc(candidates, candidate.compare)
+		candidates = candidates[:maxAddresses]
+	}
+	addresses := make([]string, len(candidates))
+	for i, c := range candidates {
+		addresses[i] = c.address
 	}
 	slices.Sort(addresses)
 	return addresses
 }
 
-// weight returns the rendezvous hash of a caller and a daemon.
-func weight(caller string, d site.Daemon) uint64 { return xxhash.Sum64String(caller + " " + d.Caller) }
+// candidate is a daemon that may be named to a caller.
+type candidate struct {
+	address string
+	far     bool   // in another region than the caller
+	weight  uint64 // rendezvous hash of the caller and the daemon
+}
+
+// compare orders the daemons to be named first before others.
+func (c candidate) compare(other candidate) int {
+	switch {
+	case c.far && !other.far:
+		return 1
+	case other.far && !c.far:
+		return -1
+	}
+	return cmp.Compare(other.weight, c.weight)
+}
 
 // hostOf returns an address without its port.
 func hostOf(address string) string {
