--- a/gossip/cost_test.go
+++ b/gossip/cost_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -8,10 +9,13 @@
 )
 
 // follower returns a daemon of a large fleet that has heard its relay, and no message after.
+// It has not met others by chance, who would fall silent meanwhile.
 func follower() (*fleet, *Gossip) {
 	f := newFleet(295, 5)
 	f.run(4 * time.Second)
 	g := f.daemons[f.listed["d150"].Peer]
+	maps.DeleteFunc(g.peers, func(id string, _ *peer) bool { return id != g.relay })
+	g.alive = aliveView{}
 	g.Alive()
 	return f, g
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -49,8 +49,7 @@
 	relaySince     time.Duration            // boot clock: when it began to follow it
 	unheard        map[string]time.Duration // relays that were not heard, by ID: the boot clock until which they are passed over
 	sent           Message                  // this daemon's latest message to its relay
-	alive          []Message                // latest result of Alive
-	aliveAt        time.Duration            // boot clock: when it was made
+	alive        aliveView                // latest result of Alive
 
 	// Used by Round alone.
 	round        int
@@ -159,6 +158,7 @@
 	for id, p := range g.peers {
 		if now-p.lastHeard > forgetAfter {
 			delete(g.peers, id)
+			g.alive.changed = true
 			continue
 		}
 		g.noteSilent(p, now)
@@ -246,6 +246,7 @@
 	p.message = message.merge(p.message, p.lastHeard-p.fullAt)
 	p.silent = false
 	p.messages++
+	g.alive.changed = true
 	appeared := p.messages == regularMessages
 	silentBefore := p.silentBefore
 	g.mu.Unlock()
--- a/gossip/merge.go
+++ b/gossip/merge.go
@@ -44,6 +44,16 @@
 	return present
 }
 
+// ages reports whether a message states ages of what endpoints stated or showed.
+func (m Message) ages() bool {
+	for _, load := range m.Endpoints {
+		if load.Limit.known() || load.Learned.Known() {
+			return true
+		}
+	}
+	return false
+}
+
 // aged returns a message that was received some time ago, with the present ages of the
 // limits in it, and of what was learned of endpoints.
 func (m Message) aged(passed time.Duration) Message {
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"slices"
-	"sort"
 	"time"
 
 	"clementinehead.example/chead/fair"
@@ -50,7 +49,9 @@
 	self := g.options.Self
 	unfit := map[string]bool{self.ID: true}
 	for _, m := range g.Alive() {
-		unfit[m.From.ID] = !m.Fresh
+		if !m.Fresh {
+			unfit[m.From.ID] = true
+		}
 	}
 	var candidates []site.Daemon
 	if g.options.Fresh() {
@@ -61,7 +62,7 @@
 	now := g.options.Boot()
 	for id, d := range g.options.Listed() {
 		if d.Domain == self.Domain && !unfit[id] && now >= g.unheard[id] {
-			candidates = append(candidates, d)
+			candidates = first(append(candidates, d))
 		}
 	}
 	relays := first(candidates)
@@ -72,9 +73,18 @@
 	return append(slices.Clone(relays[preferred:]), relays[:preferred]...)
 }
 
-// first returns the first relaysPerDomain daemons by site.Daemon.Precedes.
+// first returns the first relaysPerDomain daemons by site.Daemon.Precedes, in order. It
+// changes the order of its argument.
 func first(daemons []site.Daemon) []site.Daemon {
-	sort.Slice(daemons, func(i, j int) bool { return daemons[i].Precedes(daemons[j]) })
+	slices.SortFunc(daemons, func(a, b site.Daemon) int {
+		switch {
+		case a.Precedes(b):
+			return -1
+		case b.Precedes(a):
+			return 1
+		}
+		return 0
+	})
 	return daemons[:min(relaysPerDomain, len(daemons))]
 }
 
@@ -105,6 +115,7 @@
 	g.options.Log.Info("relay chosen", "peer", relays[0].ID, "before", g.relay)
 	g.relay = relays[0].ID
 	g.relaySince = now
+	g.alive.changed = true
 	return relays[0]
 }
 
@@ -115,6 +126,7 @@
 func (g *Gossip) roundRelay() {
 	own := g.ownMessage()
 	g.mu.Lock()
+	g.alive.changed = g.alive.changed || g.relay != ""
 	g.relay = ""
 	g.sent = Message{}
 	part, all := g.sums(own)
@@ -189,10 +201,10 @@
 		if len(likely) == 0 {
 			likely = append(likely, d)
 		}
-		domains[d.Domain] = append(domains[d.Domain], d)
+		domains[d.Domain] = first(append(domains[d.Domain], d))
 	}
 	for _, daemons := range domains {
-		likely = append(likely, first(daemons)...)
+		likely = append(likely, daemons...)
 	}
 	for _, d := range likely {
 		if !known[d.Peer] {
--- a/gossip/sum.go
+++ b/gossip/sum.go
@@ -54,6 +54,7 @@
 // changed since the sum was made, so counts don't go below 0.
 func (m Message) without(own Message) Message {
 	rest := emptySum(m)
+	rest.Endpoints = make(map[string]EndpointLoad, len(m.Endpoints))
 	rest.add(m)
 	for id, load := range own.Endpoints {
 		l, ok := rest.Endpoints[id]
