--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,6 +51,7 @@
 	current atomic.Pointer[Settings] // newest settings, of which only those that Reload applies are used
 	started time.Time                // since when retries are counted, as pick.Budget.Since
 	catchUp catchUp
+	census  census
 	pulse   *pulse.Pulse
 
 	store   *platform.Store
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -12,7 +12,7 @@
 // and reach endpoints or, if this daemon knows of none that does, all that accept them.
 func (d *Daemon) peers() []site.Daemon {
 	var reaching, ready []site.Daemon
-	for _, m := range currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons) {
+	for _, m := range d.others().current {
 		if !m.Ready {
 			continue
 		}
@@ -31,7 +31,7 @@
 // since, or replaced: another one was heard or is listed at their address, which started
 // later by its id.
 func currentStarts(heard []gossip.Message, listed map[string]site.Daemon) []gossip.Message {
-	newest := map[string]string{} // start by peer address
+	newest := make(map[string]string, max(len(listed), len(heard))) // start by peer address
 	for _, d := range listed {
 		newest[d.Peer] = max(newest[d.Peer], startOf(d.ID))
 	}
@@ -54,14 +54,10 @@
 }
 
 // daemonCount returns the number of daemons that the budget is divided among.
-func (d *Daemon) daemonCount() int {
-	return countDaemons(d.self.ID, d.watcher.Snapshot().Daemons, d.gossip.Alive())
-}
+func (d *Daemon) daemonCount() int { return d.others().sharers }
 
 // listedCount returns the number of daemons that may serve.
-func (d *Daemon) listedCount() int {
-	return countListed(d.self.ID, d.watcher.Snapshot().Daemons, d.gossip.Alive())
-}
+func (d *Daemon) listedCount() int { return d.others().listed }
 
 // countDaemons is countListed, or minDaemons if that is larger.
 func countDaemons(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
@@ -71,7 +67,8 @@
 // countListed returns the number of daemons that are listed in the store or heard by
 // gossip, including this one. Those that are listed and not heard may still serve.
 func countListed(self string, listed map[string]site.Daemon, heard []gossip.Message) int {
-	known := map[string]bool{self: true}
+	known := make(map[string]bool, max(len(listed), len(heard))+1)
+	known[self] = true
 	for id := range listed {
 		known[id] = true
 	}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -17,7 +17,7 @@
 // that accept callers and reach endpoints, as far as they know.
 func (d *Daemon) relayPeers() []site.Daemon {
 	var peers []site.Daemon
-	for _, m := range currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons) {
+	for _, m := range d.others().current {
 		if m.Ready && !m.Cut && !m.Blind && m.From.Region == d.self.Region {
 			peers = append(peers, m.From)
 		}
@@ -28,7 +28,7 @@
 // otherPaths returns what the other daemons say of their paths to endpoints.
 func (d *Daemon) otherPaths() reach.Others {
 	others := reach.Others{Reach: len(d.relayPeers())}
-	for _, m := range currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons) {
+	for _, m := range d.others().current {
 		if m.Ready && m.From.Region == d.self.Region && (m.Cut || m.Blind) {
 			others.Cut++
 		}
--- a/edge/relays.go
+++ b/edge/relays.go
@@ -15,7 +15,10 @@
 
 // othersReachStore reports whether there is no evidence that the store is away for others
 // too, by those that are heard and don't shut down.
-func (d *Daemon) othersReachStore() bool { return reachesStore(d.gossip.Alive(), d.listedCount()) }
+func (d *Daemon) othersReachStore() bool {
+	o := d.others()
+	return reachesStore(o.heard, o.listed)
+}
 
 // reachesStore reports whether most of the other daemons that are heard reach the store, or
 // so many of the known ones aren't heard that this daemon may be cut off, with others or
@@ -55,8 +58,8 @@
 // indexDaemon returns the address of the daemon that reads the store's revision for this
 // one, too, or an empty string if this one reads it.
 func (d *Daemon) indexDaemon() string {
-	heard := currentStarts(d.gossip.Alive(), d.watcher.Snapshot().Daemons)
-	return firstFresh(d.self, heard, d.listedCount() > soleIndex)
+	o := d.others()
+	return firstFresh(d.self, o.current, o.listed > soleIndex)
 }
 
 // firstFresh returns the address of the first daemon, by site.Daemon.Precedes, of those that
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -49,7 +49,7 @@
 	relaySince     time.Duration            // boot clock: when it began to follow it
 	unheard        map[string]time.Duration // relays that were not heard, by ID: the boot clock until which they are passed over
 	sent           Message                  // this daemon's latest message to its relay
-	alive        aliveView                // latest result of Alive
+	alive          aliveView                // latest result of Alive
 
 	// Used by Round alone.
 	round        int
--- a/pick/eligible.go
+++ b/pick/eligible.go
@@ -9,41 +9,80 @@
 	"clementinehead.example/chead/watch"
 )
 
+// weighing is what is the same for all endpoints that a request may go to.
+type weighing struct {
+	request    Request
+	queue      *queue
+	service    site.Service
+	known      bool // the service is configured
+	model      site.Model
+	modelKnown bool
+	delay      time.Duration // mean time until the load of another daemon is known here
+	hold       time.Duration // that requests of the queue take on average
+	now        time.Time
+	boot       time.Duration // boot clock: now
+	interval   time.Duration // between two requests of this daemon to a cold endpoint, 0 if these take any number
+}
+
+// weigh returns the weighing of a request.
+func (p *Placer) weigh(request Request, q *queue, now time.Time) *weighing {
+	w := &weighing{request: request, queue: q, delay: p.options.Delay(), hold: seconds(q.holdSeconds), now: now, boot: p.options.Boot()}
+	service, known := p.service(request.Service)
+	if !known {
+		return w
+	}
+	w.service, w.known = service, true
+	if service.Engine != nil {
+		w.model, w.modelKnown = service.Engine.Model(request.Model)
+	}
+	if service.ColdRate > 0 {
+		w.interval = time.Duration(float64(time.Second) * float64(p.options.Daemons()) / service.ColdRate)
+	}
+	return w
+}
+
 // candidate returns an endpoint with the load and health on which Choose decides.
-func (p *Placer) candidate(e site.Endpoint, request Request, q *queue, delay time.Duration, now time.Time) Candidate {
+func (p *Placer) candidate(e *site.Endpoint, w *weighing) Candidate {
 	s := p.endpoint(e.ID)
 	c := Candidate{
-		ID: e.ID, Load: s.running + s.othersRunning, Expected: expectedLoad(s.running, s.othersRunning, delay, seconds(q.holdSeconds)), Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(now),
-		SameDomain: e.Domain == p.options.Domain, Stalled: now.Before(s.suspectedUntil), Paused: now.Before(s.pausedUntil),
+		ID: e.ID, Load: s.running + s.othersRunning, Expected: expectedLoad(s.running, s.othersRunning, w.delay, w.hold), Slots: max(1, e.Slots), Slowdown: 1, FailureRate: s.recentFailureRate(w.now),
+		SameDomain: e.Domain == p.options.Domain, Stalled: w.now.Before(s.suspectedUntil), Paused: w.now.Before(s.pausedUntil),
 	}
-	service, ok := p.service(request.Service)
-	if !ok {
+	if !w.known {
 		return c
 	}
-	if service.Engine != nil {
+	if engine := w.service.Engine; engine != nil {
 		// A plain service has no events that would show that it is stalled.
-		c.Stalled = s.stalled(now)
-		c.Slots = service.Engine.Slots
-		c.NoMemory = memoryMatters(service.Engine) && s.lacksMemory(service.Engine, tokensOf(request))
-		if model, known := service.Engine.Model(request.Model); known {
-			c.Slowdown = s.slowdown(*service.Engine, model)
-			c.ReadTime = s.readTime(*service.Engine, model, request.PromptTokens)
+		c.Stalled = s.stalled(w.now)
+		c.Slots = engine.Slots
+		c.NoMemory = memoryMatters(engine) && s.lacksMemory(engine, tokensOf(w.request))
+		if w.modelKnown {
+			c.Slowdown = s.slowdown(*engine, w.model)
+			c.ReadTime = s.readTime(*engine, w.model, w.request.PromptTokens)
 		}
 	}
-	c.Slots = s.learned.slots(e, q, c.Slots)
-	unreported := q.hidden.requests(now, c.Slots)
+	c.Slots = s.learned.slots(*e, w.queue, c.Slots)
+	unreported := w.queue.hidden.requests(w.now, c.Slots)
 	c.Load += unreported
 	c.Expected += float64(unreported)
-	if service.ColdRate > 0 {
-		interval := time.Duration(float64(time.Second) * float64(p.options.Daemons()) / service.ColdRate)
-		c.RateLimited = s.rateLimited(now, e.Seen+e.Cold > p.options.Boot(), interval, p.options.Random)
+	if w.interval > 0 {
+		c.RateLimited = s.rateLimited(w.now, e.Seen+e.Cold > w.boot, w.interval, p.options.Random)
 	}
-	if p.limitWait(s, e, q, now) > 0 {
+	if p.limitWait(s, *e, w.queue, w.now) > 0 {
 		c.RateLimited = true
 	}
 	return c
 }
 
+// candidates returns the candidates among endpoints.
+func (p *Placer) candidates(endpoints []site.Endpoint, w *weighing) []Candidate {
+	candidates := make([]Candidate, len(endpoints))
+	for i := range endpoints {
+		candidates[i] = p.candidate(&endpoints[i], w)
+	}
+	return candidates
+}
+
 // slowFactor is the slowdown from which an endpoint is reported as slow. A group with
 // members in several fabric domains stays below it.
 const slowFactor = 2.5
@@ -81,15 +120,15 @@
 }
 
 // eligible returns the usable endpoints that serve the request's model or service,
-// except those that leave and those at which the request failed.
+// except those that leave and those at which the request failed. The result must not be
+// changed.
 func (p *Placer) eligible(request Request) []site.Endpoint {
-	var endpoints []site.Endpoint
-	for _, e := range p.serving(request.Service, request.Model) {
-		if !p.isLeaving(e) && !request.Avoid[e.ID] {
-			endpoints = append(endpoints, e)
-		}
+	endpoints := p.serving(request.Service, request.Model)
+	excluded := func(e site.Endpoint) bool { return p.isLeaving(e) || request.Avoid[e.ID] }
+	if !slices.ContainsFunc(endpoints, excluded) {
+		return endpoints // nearly always, so it isn't copied
 	}
-	return endpoints
+	return slices.DeleteFunc(slices.Clone(endpoints), excluded)
 }
 
 // servingCache holds the usable endpoints by what they serve, for one snapshot and the
--- a/pick/explain.go
+++ b/pick/explain.go
@@ -40,15 +40,14 @@
 	if !known {
 		q = &queue{service: request.Service}
 	}
-	delay := p.options.Delay()
-	found := Explanation{Queue: q.state(request, now), Sent: p.sentSince(q, delay), Delay: delay, Refusal: p.refusal(request)}
+	w := p.weigh(request, q, now)
+	found := Explanation{Queue: q.state(request, now), Sent: p.sentSince(q, w.delay), Delay: w.delay, Refusal: p.refusal(request)}
 	eligible := p.eligible(request)
 	p.addLimits(&found.Queue, eligible, q, now)
 	p.addCompetition(&found.Queue, request, q)
-	candidates := make([]Candidate, len(eligible))
-	for i, e := range eligible {
-		c := p.candidate(e, request, q, delay, now)
-		candidates[i] = c
+	candidates := p.candidates(eligible, w)
+	for i, c := range candidates {
+		e := eligible[i]
 		found.Options = append(found.Options, Option{
 			Endpoint: e.ID, Domain: e.Domain, Load: c.Load, Expected: c.Expected, Slots: c.Slots, Read: c.ReadTime,
 			Slow: c.Slowdown, Cost: c.costAt(c.Expected), Reason: c.reason(),
--- a/pick/placer.go
+++ b/pick/placer.go
@@ -210,12 +210,9 @@
 		return p.peerSlot(request, now)
 	}
 	eligible := p.eligible(request)
-	delay := p.options.Delay()
-	candidates := make([]Candidate, len(eligible))
-	for i, e := range eligible {
-		candidates[i] = p.candidate(e, request, q, delay, now)
-	}
-	i := ChooseStale(candidates, p.sentSince(q, delay), p.options.Random)
+	w := p.weigh(request, q, now)
+	candidates := p.candidates(eligible, w)
+	i := ChooseStale(candidates, p.sentSince(q, w.delay), p.options.Random)
 	if i < 0 {
 		return nil
 	}
