--- a/edge/serve.go
+++ b/edge/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"clementinehead.example/chead/front"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/watch"
 )
@@ -40,6 +41,7 @@
 	others.HandleFunc("GET "+watch.IndexPath, d.watcher.Index)
 	peer := newServer("/", others)
 	peer.Handler = d.servePeer(others)
+	peer.ConnContext = front.WithConn
 	all := []httpServer{
 		{callerName, s.Caller, callerServer},
 		{peerName, s.Peer, peer},
--- a/front/callers.go
+++ b/front/callers.go
@@ -53,7 +53,7 @@
 		defer c.mu.Unlock()
 		entry := &caller{}
 		c.conns[conn] = entry
-		return context.WithValue(ctx, callerKey{}, entry)
+		return context.WithValue(WithConn(ctx, conn), callerKey{}, entry)
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if entry, ok := r.Context().Value(callerKey{}).(*caller); ok && !c.begin(entry) {
--- a/front/ending.go
+++ b/front/ending.go
@@ -45,7 +45,7 @@
 	if outcome == "served" && j.late(took) {
 		f.options.Metrics.observeLate(j.account)
 	}
-	if outcome != "served" && j.r.Context().Err() != nil && !f.reached(ending) {
+	if outcome != "served" && j.left() && !f.reached(ending) {
 		f.options.Metrics.observeLeft(&j.progress)
 	}
 	if j.unlogged {
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -83,6 +83,10 @@
 		}
 		return x.fail(notRun, "no connection", err)
 	}
+	if j.left() { // while the connection was opened
+		_ = conn.Close()
+		return x.fail(notRun, errLeft.Error(), nil)
+	}
 	j.progress.sends.Add(1)
 	x.record.served = conn.Served
 	resp, err := f.options.Pool.Send(x.ctx, conn, f.request(j, x.slot.Endpoint, x.from))
--- a/front/finish.go
+++ b/front/finish.go
@@ -43,7 +43,7 @@
 		panic(http.ErrAbortHandler) // the caller must see that the stream is incomplete
 	case last.status != 0:
 		f.deliver(j, last)
-	case j.r.Context().Err() != nil && !f.reached(ending): // a stop may end the context too
+	case j.left() && !f.reached(ending): // a stop may end the context too
 		f.logEnd(j, "left", 0, "caller left")
 		panic(http.ErrAbortHandler) // the server would send an empty success
 	case f.reached(ending) && ran > 0:
--- a/front/front.go
+++ b/front/front.go
@@ -99,6 +99,7 @@
 	share      *hold.Share  // of the bytes held, nil until the request's body is read
 	evicted    atomic.Int64 // the hold.Reason why it had to give way, if it had
 	noRoom     atomic.Bool  // an answer was given up for want of memory
+	gone       atomic.Bool  // its connection has been closed by the caller
 	status     int          // of the stream's response, once it is whole
 }
 
--- a/front/place.go
+++ b/front/place.go
@@ -9,10 +9,15 @@
 )
 
 // place returns a slot for a try of a request, after a wait if none is free. The error
-// is that of pick.Placer.Acquire, errStale or errPart.
+// is that of pick.Placer.Acquire, errLeft, errStale or errPart.
 func (f *Front) place(ctx context.Context, j *job) (*pick.Slot, error) {
+	if j.left() {
+		return nil, errLeft
+	}
 	start := time.Now()
-	slot, err := f.options.Placer.Acquire(ctx, j.placement())
+	waitCtx, stop := j.whileThere(ctx)
+	defer stop()
+	slot, err := f.options.Placer.Acquire(waitCtx, j.placement())
 	waited := time.Since(start)
 	j.waited += waited
 	if err != nil {
@@ -23,6 +28,10 @@
 		}
 		return nil, err
 	}
+	if j.left() {
+		slot.Cancel()
+		return nil, errLeft
+	}
 	if f.isStaleFor(j) {
 		slot.Cancel()
 		return nil, errStale
--- a/front/relay.go
+++ b/front/relay.go
@@ -95,6 +95,10 @@
 		}
 		return x.fail(notRun, "no connection to the daemon", err)
 	}
+	if j.left() { // while the connection was opened
+		_ = conn.Close()
+		return x.fail(notRun, errLeft.Error(), nil)
+	}
 	x.record.served = conn.Served
 	resp, err := f.options.Pool.Send(x.ctx, conn, f.relayedRequest(j, x.from))
 	if err != nil {
--- a/front/retry.go
+++ b/front/retry.go
@@ -25,7 +25,7 @@
 func (f *Front) checkRetry(j *job, got result) hurdle {
 	all, ran := j.tries.counts()
 	switch {
-	case got == disconnected || j.outlet.hasFailed():
+	case got == disconnected || j.outlet.hasFailed() || j.left():
 		return callerGone
 	case f.reached(ending):
 		return stopping
