--- a/edge/edge.go
+++ b/edge/edge.go
@@ -197,14 +197,7 @@
 // applyGossip passes the messages of the other daemons to the placer and their crash
 // counts to crashes.
 func (d *Daemon) applyGossip(ctx context.Context) error {
-	tick := time.NewTicker(applyPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+	for clock.Beat(ctx, applyPeriod) {
 		alive := d.gossip.Alive()
 		d.catchUp.update(d.watcher.Snapshot(), alive, clock.Boot())
 		ownGroups, _ := d.keeper.Announcement()
@@ -218,11 +211,12 @@
 		d.crashes.SetRemote(crashCounts)
 		d.parts.Update(d.knownParts(alive))
 	}
+	return nil
 }
 
 // sweepConns sweeps the connection pool until the context ends.
 func (d *Daemon) sweepConns(ctx context.Context) error {
-	for clock.Sleep(ctx, sweepInterval) {
+	for clock.Beat(ctx, sweepInterval) {
 		d.pool.Sweep()
 	}
 	return nil
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -31,7 +31,7 @@
 // recordParts writes the refused parts that the store lacks, for as long as this daemon is
 // the keeper, until the context ends.
 func (d *Daemon) recordParts(ctx context.Context) error {
-	for clock.Sleep(ctx, partInterval) {
+	for clock.Beat(ctx, partInterval) {
 		if !d.keeper.IsKeeper() {
 			continue
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/site"
 )
 
@@ -97,15 +98,8 @@
 
 // runRounds starts a round each period until the context ends.
 func (g *Gossip) runRounds(ctx context.Context) {
-	tick := time.NewTicker(period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			g.Round()
-		}
+	for clock.Beat(ctx, period) {
+		g.Round()
 	}
 }
 
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -72,6 +72,7 @@
 	planner         *Planner                 // nil while not the keeper
 	lastModel       map[string]string        // model of each engine's last group, by endpoint
 	lastStarted     map[string]int64         // site.State.Started of the engine when lastModel was recorded
+	recorded        *watch.Snapshot          // by which the latest entries of lastModel were recorded
 	reports         map[string]report        // by endpoint
 	checks          map[string]time.Duration // boot clock: the end of the checks of each endpoint that may be stalled
 	slowChecks      map[string]time.Duration // boot clock: the end of the checks of each endpoint that may be slow
@@ -118,20 +119,22 @@
 // keeper. The answer to an order or a report makes it take the next step without
 // waiting for the tick, since a group that is repaired takes several steps.
 func (k *Keeper) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		began := time.Now()
 		k.step(ctx)
-		took := time.Since(began)
-		if !clock.Sleep(ctx, max(minStepPause, stepShare*took)) {
-			return nil
-		}
-		timer := time.NewTimer(tick - minStepPause)
+		ended := time.Now()
+		timer.Reset(clock.UntilBeat(tick))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-k.wake:
 		}
-		timer.Stop()
+		pause := max(minStepPause, stepShare*ended.Sub(began))
+		if !clock.Sleep(ctx, pause-time.Since(ended)) {
+			return nil
+		}
 	}
 }
 
@@ -187,6 +190,10 @@
 func (k *Keeper) recordLastModels(stored *watch.Snapshot, service site.Service) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.recorded == stored {
+		return
+	}
+	k.recorded = stored
 	for id, started := range k.lastStarted {
 		if e, listed := stored.Endpoints[id]; !listed || e.State.Started != started {
 			delete(k.lastStarted, id)
--- a/groups/poll.go
+++ b/groups/poll.go
@@ -27,7 +27,10 @@
 func (k *Keeper) noteTraffic() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.hadTraffic = k.hadTraffic || len(k.options.Demand()) > 0
+	if k.hadTraffic {
+		return
+	}
+	k.hadTraffic = len(k.options.Demand()) > 0
 	for _, m := range k.options.Alive() {
 		k.hadTraffic = k.hadTraffic || m.Traffic || len(m.Demand) > 0
 	}
--- a/logbuf/logbuf.go
+++ b/logbuf/logbuf.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/clock"
 )
 
 const (
@@ -58,15 +60,8 @@
 // context has ended it goes on writing, so that lines logged during shutdown are
 // written as well.
 func (w *Writer) Run(ctx context.Context) {
-	tick := time.NewTicker(flushInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			// Lines are still accepted while the process shuts down.
-			ctx = context.WithoutCancel(ctx)
-		case <-tick.C:
-		}
+	ctx = context.WithoutCancel(ctx) // lines are still accepted while the process shuts down
+	for clock.Beat(ctx, flushInterval) {
 		w.writePending()
 	}
 }
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinehead.example/chead/clock"
 )
 
 const (
@@ -64,7 +66,7 @@
 		now := p.options.Boot()
 		p.record(now)
 		p.schedule(now)
-		timer.Reset(period)
+		timer.Reset(max(period-least, clock.UntilBeat(period))) // back to the beat by steps that count as on time
 	}
 }
 
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/site"
 )
 
@@ -154,13 +155,14 @@
 
 // Run looks at the path until the context ends.
 func (r *Reach) Run(ctx context.Context) error {
-	tick := time.NewTicker(period)
-	defer tick.Stop()
+	timer := time.NewTimer(clock.UntilBeat(period))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case <-timer.C:
+			timer.Reset(clock.UntilBeat(period))
 		case <-r.wake:
 		}
 		r.look(ctx)
