--- a/gossip/encode.go
+++ b/gossip/encode.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
+
+	"clementinehead.example/chead/press"
 )
 
 const (
@@ -24,15 +24,7 @@
 	if err != nil || len(data) <= compressAbove {
 		return data, err
 	}
-	var out bytes.Buffer
-	zip := gzip.NewWriter(&out)
-	if _, err := zip.Write(data); err != nil {
-		return nil, err
-	}
-	if err := zip.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
+	return press.Pack(data), nil
 }
 
 // decode returns the message of a datagram, or an error if there is none in it or it has
@@ -40,11 +32,8 @@
 func decode(data []byte) (Message, error) {
 	var m Message
 	if bytes.HasPrefix(data, gzipMagic) {
-		zip, err := gzip.NewReader(bytes.NewReader(data))
-		if err != nil {
-			return m, err
-		}
-		data, err = io.ReadAll(io.LimitReader(zip, maxMessage))
+		var err error
+		data, err = press.Unpack(bytes.NewReader(data), maxMessage)
 		if err != nil {
 			return m, err
 		}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +12,7 @@
 
 	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/press"
 )
 
 const (
@@ -27,7 +27,7 @@
 	maxRelayedAge = maxAge                  // a relay with an older snapshot has lost the store itself
 	directPause   = 1500 * time.Millisecond // between two direct calls of a daemon whose relays have lost the store too
 	relaySlack    = 300 * time.Millisecond  // for the response of a relay on its way
-	maxRelayBytes = 64 << 20                // bytes of the uncompressed items of a relay's response
+	maxRelayBytes = 16 << 20                // bytes of the uncompressed items of a relay's response: those of 20,000 endpoints
 )
 
 // relayed is a relay's response.
@@ -160,7 +160,7 @@
 
 // decodeItems decodes the items of a relay's response. An empty body holds none.
 func decodeItems(body io.Reader) ([]platform.Item, error) {
-	zip, err := gzip.NewReader(body)
+	data, err := press.Unpack(body, maxRelayBytes)
 	if errors.Is(err, io.EOF) {
 		return nil, nil
 	}
@@ -168,6 +168,6 @@
 		return nil, err
 	}
 	var items []platform.Item
-	err = json.NewDecoder(io.LimitReader(zip, maxRelayBytes)).Decode(&items)
+	err = json.Unmarshal(data, &items)
 	return items, err
 }
--- a/watch/history.go
+++ b/watch/history.go
@@ -57,6 +57,9 @@
 
 // trim drops the oldest changes above maxHistoryBytes.
 func (h *history) trim() {
+	if h.bytes <= maxHistoryBytes {
+		return
+	}
 	n := 0
 	for ; h.bytes > maxHistoryBytes; n++ {
 		h.bytes -= len(h.changes[n].Value) + len(h.changes[n].Key)
@@ -65,13 +68,27 @@
 	h.changes = append([]platform.Item(nil), h.changes[n:]...)
 }
 
+// key returns what after would return for the same arguments, without the items.
+func (h *history) key(era, revision int64) bodyKey {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lacks(era, revision) {
+		return bodyKey{era: h.era, revision: h.revision, full: true}
+	}
+	return bodyKey{era: h.era, after: revision, revision: h.revision}
+}
+
+// lacks reports whether not all changes after a revision of an era are kept. The lock must
+// be held.
+func (h *history) lacks(era, revision int64) bool { return era != h.era || revision < h.since }
+
 // after returns the changes after a revision of an era, the newest of each key only. If
 // they aren't all kept it returns all keys instead and full is set.
 func (h *history) after(era, revision int64) (listing platform.Listing, full bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	listing = platform.Listing{Era: h.era, Revision: h.revision}
-	if era != h.era || revision < h.since {
+	if h.lacks(era, revision) {
 		for _, item := range h.items {
 			listing.Items = append(listing.Items, item)
 		}
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -1,8 +1,6 @@
 package watch
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -10,6 +8,7 @@
 	"time"
 
 	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/press"
 )
 
 // RelayPath is the path at which a daemon passes the store's changes on to others.
@@ -50,24 +49,23 @@
 		w.awaitRead(r, min(maxHold, maxRelayedAge-w.Age()))
 	}
 	freshAt := time.Duration(w.freshAt.Load()) // before the changes are taken: they may be newer than it, but not older
-	listing, full := w.history.after(era, revision)
+	changes, err := w.encoded.after(&w.history, era, revision)
+	if err != nil {
+		w.options.Log.Error(err, "changes not passed on", "revision", changes.revision)
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	now := w.options.Boot()
 	h := out.Header()
-	h.Set(headerEra, strconv.FormatInt(listing.Era, 10))
-	h.Set(headerRevision, strconv.FormatInt(listing.Revision, 10))
+	h.Set(headerEra, strconv.FormatInt(changes.era, 10))
+	h.Set(headerRevision, strconv.FormatInt(changes.revision, 10))
 	h.Set(headerAge, microseconds(now-freshAt))
 	h.Set(headerHeld, microseconds(now-received))
 	h.Set(headerOutage, microseconds(now-time.Duration(w.outageAt.Load())))
-	if full {
+	if changes.full {
 		h.Set(headerFull, "1")
 	}
-	body, err := w.encoded.body(listing, full, revision)
-	if err != nil {
-		w.options.Log.Error(err, "changes not passed on", "revision", listing.Revision)
-		out.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	_, _ = out.Write(body) // fails only if the other daemon has given up
+	_, _ = out.Write(changes.body) // fails only if the other daemon has given up
 }
 
 // awaitRead waits for the next successful read of the store, for at most limit.
@@ -83,43 +81,64 @@
 
 func microseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
 
-// encodedItems keeps the last encoded body, since many daemons ask for the same
-// changes at the same time.
+// encodedItems keeps the encoded changes up to the latest revision, since many daemons ask
+// for the same ones.
 type encodedItems struct {
-	mu    sync.Mutex
-	of    bodyKey
-	bytes []byte
+	mu     sync.Mutex
+	bodies map[bodyKey][]byte
 }
 
-// bodyKey identifies the items of a body: the changes of an era between two revisions,
-// or all keys.
+// bodyKey identifies the items of a body: the changes of an era between two revisions, or
+// all keys, after 0.
 type bodyKey struct {
 	era, after, revision int64
 	full                 bool
 }
 
-func (e *encodedItems) body(listing platform.Listing, full bool, after int64) ([]byte, error) {
-	if len(listing.Items) == 0 {
-		return nil, nil
+// encodedChanges are changes with their body, which is empty if there are none.
+type encodedChanges struct {
+	bodyKey
+	body []byte
+}
+
+// after returns the changes of a history after a revision of an era. The body is nil if an
+// error is returned.
+func (e *encodedItems) after(h *history, era, revision int64) (encodedChanges, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	key := h.key(era, revision)
+	if body, known := e.bodies[key]; known {
+		return encodedChanges{key, body}, nil
 	}
-	key := bodyKey{era: listing.Era, after: after, revision: listing.Revision, full: full}
+	listing, full := h.after(era, revision)
+	found := bodyKey{era: listing.Era, after: revision, revision: listing.Revision, full: full}
 	if full {
-		key.after = 0
+		found.after = 0
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.of == key {
-		return e.bytes, nil
+	body, err := encodeItems(listing.Items)
+	if err != nil {
+		return encodedChanges{found, nil}, err
 	}
-	var out bytes.Buffer
-	zip := gzip.NewWriter(&out)
-	if err := json.NewEncoder(zip).Encode(listing.Items); err != nil {
-		return nil, err
+	for other := range e.bodies {
+		if other.era != found.era || other.revision != found.revision {
+			delete(e.bodies, other)
+		}
 	}
-	if err := zip.Close(); err != nil {
+	if e.bodies == nil {
+		e.bodies = map[bodyKey][]byte{}
+	}
+	e.bodies[found] = body
+	return encodedChanges{found, body}, nil
+}
+
+// encodeItems returns items as the body of a relay's response, empty for none.
+func encodeItems(items []platform.Item) ([]byte, error) {
+	if len(items) == 0 {
+		return nil, nil
+	}
+	data, err := json.Marshal(items)
+	if err != nil {
 		return nil, err
 	}
-	e.of = key
-	e.bytes = out.Bytes()
-	return e.bytes, nil
+	return press.Pack(data), nil
 }
