--- a/cmd/chead/edge.go
+++ b/cmd/chead/edge.go
@@ -41,6 +41,7 @@
 	out := logbuf.New(os.Stdout)
 	go out.Run(ctx)
 	log := newLog(out).WithValues("daemon", settings.ID)
+	captureLibraryLog(log)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(logbuf.NewMetrics(out))
--- a/cmd/chead/serve.go
+++ b/cmd/chead/serve.go
@@ -37,7 +37,9 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(options(settings))
+	o := options(settings)
+	captureLibraryLog(o.Log)
+	d, err := daemon.New(o)
 	if err != nil {
 		return err
 	}
