--- a/front/exchange.go
+++ b/front/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"clementinehead.example/chead/conns"
+	"clementinehead.example/chead/hold"
 	"clementinehead.example/chead/pick"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/site"
@@ -34,10 +35,11 @@
 	givenUp atomic.Bool   // broken off by this daemon, which says nothing of the endpoint
 	opened  chan struct{} // closed by open, which sets the fields below
 
-	firstAt  time.Time // when the first event came
-	survived bool      // events came for survivalTime
-	idle     int       // bytes since the last event with content
-	begun    bool      // an event was passed on
+	firstAt   time.Time // when the first event came
+	survived  bool      // events came for survivalTime
+	idle      int       // bytes since the last event with content
+	eventHeld int64     // bytes that the last event counts as held, 0 for a usual one
+	begun     bool      // an event was passed on
 
 	result  result          // answered if there is an answer to be passed on
 	cause   string          // why it failed, or the answer's status
@@ -198,7 +200,11 @@
 // next returns the next event of a stream. The error is that of readEvent, or errNoEvents
 // if over idleLimit bytes came without an event that has content: these are no progress.
 func (x *exchange) next() (event, error) {
-	e, err := readEvent(x.reader)
+	x.freeEvent()
+	e, err := readEvent(x.reader, x.eventRoom)
+	if errors.Is(err, errNoRoom) {
+		x.lacksRoom()
+	}
 	if err == nil && !x.slot.Peer {
 		x.front.options.Reach.Heard()
 	}
@@ -218,6 +224,30 @@
 	return e, nil
 }
 
+// eventRoom asks for room for more bytes of an event that is being read.
+func (x *exchange) eventRoom(n int64) bool {
+	if !x.job.share.Add(hold.Answer, n, time.Now()) {
+		x.front.noteFull(x.job, hold.Answer)
+		return false
+	}
+	x.eventHeld += n
+	return true
+}
+
+// freeEvent ends the account of the last event that was read. What is held of it from then
+// on is counted by the outlet.
+func (x *exchange) freeEvent() {
+	x.job.share.Free(x.eventHeld)
+	x.eventHeld = 0
+}
+
+// lacksRoom records that an answer is given up for want of memory, which says nothing of
+// its endpoint.
+func (x *exchange) lacksRoom() {
+	x.job.noRoom.Store(true)
+	x.givenUp.Store(true)
+}
+
 // noteSurvival records the request's survival at the endpoint once events have come for
 // survivalTime.
 func (x *exchange) noteSurvival(now time.Time) {
@@ -267,6 +297,7 @@
 	if x.resp != nil {
 		x.resp.Close()
 	}
+	x.freeEvent()
 	x.stop()
 	f, j, e := x.front, x.job, x.slot.Endpoint
 	f.options.Metrics.sends.WithLabelValues(j.model, e.Domain, got.String()).Inc()
--- a/front/room.go
+++ b/front/room.go
@@ -80,8 +80,7 @@
 // nothing of its endpoint. The result is unknown.
 func (x *exchange) notWhole(err error) result {
 	if errors.Is(err, errNoRoom) {
-		x.job.noRoom.Store(true)
-		x.givenUp.Store(true)
+		x.lacksRoom()
 	}
 	return x.breaksOff("answer cut short", err)
 }
--- a/front/stream.go
+++ b/front/stream.go
@@ -165,18 +165,24 @@
 
 // readEvent reads one event of at most eventLimit bytes. The error is io.EOF at
 // the end of the stream, and io.ErrUnexpectedEOF if the stream ends within an
-// event. Empty lines at the end of a stream are returned as an event without content.
-func readEvent(r *bufio.Reader) (event, error) {
+// event. Empty lines at the end of a stream are returned as an event without content. The
+// function room reports whether there is room for more bytes of an event that is longer
+// than the reader's buffer; if not, the error is errNoRoom.
+func readEvent(r *bufio.Reader, room func(n int64) bool) (event, error) {
 	var e event
 	empty := true // there were only empty lines so far
 	for {
 		line, err := r.ReadSlice('\n')
 		for errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < eventLimit {
-			e.raw = append(e.raw, line...)
+			if !e.grow(line, room) {
+				return event{}, errNoRoom
+			}
 			empty = false
 			line, err = r.ReadSlice('\n')
 		}
-		e.raw = append(e.raw, line...)
+		if !e.grow(line, room) {
+			return event{}, errNoRoom
+		}
 		blank := len(bytes.TrimRight(line, "\r\n")) == 0
 		empty = empty && blank
 		switch {
@@ -197,6 +203,21 @@
 	}
 }
 
+// grow appends bytes to an event, and reports whether there is room for them. Room is asked
+// for only beyond eventBufferSize: a usual event is as small as the buffer that it is read to.
+func (e *event) grow(more []byte, room func(n int64) bool) bool {
+	before := cap(e.raw)
+	if size := len(e.raw) + len(more); size > before && size > eventBufferSize {
+		grown := max(size, 2*before)
+		if !room(int64(grown - before)) {
+			return false
+		}
+		e.raw = append(make([]byte, 0, grown), e.raw...)
+	}
+	e.raw = append(e.raw, more...)
+	return true
+}
+
 // parseLine sets what a line of the event states.
 func (e *event) parseLine(line []byte) {
 	e.content = e.content || bytes.HasPrefix(line, []byte("data")) || bytes.HasPrefix(line, []byte("id"))
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -8,7 +8,7 @@
 
 const (
 	aliveMemory = 50 * time.Millisecond  // least time between two views that are made because a message came
-	viewMemory  = 500 * time.Millisecond // for which a view is used again while no message comes: the store's list may change
+	viewMemory  = 500 * time.Millisecond // for which a view is used again while no message comes
 )
 
 // aliveView is a result of Alive. It is kept until a message comes or something in it
@@ -18,11 +18,13 @@
 	made     time.Duration // boot clock
 	until    time.Duration // boot clock: when something in it lapses
 	changed  bool          // a message came or a peer was forgotten since it was made
+	listed   int           // daemons that the store listed when it was made
 }
 
-// expired reports whether the view has to be made anew.
-func (v *aliveView) expired(now time.Duration) bool {
-	return v.messages == nil || now >= v.until || v.changed && now-v.made >= aliveMemory
+// expired reports whether the view has to be made anew, as the store lists a number of
+// daemons.
+func (v *aliveView) expired(now time.Duration, listed int) bool {
+	return v.messages == nil || now >= v.until || (v.changed || listed != v.listed) && now-v.made >= aliveMemory
 }
 
 // lapses records that something in the view lapses at a reading of the boot clock.
@@ -36,8 +38,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Boot()
-	if g.alive.expired(now) {
-		g.alive = aliveView{made: now, until: now + viewMemory}
+	if listed := len(g.options.Listed()); g.alive.expired(now, listed) {
+		g.alive = aliveView{made: now, until: now + viewMemory, listed: listed}
 		g.alive.messages = g.view(now)
 	}
 	return slices.Clip(g.alive.messages)
