--- a/cmd/chead/operator.go
+++ b/cmd/chead/operator.go
@@ -11,10 +11,15 @@
 	"os"
 	"os/user"
 	"time"
+
+	"clementinehead.example/chead/bound"
 )
 
-// operatorTimeout limits one call to a daemon.
-const operatorTimeout = 30 * time.Second
+// Limits of one call to a daemon.
+const (
+	operatorTimeout = 30 * time.Second
+	maxAnswerBytes  = 64 << 20 // bytes of the answer
+)
 
 // operator holds the flags of the commands that call a daemon.
 type operator struct {
@@ -65,7 +70,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := bound.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return err
 	}
--- a/cmd/chead/where.go
+++ b/cmd/chead/where.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"text/tabwriter"
 
+	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/edge"
 	"clementinehead.example/chead/pick"
 )
@@ -59,7 +60,11 @@
 		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
 		return found, fmt.Errorf("status %d: %s", response.StatusCode, text)
 	}
-	return found, json.NewDecoder(response.Body).Decode(&found)
+	body, err := bound.ReadAll(response.Body, maxAnswerBytes)
+	if err != nil {
+		return found, err
+	}
+	return found, json.Unmarshal(body, &found)
 }
 
 // printWhere writes an explanation as text.
--- a/conns/send.go
+++ b/conns/send.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
+
+	"clementinehead.example/chead/bound"
 )
 
 // Request is a request to an endpoint. Target is the request target as received
@@ -111,13 +111,10 @@
 // ReadAll reads the whole body. A body of more than limit bytes is an error. The
 // kind of an error is Sent.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	data, err := bound.ReadAll(r.Body, limit)
 	if err != nil {
 		return nil, &Error{Op: "read", Address: r.conn.Address, Kind: Sent, Err: err}
 	}
-	if int64(len(data)) > limit {
-		return nil, &Error{Op: "read", Address: r.conn.Address, Kind: Sent, Err: errors.New("answer too large")}
-	}
 	r.consumed = true
 	return data, nil
 }
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/relay"
 	"clementinehead.example/chead/roster"
 	"clementinehead.example/chead/wire"
@@ -50,17 +51,17 @@
 // storeTransport uses each connection for one call. On a kept one, a late second answer to
 // an earlier call would be taken for the call's: for a claim that was refused, or a lease.
 func storeTransport(o Options) *http.Transport {
-	return &http.Transport{DialContext: o.Dial, DisableKeepAlives: true}
+	return bound.Heads(&http.Transport{DialContext: o.Dial, DisableKeepAlives: true})
 }
 
 func endpointTransport(o Options) *http.Transport {
-	return &http.Transport{
+	return bound.Heads(&http.Transport{
 		DialContext:           o.Dial,
 		IdleConnTimeout:       idleTimeout,
 		MaxIdleConnsPerHost:   endpointIdleConns,
 		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
-	}
+	})
 }
 
 // probeTransport keeps at most one unused connection to an endpoint. A failed
@@ -103,7 +104,7 @@
 func peerTransport(o Options) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
+	return bound.Heads(&http.Transport{
 		DialContext:     o.Dial,
 		IdleConnTimeout: peerIdleTimeout,
 		Protocols:       &protocols,
@@ -111,7 +112,7 @@
 			SendPingTimeout: sendPingTimeout,
 			PingTimeout:     pingTimeout,
 		},
-	}
+	})
 }
 
 func (c clients) close() {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/front"
@@ -131,14 +132,14 @@
 // few idle connections, and those only for a short time, since a connection may stop
 // passing data without being closed.
 func newTransport(dial conns.Dialer) *http.Transport {
-	return &http.Transport{
+	return bound.Heads(&http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     4 * time.Second,
 		DisableCompression:  true,
 		ReadBufferSize:      4 << 10,
 		WriteBufferSize:     2 << 10,
-	}
+	})
 }
 
 // ready reports whether this daemon accepts callers.
--- a/engine/client.go
+++ b/engine/client.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"clementinehead.example/chead/bound"
 )
 
 // MaxAnswer is the largest response body, other than a stream, that is read, in
 // bytes.
-const MaxAnswer = 4 << 20
+const MaxAnswer = 256 << 10
 
 // maxReason is the longest text of an error response that is kept, in bytes.
 const maxReason = 512
@@ -150,7 +152,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswer))
+	body, err := bound.ReadAll(response.Body, MaxAnswer)
 	if err != nil {
 		return k.newError(Broken, response.StatusCode, err)
 	}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -14,7 +14,7 @@
 
 // MaxEvent is the length limit of one line of a stream, in bytes. An event with a
 // longer line is an error of kind Broken.
-const MaxEvent = 1 << 20
+const MaxEvent = 64 << 10
 
 // drainTimeout is the longest time that Close waits for the end of the response
 // body after the last event. A connection whose response was read to its end
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/once"
 )
@@ -57,14 +58,15 @@
 	t.last = now
 }
 
-func newAnswer(w http.ResponseWriter, j *job, writeTimeout time.Duration) *answer {
+// newAnswer returns the answer to a request. Its release must be called in the end.
+func newAnswer(w http.ResponseWriter, j *job, writeTimeout time.Duration, budget *bound.Budget) *answer {
 	a := &answer{
 		w:            w,
 		control:      http.NewResponseController(w),
 		id:           j.id,
 		stream:       j.completion.stream,
 		writeTimeout: writeTimeout,
-		assembler:    &assembler{},
+		assembler:    &assembler{budget: budget},
 		timing:       timing{accepted: j.accepted},
 	}
 	if j.atMostOnce {
@@ -76,7 +78,7 @@
 // reset discards the output of a dispatch before the next one. It may be called
 // only before the header was written.
 func (a *answer) reset() {
-	a.assembler = &assembler{}
+	a.assembler.release()
 	a.timing = timing{accepted: a.timing.accepted}
 }
 
--- a/entry/assembler.go
+++ b/entry/assembler.go
@@ -4,10 +4,15 @@
 	"encoding/json"
 	"errors"
 	"strings"
+
+	"clementinehead.example/chead/bound"
 )
 
-// maxAnswerBytes bounds the size of an answer that isn't streamed, in bytes.
-const maxAnswerBytes = 16 << 20
+// Bounds in bytes of answers that aren't streamed, as endpoints send them.
+const (
+	maxAnswerBytes  = 16 << 20 // of one
+	maxAnswersBytes = 32 << 20 // of all that are being read
+)
 
 var (
 	errAnswerTooLarge = errors.New("the answer is too large")
@@ -16,6 +21,7 @@
 
 // assembler merges the events of a stream into one answer.
 type assembler struct {
+	budget  *bound.Budget // shared by all answers
 	size    int
 	answer  map[string]any
 	choices mergedList
@@ -23,10 +29,13 @@
 
 // addEvent merges the data of the next event.
 func (a *assembler) addEvent(data []byte) error {
-	a.size += len(data)
-	if a.size > maxAnswerBytes {
+	if a.size+len(data) > maxAnswerBytes {
 		return errAnswerTooLarge
 	}
+	if err := a.budget.Take(int64(len(data))); err != nil {
+		return err
+	}
+	a.size += len(data)
 	var event map[string]any
 	if err := json.Unmarshal(data, &event); err != nil {
 		return err
@@ -45,6 +54,12 @@
 	return nil
 }
 
+// release forgets the events.
+func (a *assembler) release() {
+	a.budget.Give(int64(a.size))
+	*a = assembler{budget: a.budget}
+}
+
 // body returns the answer as JSON. The deltas of the choices become messages.
 func (a *assembler) body() ([]byte, error) {
 	if a.answer == nil {
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -28,7 +28,8 @@
 	defer e.metrics.inProgress.Dec()
 	ctx, cancel := e.jobContext(r, j)
 	defer cancel()
-	a := newAnswer(w, j, time.Duration(j.view.Document.Limits.Gap))
+	a := newAnswer(w, j, time.Duration(j.view.Document.Limits.Gap), e.answers)
+	defer a.assembler.release()
 	if j.atMostOnce {
 		err = e.runOnce(ctx, j, w, a.recordedAnswer, func() *Error { return e.dispatchWithRetries(ctx, j, a) })
 	} else {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/once"
 	"clementinehead.example/chead/tally"
@@ -64,6 +65,7 @@
 	metrics         *metrics
 	dispatched      *dispatchedSet
 	ejected         *ejected
+	answers         *bound.Budget // of answers that aren't streamed
 	capacity        capacity
 	lastID          atomic.Uint64  // number in the last request id made here
 	shuttingDown    atomic.Bool    // Shutdown has been called
@@ -91,6 +93,7 @@
 		metrics:    newMetrics(options.Registry),
 		dispatched: newDispatchedSet(),
 		ejected:    newEjected(),
+		answers:    bound.NewBudget(maxAnswersBytes),
 	}
 	e.pooled = &engine.Client{Do: options.Engine.Do, Limits: e.streamLimits}
 	e.unpooled = &engine.Client{Do: options.Unpooled, Limits: e.streamLimits}
--- a/entry/parse_test.go
+++ b/entry/parse_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/view"
@@ -144,7 +145,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			var a assembler
+			a := assembler{budget: bound.NewBudget(maxAnswersBytes)}
 			for _, event := range test.events {
 				is.NoErr(a.addEvent([]byte(event)))
 			}
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/clock"
 )
 
@@ -23,7 +24,7 @@
 		Handler:           e,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    bound.HeadLimit,
 	}
 	if !e.setServer(server) {
 		return l.Close()
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"clementinehead.example/chead/bound"
 )
 
 // Limits of connections to endpoints and plain services.
@@ -11,7 +13,6 @@
 	dialTimeout     = 2 * time.Second
 	idleConnTimeout = 30 * time.Second
 	maxIdlePerHost  = 64
-	maxHeaderBytes  = 64 << 10
 )
 
 // NewTransport returns a transport to endpoints and plain services. If unpooled
@@ -20,12 +21,11 @@
 // request at most once.
 func NewTransport(unpooled bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableKeepAlives:      unpooled,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerHost,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	return bound.Heads(&http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   unpooled,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	})
 }
--- a/press/error.go
+++ b/press/error.go
@@ -15,16 +15,12 @@
 type Error struct {
 	Op   string
 	Kind Kind
-	Err  error // cause, nil for TooLarge
+	Err  error // cause
 }
 
 // Error returns the operation, the kind and the cause.
 func (e *Error) Error() string {
-	text := "press: " + e.Op + ": " + e.Kind.String()
-	if e.Err != nil {
-		text += ": " + e.Err.Error()
-	}
-	return text
+	return "press: " + e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
--- a/press/press.go
+++ b/press/press.go
@@ -5,6 +5,8 @@
 	"compress/gzip"
 	"io"
 	"sync"
+
+	"clementinehead.example/chead/bound"
 )
 
 var (
@@ -31,12 +33,12 @@
 	if err := zip.Reset(r); err != nil {
 		return nil, &Error{Op: "expand", Kind: Malformed, Err: err}
 	}
-	data, err := io.ReadAll(io.LimitReader(zip, limit+1))
+	data, err := bound.ReadAll(zip, limit)
 	switch {
+	case bound.IsTooLarge(err):
+		return nil, &Error{Op: "expand", Kind: TooLarge, Err: err}
 	case err != nil:
 		return nil, &Error{Op: "expand", Kind: Malformed, Err: err}
-	case int64(len(data)) > limit:
-		return nil, &Error{Op: "expand", Kind: TooLarge}
 	}
 	return data, nil
 }
--- a/store/client.go
+++ b/store/client.go
@@ -14,10 +14,12 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"clementinehead.example/chead/bound"
 )
 
 // MaxAnswer is the maximum size of an answer in bytes.
-const MaxAnswer = 64 << 20
+const MaxAnswer = 16 << 20
 
 // Client calls the key-value service at Base and the platform's list of
 // instances at Platform, both URLs without a path. Do sends a request; outside
@@ -143,7 +145,7 @@
 		return nil, nil, &Error{Op: op, Kind: sendErrorKind(err), Err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswer))
+	body, err := bound.ReadAll(response.Body, MaxAnswer)
 	if err != nil {
 		return nil, nil, &Error{Op: op, Kind: Lost, Err: err}
 	}
