--- a/pick/cost_test.go
+++ b/pick/cost_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"clementinehead.example/chead/gossip"
 )
 
 // newColdFixture returns a Placer with n endpoints that must not get many requests while they
@@ -48,3 +50,30 @@
 		slot.Done(false)
 	}
 }
+
+// BenchmarkUpdate760 is the cost of taking over what 294 other daemons report of 760
+// endpoints, ten times a second.
+func BenchmarkUpdate760(b *testing.B) {
+	p, _ := newColdFixture(760)
+	sum := gossip.Message{Endpoints: map[string]gossip.EndpointLoad{}, Queues: map[string]gossip.Queue{"s/m": {ArrivalRate: 800, FreeRate: 900}}}
+	for id := range p.options.Snapshot().Endpoints {
+		sum.Endpoints[id] = gossip.EndpointLoad{Running: 3, UnreadTokens: 700}
+	}
+	messages := append([]gossip.Message{sum}, make([]gossip.Message, 294)...)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Update(messages, nil)
+	}
+}
+
+// BenchmarkReport760 is the cost of a daemon's own report, five times a second.
+func BenchmarkReport760(b *testing.B) {
+	p, _ := newColdFixture(760)
+	for id := range p.options.Snapshot().Endpoints {
+		p.endpoint(id)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Report()
+	}
+}
--- a/pick/report.go
+++ b/pick/report.go
@@ -19,6 +19,9 @@
 	m := gossip.Message{Endpoints: map[string]gossip.EndpointLoad{}, Demand: map[string]int{}, Queues: map[string]gossip.Queue{}}
 	v := p.options.Snapshot()
 	for id, s := range p.endpoints {
+		if p.isIdle(s, now) {
+			continue
+		}
 		if load := p.reportLoad(v, s, now); load != (gossip.EndpointLoad{}) {
 			m.Endpoints[id] = load
 		}
@@ -39,6 +42,16 @@
 	return m
 }
 
+// isIdle reports whether there is nothing to report of an endpoint, which holds for most of
+// a large fleet: this daemon has no request there, and nothing is known of it.
+func (p *Placer) isIdle(s *endpointState, now time.Time) bool {
+	if s.running != 0 || s.unread != 0 || s.tokens != 0 || s.limit.known || s.learned.tells || now.Before(s.suspectedUntil) {
+		return false
+	}
+	_, leaves := p.leaving[s.id]
+	return !leaves
+}
+
 // reportLoad returns what this daemon reports of one endpoint.
 func (p *Placer) reportLoad(v *watch.Snapshot, s *endpointState, now time.Time) gossip.EndpointLoad {
 	load := gossip.EndpointLoad{
