--- a/edge/peers.go
+++ b/edge/peers.go
@@ -29,7 +29,7 @@
 
 // currentStarts returns the messages of daemons but for those that were started again
 // since, or replaced: another one was heard or is listed at their address, which started
-// later by its id.
+// later by its id. The result must not be changed.
 func currentStarts(heard []gossip.Message, listed map[string]site.Daemon) []gossip.Message {
 	newest := make(map[string]string, max(len(listed), len(heard))) // start by peer address
 	for _, d := range listed {
@@ -38,7 +38,11 @@
 	for _, m := range heard {
 		newest[m.From.Peer] = max(newest[m.From.Peer], startOf(m.From.ID))
 	}
-	return slices.DeleteFunc(slices.Clone(heard), func(m gossip.Message) bool { return startOf(m.From.ID) < newest[m.From.Peer] })
+	old := func(m gossip.Message) bool { return startOf(m.From.ID) < newest[m.From.Peer] }
+	if !slices.ContainsFunc(heard, old) {
+		return heard // nearly always, so it isn't copied
+	}
+	return slices.DeleteFunc(slices.Clone(heard), old)
 }
 
 // startOf returns the end of a daemon's id, the time of its start, which sorts as text.
