--- a/reach/judge.go
+++ b/reach/judge.go
@@ -18,8 +18,8 @@
 	late            time.Duration // lateness of this process meanwhile
 }
 
-// ask asks some endpoints at random, all at once. If all refuse in doubt, it asks as many
-// others: those may have crashed together.
+// ask asks some endpoints at random, all at once. If all refuse in doubt, it asks twice as
+// many others: those may have crashed together.
 func (r *Reach) ask(ctx context.Context) round {
 	endpoints := r.options.Endpoints()
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
@@ -28,7 +28,7 @@
 	defer cancel()
 	r.askAll(ctx, endpoints[:min(probed, len(endpoints))], &got)
 	if r.State() != Cut && got.refused == got.asked {
-		r.askAll(ctx, endpoints[got.asked:min(2*probed, len(endpoints))], &got)
+		r.askAll(ctx, endpoints[got.asked:min(doubted, len(endpoints))], &got)
 	}
 	got.late = r.options.Late(got.began)
 	return got
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -32,6 +32,7 @@
 	memory      = 1500 * time.Millisecond // for which a failure counts
 	suspicious  = 2                       // endpoints that fail, or that are silent while none makes progress, from which there is doubt
 	probed      = 3                       // endpoints asked in a round
+	doubted     = 3 * probed              // endpoints asked in doubt while all refuse
 	pause       = 500 * time.Millisecond  // between two rounds while cut off or slow
 	maxLate     = 200 * time.Millisecond  // lateness of the process from which a round without an answer says nothing
 	soundRounds = 2                       // rounds in a row that reach endpoints, from which the daemon is no longer cut off
