--- a/guide/doc.go
+++ b/guide/doc.go
@@ -1,4 +1,5 @@
 // Package guide holds two HTTP handlers: one answers callers with the addresses of
-// the daemons to connect to, the other answers the platform's readiness checks. It
-// does not decide which daemons are ready.
+// daemons to connect to, the other answers the platform's readiness checks. It
+// does not decide which daemons are ready. Of more daemons than an answer may name it
+// chooses by caller, so that callers use all of them.
 package guide
