--- a/cmd/chead/library_test.go
+++ b/cmd/chead/library_test.go
@@ -45,6 +45,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = listener.Close() }()
+	answered, closed := make(chan struct{}), make(chan struct{})
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -57,8 +58,10 @@
 					return
 				}
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				time.Sleep(20 * time.Millisecond)
+				<-answered // so that the connection is idle
 				_, _ = io.WriteString(c, strings.Repeat("x\n", 2000))
+				_, _ = io.Copy(io.Discard, c)
+				closed <- struct{}{}
 			}()
 		}
 	}()
@@ -67,7 +70,8 @@
 		response, err := client.Get("http://" + listener.Addr().String())
 		is.NoErr(err)
 		_ = response.Body.Close()
-		time.Sleep(40 * time.Millisecond)
+		answered <- struct{}{}
+		<-closed
 	}
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	is.Equal(len(lines), 1)
