--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -216,7 +216,7 @@
 func (k *Keeper) snapshot(stored *watch.Snapshot, service site.Service) Snapshot {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	snap := Snapshot{Now: k.options.Boot(), Engine: *service.Engine, Endpoints: map[string]EndpointState{}, HadTraffic: k.hadTraffic, Demand: k.totalDemand(service.Name)}
+	snap := Snapshot{Now: k.options.Boot(), Engine: *service.Engine, Endpoints: make(map[string]EndpointState, len(stored.Endpoints)), HadTraffic: k.hadTraffic, Demand: k.totalDemand(service.Name)}
 	for id, e := range stored.Endpoints {
 		if e.Service != service.Name {
 			continue
