--- a/watch/rewind_test.go
+++ b/watch/rewind_test.go
@@ -28,7 +28,8 @@
 	f.store.Remove("servers/gone")
 	f.store.Put("servers/new", []byte(entryOther))
 	f.await(t, "all changes", func(s *Snapshot) bool {
-		return s.Config != nil && s.Config.Version == 9 && s.Endpoints["draining"].Draining && len(s.Endpoints) == 2 && s.OutOfService["north"]
+		_, listed := s.Endpoints["new"] // by the last change
+		return listed && s.Config != nil && s.Config.Version == 9 && s.Endpoints["draining"].Draining && len(s.Endpoints) == 2 && s.OutOfService["north"]
 	})
 	f.store.Restore(older)
 	f.await(t, "second era", func(s *Snapshot) bool { return s.Era == 2 })
