--- a/watch/follow.go
+++ b/watch/follow.go
@@ -27,7 +27,7 @@
 	maxRelayedAge = maxAge                  // a relay with an older snapshot has lost the store itself
 	directPause   = 1500 * time.Millisecond // between two direct calls of a daemon whose relays have lost the store too
 	relaySlack    = 300 * time.Millisecond  // for the response of a relay on its way
-	maxRelayBytes = 16 << 20                // bytes of the uncompressed items of a relay's response: those of 20,000 endpoints
+	maxRelayBytes = 8 << 20                 // bytes of the uncompressed items of a relay's response: those of 10,000 endpoints
 )
 
 // relayed is a relay's response.
