--- a/groups/election.go
+++ b/groups/election.go
@@ -70,12 +70,41 @@
 	if k.keeperGoneSince == 0 {
 		k.keeperGoneSince = now
 	}
-	if present != "" && now-k.keeperGoneSince < takeoverWait {
+	if now-k.keeperGoneSince < k.campaignWait(stored, present, now) {
 		return
 	}
 	k.becomeKeeper(ctx, stored)
 }
 
+// campaignWait returns for how long the keeper must be seen gone, or there must have been
+// none, before this daemon becomes keeper. The argument present is the one in the store's
+// record. A daemon that ran late, or that hears none of those with more processor, rather
+// hears late itself, and would be later still with the work of a keeper.
+func (k *Keeper) campaignWait(stored *watch.Snapshot, present string, now time.Duration) time.Duration {
+	switch {
+	case k.missesLarger(stored):
+		return lateWait
+	case present == "":
+		return 0
+	case k.options.Late(now-lateWait) >= takeoverWait:
+		return lateWait
+	}
+	return takeoverWait
+}
+
+// missesLarger reports whether the store lists daemons with more processor than this one,
+// and none of them is heard.
+func (k *Keeper) missesLarger(stored *watch.Snapshot) bool {
+	larger := map[string]bool{}
+	for id, d := range stored.Daemons {
+		if d.Cores > k.options.Self.Cores {
+			larger[id] = true
+		}
+	}
+	heard := func(m gossip.Message) bool { return larger[m.From.ID] }
+	return len(larger) > 0 && !slices.ContainsFunc(k.options.Alive(), heard)
+}
+
 // missedRewind reports whether the store came back from an older copy before this daemon
 // started, so lately that the copy may lack what other daemons know.
 func (k *Keeper) missedRewind() bool {
--- a/groups/keeper.go
+++ b/groups/keeper.go
@@ -30,6 +30,7 @@
 	silenceMisses      = 3                       // requests without an answer meanwhile, at least
 	checkDuration      = 3 * time.Second         // for which an endpoint is checked after it was reported as stalled or did not answer
 	takeoverWait       = 200 * time.Millisecond  // time for which the keeper must be seen gone before another daemon becomes keeper
+	lateWait           = 3 * time.Second         // the same for a daemon that may hear late itself: as long as one that lives may be silent
 	startWait          = 300 * time.Millisecond  // after the start, before this daemon may become keeper
 	yieldTime          = 500 * time.Millisecond  // for which a daemon that could become keeper for the first time leaves it to listed ones that precede it
 	lateLogInterval    = time.Second             // least time between two log lines about silences that don't count
--- a/groups/keeper_test.go
+++ b/groups/keeper_test.go
@@ -90,6 +90,50 @@
 	is.True(k.firstCandidate(listed, yieldTime))
 }
 
+// Daemons without enough processor time heard the keeper late and took office from it, one
+// after the other and each smaller than the one before.
+func TestDaemonThatHearsLateTakesOffice(t *testing.T) {
+	large := site.Daemon{ID: "d2", Cores: 0.8}
+	alike := site.Daemon{ID: "d0", Cores: 0.2}
+	heardOf := func(d site.Daemon) []gossip.Message { return []gossip.Message{{From: d}} } // it doesn't count as a candidate
+	for _, c := range []struct {
+		name    string
+		listed  []site.Daemon
+		heard   []gossip.Message
+		present string
+		late    time.Duration
+		want    time.Duration
+	}{
+		{"a larger one isn't heard", []site.Daemon{large}, nil, "d2", 0, lateWait},
+		{"another one isn't heard", []site.Daemon{large, alike}, nil, "d0", 0, lateWait},
+		{"one alike is heard", []site.Daemon{large, alike}, heardOf(alike), "d2", 0, lateWait},
+		{"a larger one isn't heard, no keeper yet", []site.Daemon{large}, nil, "", 0, lateWait},
+		{"a larger one is heard, unfit", []site.Daemon{large}, heardOf(large), "d2", 0, takeoverWait},
+		{"a larger one is heard, no keeper yet", []site.Daemon{large}, heardOf(large), "", 0, 0},
+		{"all are alike", []site.Daemon{alike}, nil, "d0", 0, takeoverWait},
+		{"all are alike, a little late", []site.Daemon{alike}, nil, "d0", takeoverWait / 4, takeoverWait},
+		{"all are alike, late", []site.Daemon{alike}, nil, "d0", takeoverWait, lateWait},
+		{"late in its start, no keeper yet", []site.Daemon{alike}, nil, "", takeoverWait, 0},
+		{"none is listed, no keeper yet", nil, nil, "", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			k := newKeeper()
+			k.options.Self.Cores = 0.2
+			k.options.Alive = func() []gossip.Message { return c.heard }
+			k.options.Late = func(since time.Duration) time.Duration {
+				is.Equal(since, time.Minute-lateWait)
+				return c.late
+			}
+			stored := &watch.Snapshot{Daemons: map[string]site.Daemon{}}
+			for _, d := range c.listed {
+				stored.Daemons[d.ID] = d
+			}
+			is.Equal(k.campaignWait(stored, c.present, time.Minute), c.want)
+		})
+	}
+}
+
 // If another daemon reports an endpoint as stalled, all members of its group must be
 // polled.
 func TestStalledGroupIsPolled(t *testing.T) {
