--- a/groups/load.go
+++ b/groups/load.go
@@ -100,10 +100,16 @@
 	return n
 }
 
+// earlyLoadTime is the time whose loads by Engine.LoadRate may begin in loadWindow while no
+// traffic is known. The keeper hears of the first request late, and from that one on no more
+// than Engine.LoadRate bears may begin, on average over some seconds.
+const earlyLoadTime = 2500 * time.Millisecond
+
 // mayLoad reports whether another load may begin. Once there is traffic, loads are
 // limited to half of Engine.LoadRate, the rate of the store that model weights are loaded
 // from, and to Engine.Loads, the number that it can supply at once at full speed. None
-// begins while the loads of the keeper before are not known.
+// begins while the loads of the keeper before are not known. Before, they are limited by
+// earlyLoadTime.
 func (p *Planner) mayLoad(snap Snapshot) bool {
 	recent := p.loadStarts[:0]
 	for _, at := range p.loadStarts {
@@ -113,7 +119,7 @@
 	}
 	p.loadStarts = recent
 	if !snap.HadTraffic {
-		return true
+		return float64(len(p.loadStarts)) < snap.Engine.LoadRate*earlyLoadTime.Seconds()
 	}
 	if p.inherits(snap) {
 		return false
--- a/groups/load_test.go
+++ b/groups/load_test.go
@@ -60,6 +60,30 @@
 	is.True(len(starts) >= 2*testEngine.Loads)
 }
 
+// Where the start was late, hosts were still empty as the first request came, which a keeper
+// hears of late: all loads began at once, more than the store of weights allows from then on.
+func TestLoadsBeginBeforeTheFirstRequestIsHeardOf(t *testing.T) {
+	is := is.New(t)
+	const (
+		unheard = 800 * time.Millisecond
+		window  = 5 * time.Second
+		overage = 1.1
+		spare   = 3 // loads that are allowed besides
+	)
+	snap := emptyHosts(60)
+	snap.HadTraffic = false
+	p := NewPlanner(1, nil)
+	p.updateRecords(snap)
+	first := snap.Now // request
+	begun := 0
+	for snap.Now < first+window {
+		snap.HadTraffic = snap.Now >= first+unheard
+		begun += len(p.stageModels(snap))
+		snap.Now += testTick
+	}
+	is.True(float64(begun) <= testEngine.LoadRate*window.Seconds()*overage+spare)
+}
+
 // A reassignment frees endpoints for the most underserved model. Until all are free,
 // or the reservation expires, the overserved model must not take them back.
 func TestReassignedEndpointsAreReserved(t *testing.T) {
