--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-in that the scripts of cases 6 to 8 start. It needs Go alone, no modules
+# Builds the stand-in that the scripts of cases 6 to 9 start. It needs Go alone, no modules
 # and no network. The daemons come from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/stand-2"
--- a/review/stand-2/daemons.go
+++ b/review/stand-2/daemons.go
@@ -59,8 +59,9 @@
 	return udp.Close() == nil
 }
 
-// newDaemon writes the settings of a daemon, as the deployment's template has them.
-func newDaemon(program, dir, name, zone, store string, r *record) (*daemon, error) {
+// newDaemon writes the settings of a daemon, as the deployment's template has them. Its
+// connections come from the source, if that isn't empty.
+func newDaemon(program, dir, name, zone, store, source string, r *record) (*daemon, error) {
 	d := &daemon{name: name, zone: zone, program: program, record: r, settings: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log")}
 	for _, address := range []*string{&d.caller, &d.ready, &d.guide, &d.peer, &d.metric} {
 		var err error
@@ -68,11 +69,15 @@
 			return nil, err
 		}
 	}
-	data, err := json.MarshalIndent(map[string]any{
+	settings := map[string]any{
 		"id": name, "domain": zone, "region": "canterbury", "caller": d.caller, "ready": d.ready, "guide": d.guide,
 		"peer": d.peer, "metrics": d.metric, "store": store, "revoke": 5000, "apply": 2000, "grace": 8,
 		"ratio": 0.2, "extra": 103, "window": 10, "cores": 0.4, "memory": 284,
-	}, "", " ")
+	}
+	if source != "" {
+		settings["source"] = source
+	}
+	data, err := json.MarshalIndent(settings, "", " ")
 	if err != nil {
 		return nil, err
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -18,17 +18,21 @@
 
 // scene is what all cases have: the processes and the stand-ins of a small deployment.
 type scene struct {
-	dir     string
-	program string
-	trouble bool
-	store   *store
-	storeAt string
-	record  *record
-	daemons []*daemon
-	servers []*plainServer
+	dir      string
+	program  string
+	trouble  bool
+	store    *store
+	storeAt  string
+	record   *record
+	daemons  []*daemon
+	servers  []*plainServer
+	services []string       // of which there are servers
+	paths    *paths         // to the servers
+	source   map[int]string // that connections of a daemon come from, by its number
+	own      *access        // to the store, of the daemons with a source
 }
 
-var cases = map[string]func(*scene) (int, error){"last-keys": lastKeys, "power-loss": powerLoss.play, "new-machine": newMachine.play}
+var cases = map[string]func(*scene) (int, error){"last-keys": lastKeys, "power-loss": powerLoss.play, "new-machine": newMachine.play, "regress": regress}
 
 func main() { os.Exit(run()) }
 
@@ -42,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, "no such case:", *name)
 		return failed
 	}
-	s := &scene{program: *program, trouble: os.Getenv("TROUBLE") != "0", store: newStore()}
+	s := &scene{program: *program, trouble: os.Getenv("TROUBLE") != "0", store: newStore(), paths: newPaths(), services: []string{"returns-desk"}}
 	var err error
 	if s.record, err = newRecord(*out); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -75,7 +79,7 @@
 	return result
 }
 
-// build starts the store, n daemons in three zones and three servers of the plain service.
+// build starts the store, n daemons in three zones and three servers of each service.
 func (s *scene) build(n int) error {
 	var err error
 	if s.storeAt, err = freePort(); err != nil {
@@ -84,21 +88,23 @@
 	if err := s.store.serve(s.storeAt); err != nil {
 		return err
 	}
+	if s.own, err = s.store.access(); err != nil {
+		return err
+	}
 	zones := []string{"ashburton", "timaru", "rangiora"}
-	for i := range 3 {
-		address, err := freePort()
-		if err != nil {
-			return err
+	for i, service := range s.services {
+		for j, zone := range zones {
+			if err := s.addServer(fmt.Sprintf("i-%d", 1000+len(zones)*i+j), service, zone); err != nil {
+				return err
+			}
 		}
-		p := &plainServer{id: fmt.Sprintf("i-%04d", 1000+i), address: address, zone: zones[i], record: s.record}
-		if err := p.serve(); err != nil {
-			return err
-		}
-		s.servers = append(s.servers, p)
-		s.publish(p)
 	}
 	for i := range n {
-		d, err := newDaemon(s.program, s.dir, fmt.Sprintf("edge-%s-%d", zones[i%3], i/3+1), zones[i%3], s.storeAt, s.record)
+		store := s.storeAt
+		if s.source[i] != "" {
+			store = s.own.address
+		}
+		d, err := newDaemon(s.program, s.dir, fmt.Sprintf("edge-%s-%d", zones[i%3], i/3+1), zones[i%3], store, s.source[i], s.record)
 		if err != nil {
 			return err
 		}
@@ -110,7 +116,20 @@
 	return nil
 }
 
-// publish writes a server's entry.
-func (s *scene) publish(p *plainServer) {
-	s.store.put("servers/"+p.id, p.entry("returns-desk", "ready"))
+// addServer starts a server and writes its entry.
+func (s *scene) addServer(id, service, zone string) error {
+	address, err := freePort()
+	if err != nil {
+		return err
+	}
+	p := &plainServer{id: id, service: service, address: address, zone: zone, record: s.record, paths: s.paths}
+	if err := p.serve(); err != nil {
+		return err
+	}
+	s.servers = append(s.servers, p)
+	s.publish(p)
+	return nil
 }
+
+// publish writes a server's entry.
+func (s *scene) publish(p *plainServer) { s.store.put("servers/"+p.id, p.entry("ready")) }
--- a/review/stand-2/revoked.go
+++ b/review/stand-2/revoked.go
@@ -50,7 +50,7 @@
 	rewriteAt: 6500 * time.Millisecond, endAt: 9 * time.Second,
 	atAway: func(s *scene) error {
 		s.daemons[0].kill()
-		d, err := newDaemon(s.program, s.dir, "edge-ashburton-9", "ashburton", s.storeAt, s.record)
+		d, err := newDaemon(s.program, s.dir, "edge-ashburton-9", "ashburton", s.storeAt, "", s.record)
 		if err != nil {
 			return err
 		}
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -13,30 +13,37 @@
 // time, with a signature and the request's id, and records which requests it ran.
 type plainServer struct {
 	id, address, zone string
+	service           string
 	work              time.Duration
 	born              int64
 	record            *record
 	mu                sync.Mutex
-	runs              map[string]int
+	runs              map[string][]time.Time
+	paths             *paths
 	answers           int
 }
 
 // serve serves the server until the process ends.
 func (p *plainServer) serve() error {
 	p.born = time.Now().UnixMilli()
-	p.runs = map[string]int{}
+	p.runs = map[string][]time.Time{}
 	listener, err := net.Listen("tcp4", p.address)
 	if err != nil {
 		return err
 	}
-	go func() { _ = http.Serve(listener, p) }()
+	server := &http.Server{Handler: p, ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			p.paths.forget(c)
+		}
+	}}
+	go func() { _ = server.Serve(pathListener{listener, p.paths}) }()
 	return nil
 }
 
 // entry returns the server's entry in the store.
-func (p *plainServer) entry(service, state string) []byte {
+func (p *plainServer) entry(state string) []byte {
 	data, err := json.Marshal(map[string]any{
-		"service": service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 6,
+		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 6,
 		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": p.born,
 	})
 	if err != nil {
@@ -64,7 +71,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.runs[id]++
+	p.runs[id] = append(p.runs[id], time.Now())
 	p.answers++
 	n := p.answers
 	p.mu.Unlock()
@@ -79,5 +86,15 @@
 func (p *plainServer) ran(id string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.runs[id]
+	return len(p.runs[id])
+}
+
+// firstRun returns when a request first ran here, and whether it did.
+func (p *plainServer) firstRun(id string) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.runs[id]) == 0 {
+		return time.Time{}, false
+	}
+	return p.runs[id][0], true
 }
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -60,6 +60,18 @@
 	if err != nil {
 		return err
 	}
+	server := &http.Server{Handler: s.handler(), ConnState: s.note}
+	go func() { _ = server.Serve(listener) }()
+	go func() {
+		for range time.Tick(50 * time.Millisecond) {
+			s.expire()
+		}
+	}()
+	return nil
+}
+
+// handler returns the handler of the store's calls.
+func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/kv-key", s.get)
 	mux.HandleFunc("GET /api/kv-range", s.list)
@@ -68,7 +80,7 @@
 	mux.HandleFunc("POST /api/kv-lease", s.grant)
 	mux.HandleFunc("POST /api/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.end)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		away := s.away
 		s.mu.Unlock()
@@ -76,14 +88,7 @@
 			panic(http.ErrAbortHandler) // no answer
 		}
 		mux.ServeHTTP(w, r)
-	}), ConnState: s.note}
-	go func() { _ = server.Serve(listener) }()
-	go func() {
-		for range time.Tick(50 * time.Millisecond) {
-			s.expire()
-		}
-	}()
-	return nil
+	})
 }
 
 // note keeps the open connections, which end while the store is away.
