--- a/review/stand-2/daemons.go
+++ b/review/stand-2/daemons_test.go
@@ -1,4 +1,4 @@
-package main
+package stand
 
 import (
 	"encoding/json"
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -21,26 +22,37 @@
 	record                             *record
 }
 
-// Ports are below the range from which the system takes those of outgoing connections, so that
-// none is taken between its choice and its use.
+// Ports are below the range from which the system takes those of outgoing connections, and beside
+// those of the project's own tests, so that none is taken between its choice and its use. Scripts
+// that run side by side take different blocks of them.
 const (
-	firstPort = 20000
-	lastPort  = 31999
+	firstPort  = 11000
+	blocks     = 80
+	blockPorts = 70 // the first is listened at by the process that has the block
 )
 
-// chosen holds the ports that freePort has returned.
-var chosen = map[int]bool{}
+// ports is the block of this process.
+var ports struct {
+	guard net.Listener // open until the process ends
+	next  int
+	last  int
+}
 
 // freePort returns a loopback address with a port that is free over TCP and UDP.
 func freePort() (string, error) {
-	for range 1000 {
-		port := firstPort + rand.IntN(lastPort-firstPort+1)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if chosen[port] || !isFree(address) {
-			continue
+	for tried := 0; ports.guard == nil && tried < blocks; tried++ {
+		first := firstPort + rand.IntN(blocks)*blockPorts
+		guard, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			ports.guard, ports.next, ports.last = guard, first+1, first+blockPorts-1
+		}
+	}
+	for ports.guard != nil && ports.next <= ports.last {
+		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		ports.next++
+		if isFree(address) {
+			return address, nil
 		}
-		chosen[port] = true
-		return address, nil
 	}
 	return "", errors.New("no free port")
 }
@@ -99,6 +111,16 @@
 	return d.process.Start()
 }
 
+// lastLine returns the last line of the daemon's log.
+func (d *daemon) lastLine() string {
+	data, err := os.ReadFile(d.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 // kill ends the process at once.
 func (d *daemon) kill() {
 	if d.process == nil {
@@ -114,17 +136,17 @@
 // they are ready.
 func awaitReady(daemons []*daemon, limit time.Duration) error {
 	for end := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
-		ready := 0
+		var missing []error
 		for _, d := range daemons {
-			if status, _ := get("http://"+d.ready+"/api/readyz", time.Second); status == 200 {
-				ready++
+			if status, _ := get("http://"+d.ready+"/api/readyz", time.Second); status != 200 {
+				missing = append(missing, fmt.Errorf("%s isn't ready: %s", d.name, d.lastLine()))
 			}
 		}
-		if ready == len(daemons) {
+		if len(missing) == 0 {
 			return nil
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("only %d of %d daemons are ready", ready, len(daemons))
+			return errors.Join(missing...)
 		}
 	}
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main_test.go
@@ -1,13 +1,15 @@
-// Command stand runs one case of the review: it starts daemons as processes, plays the
-// platform's store, the servers, the operator and the clients itself, and checks one rule.
-// Its exit status is 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
-package main
+// Package stand runs the cases of the second review that are scripts: it starts daemons as
+// processes, plays the platform's store, the servers, the operator and the clients itself, and
+// checks one rule a case. The binary's exit status is 1 if the rule was broken, 0 if it held and
+// 2 if the case couldn't run.
+package stand
 
 import (
 	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 )
 
 const (
@@ -34,7 +36,8 @@
 
 var cases = map[string]func(*scene) (int, error){"last-keys": lastKeys, "power-loss": powerLoss.play, "new-machine": newMachine.play, "regress": regress}
 
-func main() { os.Exit(run()) }
+// TestMain runs the case that the flags name in place of tests.
+func TestMain(*testing.M) { os.Exit(run()) }
 
 func run() int {
 	name := flag.String("case", "", "name of the case")
--- a/review/stand-2/regress.go
+++ b/review/stand-2/regress_test.go
@@ -1,4 +1,4 @@
-package main
+package stand
 
 import (
 	"fmt"
