--- /dev/null
+++ b/review/stand-3/main_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	held   = 0
+	broken = 1
+	notRun = 2
+)
+
+// cases are the cases by name. Each returns an exit code.
+var cases = map[string]func(dir string, rec *record, trouble bool) (int, error){
+	"crash": crashCase,
+	"path":  pathCase,
+	"slow":  slowCase,
+}
+
+// TestMain runs the case that CASE names and writes its record to RECORD.
+func TestMain(*testing.M) {
+	run, known := cases[os.Getenv("CASE")]
+	if !known {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		os.Exit(notRun)
+	}
+	rec, err := newRecord(os.Getenv("RECORD"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(notRun)
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(notRun)
+	}
+	code, err := run(dir, rec, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		rec.note("not run: %v", err)
+		code = notRun
+	}
+	rec.note("exit %d", code)
+	time.Sleep(10 * time.Millisecond)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(dir)
+	} else {
+		fmt.Println(dir)
+	}
+	os.Exit(code)
+}
