--- a/review/stand-3/daemon_test.go
+++ b/review/stand-3/daemon_test.go
@@ -100,14 +100,19 @@
 	<-d.done
 }
 
+// port is the last port that freeAddress gave out. Each case has a block of ports of its own,
+// below the range from which the system takes those of outgoing connections.
+var port int
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() string {
 	for {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		port++
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp4", address)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		address := listener.Addr().String()
 		packet, err := net.ListenPacket("udp4", address)
 		_ = listener.Close()
 		if err == nil {
--- a/review/stand-3/main_test.go
+++ b/review/stand-3/main_test.go
@@ -14,16 +14,22 @@
 	notRun = 2
 )
 
-// cases are the cases by name. Each returns an exit code.
-var cases = map[string]func(dir string, rec *record, trouble bool) (int, error){
-	"crash": crashCase,
-	"path":  pathCase,
-	"slow":  slowCase,
+// testCase is one case.
+type testCase struct {
+	run  func(dir string, rec *record, trouble bool) (int, error) // returns an exit code
+	port int                                                      // before the first of its ports
+}
+
+// cases are the cases by name.
+var cases = map[string]testCase{
+	"slow":  {slowCase, 23000},
+	"crash": {crashCase, 23200},
+	"path":  {pathCase, 23400},
 }
 
 // TestMain runs the case that CASE names and writes its record to RECORD.
 func TestMain(*testing.M) {
-	run, known := cases[os.Getenv("CASE")]
+	c, known := cases[os.Getenv("CASE")]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case")
 		os.Exit(notRun)
@@ -38,7 +44,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
 	}
-	code, err := run(dir, rec, os.Getenv("TROUBLE") != "0")
+	port = c.port
+	code, err := c.run(dir, rec, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.note("not run: %v", err)
 		code = notRun
--- a/review/stand-3/runner_test.go
+++ b/review/stand-3/runner_test.go
@@ -61,7 +61,7 @@
 // register writes the entry of a life each heartbeat, and removes it after three of
 // silence.
 func (r *runner) register(id string, born int64) {
-	for n := 1; r.lives1(id); n++ {
+	for n := 1; r.isAlive(id); n++ {
 		r.store.put("servers/"+id, map[string]any{
 			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 6, "state": "ready",
 			"cold_remaining_ms": 0, "sequence": n, "born": born,
@@ -72,8 +72,8 @@
 	r.store.remove("servers/" + id)
 }
 
-// lives1 reports whether the life with an id goes on.
-func (r *runner) lives1(id string) bool {
+// isAlive reports whether the life with an id goes on.
+func (r *runner) isAlive(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.up && r.id == id
--- a/review/stand-3/slow_test.go
+++ b/review/stand-3/slow_test.go
@@ -16,7 +16,7 @@
 
 const (
 	readers       = 4
-	answerBytes   = 8_000_000               // of a whole answer
+	answerBytes   = 8_300_000               // of a whole answer
 	burstPause    = 1900 * time.Millisecond // between the bursts in which a reader takes its answer
 	afterSigterm  = 1700 * time.Millisecond // from SIGTERM until the requests are sent
 	slowDeadline  = 8 * time.Second         // of a request, and its route's timeout
@@ -25,7 +25,7 @@
 )
 
 // burstBytes are the bytes of an answer up to each burst but the last, which takes the rest.
-var burstBytes = []int{1_000_000, 2_000_000, 3_000_000}
+var burstBytes = []int{300_000, 600_000, 900_000}
 
 // slowCase sends requests whose clients read the answers slowly to a daemon that gets SIGTERM.
 // The runners have long ended them, and the clients would have the whole answers before their
