Take an answer that ends with its connection for whole only if the connection didn't fail

The caller got the part as a whole answer.

Cause: the system tells the failure of a connection to one call. A write that is blocked takes ECONNRESET, and the read after the last byte sees an end, as after a whole answer.

Change: package reply. Its Conn knows how far the request was sent. A read that sees the end waits, at most 1 s, until the request has been sent, and returns the write's error if that failed (RFC 9112, section 8: complete unless the connection indicated an error). conns uses it for callers' requests, those sent on through another daemon included; its Transport serves store, watches, reports, orders and serve's endpoints and plain services. Answers whose end is marked never read the end, so they are served as before, as is one without a length to a request that was read whole.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -5,10 +5,11 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"clementinehead.example/chead/reply"
 )
 
 // Conn is the right to use a connection to an endpoint for one request. It ends when
@@ -45,7 +46,7 @@
 
 // link is a connection to an endpoint, which carries one request at a time.
 type link struct {
-	net.Conn
+	*reply.Conn
 	address string
 	reader  *bufio.Reader
 	served  int       // requests that it has carried
@@ -57,7 +58,7 @@
 
 // newLink returns a link over a new connection.
 func newLink(c net.Conn, address string) *link {
-	l := &link{Conn: c, address: address}
+	l := &link{Conn: reply.NewConn(c), address: address}
 	l.reader = bufio.NewReaderSize(l, readBufferSize)
 	return l
 }
@@ -91,12 +92,12 @@
 	if l.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := l.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
+	raw := l.raw()
+	if raw == nil {
 		return false
 	}
 	empty := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var peeked [1]byte
 		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		empty = err == unix.EAGAIN
--- a/conns/long.go
+++ b/conns/long.go
@@ -54,7 +54,7 @@
 
 // raw returns the connection's socket, nil if it has none.
 func (l *link) raw() syscall.RawConn {
-	c, ok := l.Conn.(syscall.Conn)
+	c, ok := l.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
--- a/conns/send.go
+++ b/conns/send.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -46,8 +45,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response := &Response{pool: p, conn: c, method: r.Method, stop: stop, writeErr: make(chan error, 1)}
 	head := r.encodeHead()
+	c.link.Begin()
 	if len(head)+len(r.Body) > asyncWriteSize {
-		go func() { response.writeErr <- c.writeLong(head, r.Body) }()
+		go func() { response.writeErr <- c.write(head, r.Body) }()
 		answered := make(chan struct{})
 		defer close(answered)
 		c.watchLong(answered)
@@ -79,15 +79,10 @@
 	}
 }
 
-func (c *Conn) write(data []byte) error {
-	_, err := c.link.Write(data)
-	return err
-}
-
-// writeLong writes a request without a copy of its body.
-func (c *Conn) writeLong(head, body []byte) error {
-	parts := net.Buffers{head, body}
-	_, err := parts.WriteTo(c.link.Conn)
+// write writes a request, without a copy of its parts.
+func (c *Conn) write(parts ...[]byte) error {
+	err := c.link.WriteBuffers(parts)
+	c.link.Sent(err)
 	return err
 }
 
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -7,6 +7,7 @@
 
 	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/relay"
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/roster"
 	"clementinehead.example/chead/wire"
 )
@@ -34,12 +35,12 @@
 
 func newClients(o Options) clients {
 	return clients{
-		store:     &http.Client{Transport: storeTransport(o)},
-		endpoint:  &http.Client{Transport: endpointTransport(o), CheckRedirect: returnRedirect},
-		plain:     &http.Client{Transport: plainTransport(o), CheckRedirect: returnRedirect},
-		probe:     &http.Client{Transport: probeTransport(o)},
-		order:     &http.Client{Transport: probeTransport(o)},
-		singleUse: &http.Client{Transport: singleUseTransport(o), CheckRedirect: returnRedirect},
+		store:     &http.Client{Transport: reply.NewTransport(storeTransport(o))},
+		endpoint:  &http.Client{Transport: reply.NewTransport(endpointTransport(o)), CheckRedirect: returnRedirect},
+		plain:     &http.Client{Transport: reply.NewTransport(plainTransport(o)), CheckRedirect: returnRedirect},
+		probe:     &http.Client{Transport: reply.NewTransport(probeTransport(o))},
+		order:     &http.Client{Transport: reply.NewTransport(probeTransport(o))},
+		singleUse: &http.Client{Transport: reply.NewTransport(singleUseTransport(o)), CheckRedirect: returnRedirect},
 		peer:      &http.Client{Transport: peerTransport(o)},
 	}
 }
@@ -51,17 +52,17 @@
 // storeTransport uses each connection for one call. On a kept one, a late second answer to
 // an earlier call would be taken for the call's: for a claim that was refused, or a lease.
 func storeTransport(o Options) *http.Transport {
-	return bound.Heads(&http.Transport{DialContext: o.Dial, DisableKeepAlives: true})
+	return &http.Transport{DialContext: o.Dial, DisableKeepAlives: true}
 }
 
 func endpointTransport(o Options) *http.Transport {
-	return bound.Heads(&http.Transport{
+	return &http.Transport{
 		DialContext:           o.Dial,
 		IdleConnTimeout:       idleTimeout,
 		MaxIdleConnsPerHost:   endpointIdleConns,
 		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
-	})
+	}
 }
 
 // probeTransport keeps at most one unused connection to an endpoint. A failed
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,7 +13,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
-	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/clock"
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/front"
@@ -24,6 +23,7 @@
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/pulse"
 	"clementinehead.example/chead/reach"
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/site"
 	"clementinehead.example/chead/watch"
 )
@@ -87,7 +87,7 @@
 	dial := conns.DialFrom(net.ParseIP(s.Source))
 	transport := newTransport(dial)
 	client := &http.Client{Transport: transport}
-	d.store = platform.NewStore(s.Store, platform.OwnConnections(transport).Do)
+	d.store = platform.NewStore(s.Store, transport.Single().Do)
 	d.watcher = watch.New(watch.Options{
 		Store: d.store, Do: client.Do, Relays: d.storeRelays, Index: d.indexDaemon, Boot: clock.Boot, Log: o.Log,
 		Pause: func() time.Duration { return d.settings().watchPause() },
@@ -131,8 +131,8 @@
 // newTransport returns the transport to the store and to engines. It keeps
 // few idle connections, and those only for a short time, since a connection may stop
 // passing data without being closed.
-func newTransport(dial conns.Dialer) *http.Transport {
-	return bound.Heads(&http.Transport{
+func newTransport(dial conns.Dialer) *reply.Transport {
+	return reply.NewTransport(&http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     4 * time.Second,
--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -78,7 +78,7 @@
 			defer stop()
 			transport := newTransport(conns.Dial)
 			defer transport.CloseIdleConnections()
-			store := platform.NewStore(address, platform.OwnConnections(transport).Do)
+			store := platform.NewStore(address, transport.Single().Do)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			calls := []func() error{
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -7,6 +7,7 @@
 	"clementinehead.example/chead/conns"
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/reach"
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/site"
 )
 
@@ -38,7 +39,7 @@
 
 // newEngines returns the calls to engines with each answer recorded. Those to orders come over
 // new connections.
-func (d *Daemon) newEngines(transport *http.Transport) *platform.Engines {
+func (d *Daemon) newEngines(transport *reply.Transport) *platform.Engines {
 	engines := platform.NewEngines(transport)
 	engines.Do = noteAnswers(engines.Do, d.reach.Heard)
 	engines.Order = noteAnswers(engines.Order, d.reach.Reached)
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"clementinehead.example/chead/bound"
+	"clementinehead.example/chead/reply"
 )
 
 // Limits of connections to endpoints and plain services.
@@ -19,9 +19,9 @@
 // is true, it uses each connection once. Package net/http repeats a request
 // only on a connection that was in use before, so such a transport sends a
 // request at most once.
-func NewTransport(unpooled bool) *http.Transport {
+func NewTransport(unpooled bool) *reply.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return bound.Heads(&http.Transport{
+	return reply.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   unpooled,
 		DisableCompression:  true,
--- a/fakes/endless.go
+++ b/fakes/endless.go
@@ -1,7 +1,6 @@
 package fakes
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -17,33 +16,14 @@
 // Endless starts an endpoint that answers each request with a beginning and then, until the
 // caller closes, with the same bytes. It ends as stop is called.
 func Endless(begin, again string) (address string, stop func(), err error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", nil, err
-	}
 	again = strings.Repeat(again, 1+endlessWrite/len(again))
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
+	return Script(func(c *net.TCPConn, _ *http.Request) {
+		for text := begin; ; text = again {
+			if _, err := io.WriteString(c, text); err != nil {
 				return
 			}
-			go sendWithoutEnd(c, begin, again)
-		}
-	}()
-	return listener.Addr().String(), func() { _ = listener.Close() }, nil
-}
-
-func sendWithoutEnd(c net.Conn, begin, again string) {
-	defer func() { _ = c.Close() }()
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-		return
-	}
-	for text := begin; ; text = again {
-		if _, err := io.WriteString(c, text); err != nil {
-			return
 		}
-	}
+	})
 }
 
 // heapPeriod is between two looks of PeakHeap.
--- /dev/null
+++ b/reply/doc.go
@@ -0,0 +1,12 @@
+// Package reply decides whether what a server sent over an HTTP/1.1 connection is an answer
+// to a request, as RFC 9110 and RFC 9112 have it. All that this project reads of answers
+// over HTTP/1.1 comes through a Conn or a Transport of this package, so that a message that
+// is no answer is an error to every reader.
+//
+// No answer is a message that ends with its connection, rather than where a length or a last
+// chunk says so, if the connection failed or the request had not been sent whole (RFC 9112,
+// section 8).
+//
+// The package decodes no content, retries nothing and doesn't tell whether a request has run.
+// Framing by lengths and chunks is left to net/http, and so is HTTP/2.
+package reply
