Take no message for an answer whose status line isn't an answer's

Cause: net/http takes any three characters that read as a number for a status, and conns took all below 200 for informational.

Change: package reply reads the heads as they come over the connection. A status line is one of HTTP/1 with a status from 100 to 599, but 101 (RFC 9112, section 4; RFC 9110, section 15: other codes are invalid, and are treated as a failure of the server, which a 502 says). 100 and 102 to 199 come before the final answer, as before.

--- a/conns/next.go
+++ b/conns/next.go
@@ -28,8 +28,19 @@
 	}
 	_ = r.conn.link.SetReadDeadline(time.Time{})
 	r.consumed = false
-	if err := r.readHead(); err != nil {
+	if err := r.readNext(); err != nil {
 		return &Error{Op: "next", Address: r.conn.Address, Kind: Sent, Err: err}
 	}
 	return nil
 }
+
+// readNext reads the head of another response, of which a part may have been read with the
+// last one.
+func (r *Response) readNext() error {
+	reader := r.conn.link.reader
+	read, _ := reader.Peek(reader.Buffered()) // holds as much
+	if err := r.conn.link.Again(read); err != nil {
+		return err
+	}
+	return r.readHead()
+}
--- /dev/null
+++ b/fakes/message.go
@@ -0,0 +1,69 @@
+package fakes
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// Message is what a server sends in answer to a request: the heads of informational answers,
+// a status line, field lines and a body. Fields and Body stand for those that a test adds.
+type Message struct {
+	Name string
+	Text string // with {fields} and {body}
+}
+
+// With returns the message with fields, lines that end with CRLF, and a body.
+func (m Message) With(fields, body string) string {
+	text := strings.ReplaceAll(m.Text, "{fields}", fields)
+	return strings.ReplaceAll(text, "{body}", body)
+}
+
+// Send starts a server that answers each request with the message and closes the connection.
+func (m Message) Send(fields, body string) (address string, stop func(), err error) {
+	return Script(func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, m.With(fields, body))
+	})
+}
+
+// statusLine returns a message with a status line, and what follows it in a sound answer.
+func statusLine(line string) Message {
+	return Message{Name: line, Text: line + "\r\n{fields}\r\n{body}"}
+}
+
+// BadStatuses returns messages that are no answers by their status line. What follows it is
+// sound, in some of them a second message.
+func BadStatuses() []Message {
+	var all []Message
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 +99 OK",
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2O0 OK", "HTTP/1.1 OK", "HTTP/1.1 ", "HTTP/1.1", "HTTP/1.1 200\tOK", "HTTP/1.1 200.1",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.10 200 OK", "HTTP/1 200 OK", "HTTP/11 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "",
+	} {
+		all = append(all, statusLine(line))
+	}
+	for _, status := range []string{"000", "001", "099", "101"} {
+		m := statusLine("HTTP/1.1 200 OK")
+		m.Name = status + ", then 200"
+		m.Text = "HTTP/1.1 " + status + " X\r\n\r\n" + m.Text
+		all = append(all, m)
+	}
+	return all
+}
+
+// SoundMessages returns messages that are answers, all with status 200.
+func SoundMessages() []Message {
+	const whole = "HTTP/1.1 200 OK\r\n{fields}\r\n{body}"
+	return []Message{
+		{"without a length", whole},
+		{"of HTTP/1.0", "HTTP/1.0 200 OK\r\n{fields}\r\n{body}"},
+		{"without a reason", "HTTP/1.1 200\r\n{fields}\r\n{body}"},
+		{"with an empty reason", "HTTP/1.1 200 \r\n{fields}\r\n{body}"},
+		{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + whole},
+		{"after 102 and 103", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + whole},
+		{"after an unknown informational answer", "HTTP/1.1 199 X\r\nA: b\r\n\r\n" + whole},
+		{"lines that end with LF", "HTTP/1.1 200 OK\nA: b\n{fields}\n{body}"},
+	}
+}
--- /dev/null
+++ b/front/unsound_test.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/site"
+)
+
+// soundFields are the field lines of an endpoint's answer to a request of the fixture.
+const soundFields = "X-Request-Id: id-1\r\nX-Server-Signature: s\r\nContent-Type: text/event-stream\r\n"
+
+const soundEvents = "id: 1\ndata: x\n\n"
+
+// answerMessage returns a script that sends a message and closes the connection.
+func answerMessage(m fakes.Message) script {
+	return func(w io.Writer, _ *http.Request) bool {
+		_, _ = io.WriteString(w, m.With(soundFields, soundEvents))
+		return false
+	}
+}
+
+// newMessageFixture starts a Front in front of an endpoint, or of another daemon, that
+// answers with a message.
+func newMessageFixture(t *testing.T, path string, m fakes.Message) (*fixture, *stub) {
+	t.Helper()
+	b := newStub(t, "a", answerMessage(m))
+	service := "plain"
+	if path == "/tell/x" || path == "/talk/x" {
+		service = "engines"
+	}
+	f := newFixture(t, service, b)
+	if path == relayedPath {
+		f.cut.Store(true)
+		f.peers = []site.Daemon{{ID: "peer", Peer: b.address}}
+	}
+	return f, b
+}
+
+// messagePaths are paths of requests that endpoints answer whole and by a stream, and that
+// are sent on through another daemon.
+var messagePaths = []string{"/file/x", "/tell/x", relayedPath}
+
+// refuseMessages checks that callers get none of the messages as an answer, nor hear that a
+// request has not run.
+func refuseMessages(t *testing.T, messages []fakes.Message) {
+	t.Helper()
+	for _, m := range messages {
+		for _, path := range messagePaths {
+			t.Run(m.Name+" "+path, func(t *testing.T) {
+				f, b := newMessageFixture(t, path, m)
+				got := f.call(t, "POST", path, nil)
+				if b.count() == 0 {
+					t.Fatal("the endpoint didn't get the request")
+				}
+				if got.status != http.StatusBadGateway || got.truncated || strings.Contains(got.body, "data: x") {
+					t.Fatalf("status %d, header %v, body %q, truncated %v", got.status, got.header, got.body, got.truncated)
+				}
+			})
+		}
+	}
+}
+
+// Guards against MIXED: an answer with status 000 was taken for an informational one, and
+// what followed it for the answer; one of 600 and more was passed on (issue 54).
+func TestAnswerWithBadStatus(t *testing.T) { refuseMessages(t, fakes.BadStatuses()) }
+
+// What is an answer by RFC 9112 goes on being served.
+func TestSoundAnswers(t *testing.T) {
+	for _, m := range fakes.SoundMessages() {
+		for _, path := range messagePaths {
+			t.Run(m.Name+" "+path, func(t *testing.T) {
+				f, _ := newMessageFixture(t, path, m)
+				got := f.call(t, "POST", path, nil)
+				if got.status != http.StatusOK || got.truncated || got.body != soundEvents {
+					t.Fatalf("status %d, body %q, truncated %v", got.status, got.body, got.truncated)
+				}
+			})
+		}
+	}
+}
--- a/reply/conn.go
+++ b/reply/conn.go
@@ -23,6 +23,8 @@
 	writing chan struct{} // holds a value while bytes are written
 
 	mu     sync.Mutex
+	head   head          // of what is read
+	bad    error         // what is read is no answer
 	failed error         // of a write
 	sent   chan struct{} // closed once the present request has been sent; nil before the first one
 }
@@ -30,13 +32,24 @@
 // NewConn returns a Conn over a connection that has carried no request.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, writing: make(chan struct{}, 1)} }
 
-// Begin has to be called before each request.
+// Begin has to be called before each request. What is read then begins with a head.
 func (c *Conn) Begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head.begin()
 	c.sent = make(chan struct{})
 }
 
+// Again has to be called before another answer is read to the present request, with what
+// has been read of it already.
+func (c *Conn) Again(read []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.begin()
+	_, err := c.check(read)
+	return err
+}
+
 // Sent has to be called once the present request has been sent, or with the error for
 // which it wasn't.
 func (c *Conn) Sent(err error) {
@@ -90,16 +103,42 @@
 	c.fail(err)
 }
 
-// Read reads from the connection. At its end the error is io.EOF only if all writes
-// succeeded, and the present request has been sent whole.
+// Read reads from the connection. Its error says if what comes is no answer's head. At the
+// end it is io.EOF only if all writes succeeded, and the present request has been sent whole.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.refused(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sound, bad := c.check(p[:n])
+	if bad != nil && sound == 0 {
+		err = bad // otherwise the next read returns it
+	}
+	return sound, err
+}
+
+// check returns how many of the bytes that were read belong to an answer, and an error if
+// not all do. The lock must be held.
+func (c *Conn) check(read []byte) (int, error) {
+	n, err := c.head.read(read)
+	if c.bad == nil {
+		c.bad = err
+	}
 	return n, err
 }
 
+// refused returns the error of what was read before, if it is no answer.
+func (c *Conn) refused() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bad
+}
+
 // end returns the error of a read that saw the end of the connection.
 func (c *Conn) end() error {
 	if !c.awaitSent() {
--- a/reply/error.go
+++ b/reply/error.go
@@ -11,6 +11,7 @@
 // The values of Kind.
 const (
 	Unread Kind = iota // it ended with its connection before the request had been sent whole
+	Status             // it begins with no status line of an answer
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Kind -output=kind_string.go
--- a/reply/kind_string.go
+++ b/reply/kind_string.go
@@ -9,11 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Unread-0]
+	_ = x[Status-1]
 }
 
-const _Kind_name = "Unread"
+const _Kind_name = "UnreadStatus"
 
-var _Kind_index = [...]uint8{0, 6}
+var _Kind_index = [...]uint8{0, 6, 12}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
