Take no message for an answer whose head or trailer has a line that is no field line

Here a line with a blank in its name was left out, and so was a length that it stated: the body went on to the end of the connection. A line that began with a blank was passed on as a part of the line before it. Names with a control byte were refused already, by net/http; the rows for them passed before.

Cause: net/textproto accepts blanks within names, without their canonical form, so that no reader of Content-Length finds them, and unfolds lines.

Change: the heads that package reply reads have field lines whose name is a token and whose value has no control byte but tabs (RFC 9110, sections 5.1, 5.5 and 5.6.2), in informational answers too. A line that begins with a blank makes the message no answer, as section 5.2 of RFC 9112 lets a gateway do. A trailer's names are checked at the end of the body: a stream is cut instead of ended then. All legal names are passed on.

--- a/conns/send.go
+++ b/conns/send.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"clementinehead.example/chead/bound"
+	"clementinehead.example/chead/reply"
 )
 
 // Request is a request to an endpoint. Target is the request target as received
@@ -73,6 +74,7 @@
 			return err
 		}
 		if parsed.StatusCode >= http.StatusOK {
+			reply.CheckBody(parsed)
 			r.Response = parsed
 			return nil
 		}
--- a/fakes/message.go
+++ b/fakes/message.go
@@ -1,9 +1,11 @@
 package fakes
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
@@ -16,8 +18,9 @@
 
 // With returns the message with fields, lines that end with CRLF, and a body.
 func (m Message) With(fields, body string) string {
-	text := strings.ReplaceAll(m.Text, "{fields}", fields)
-	return strings.ReplaceAll(text, "{body}", body)
+	return strings.NewReplacer(
+		"{fields}", fields, "{body}", body, "{length}", strconv.Itoa(len(body)), "{chunk}", fmt.Sprintf("%x\r\n%s", len(body), body),
+	).Replace(m.Text)
 }
 
 // Send starts a server that answers each request with the message and closes the connection.
@@ -64,6 +67,55 @@
 		{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + whole},
 		{"after 102 and 103", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + whole},
 		{"after an unknown informational answer", "HTTP/1.1 199 X\r\nA: b\r\n\r\n" + whole},
+		{"with a length", "HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n{body}"},
+		{"in chunks", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n\r\n"},
+		{"in chunks, with a trailer", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\nX-Sum: 1\r\n\r\n"},
+		{"empty and unusual values", "HTTP/1.1 200 OK\r\nA:\r\nB: \r\nC:\td\t\r\nD: \xe4: b\r\n{fields}\r\n{body}"},
 		{"lines that end with LF", "HTTP/1.1 200 OK\nA: b\n{fields}\n{body}"},
 	}
 }
+
+// BadFields returns messages that are no answers by a line of their head that is no field
+// line, or is folded. Without that line they are sound.
+func BadFields() []Message {
+	const length = "Content-Length: {length}\r\n"
+	lines := []string{
+		"Content-Length : 4", "Content-Length\t: 4", "Transfer-Encoding : chunked", "X-Trace : b", "X Trace: b", " X-Trace: b", "\tX-Trace: b", " ", "\t",
+		": b", " : b", "X-Trace", "X-Trace b", "X-Trace\r: b", "X\rTrace: b", "\rX-Trace: b", "X\x80: b", "\xefX: b",
+		"X-Trace: a\x00b", "X-Trace: a\rb", "X-Trace: a\x01b", "X-Trace: a\x7fb",
+	}
+	for b := range byte(0x20) {
+		if b != '\n' && b != '\r' {
+			lines = append(lines, "X"+string(rune(b))+"Y: b")
+		}
+	}
+	for _, b := range "\x7f\"(),/;<=>?@[\\]{}" {
+		lines = append(lines, "X"+string(b)+"Y: b")
+	}
+	var all []Message
+	for _, line := range lines {
+		name := fmt.Sprintf("%q", line)
+		all = append(all,
+			Message{name, "HTTP/1.1 200 OK\r\n{fields}" + line + "\r\n\r\n{body}"},
+			Message{name + " first", "HTTP/1.1 200 OK\r\n" + line + "\r\n{fields}\r\n{body}"},
+			Message{name + " beside a length", "HTTP/1.1 200 OK\r\n{fields}" + line + "\r\n" + length + "\r\n{body}"},
+			Message{name + " of an informational answer", "HTTP/1.1 103 Early Hints\r\nA: b\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n{fields}\r\n{body}"},
+		)
+	}
+	return all
+}
+
+// BadTrailers returns messages with a trailer that holds a line that is no field line. The
+// body is whole before it.
+func BadTrailers() []Message {
+	var all []Message
+	for _, line := range []string{"X Trace: b", "X-Trace : b", "X-Trace", ": b", "X\x01Y: b", "X-Trace: a\x00b"} {
+		all = append(all, Message{fmt.Sprintf("trailer %q", line), "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n" + line + "\r\n\r\n"})
+	}
+	return all
+}
+
+// LegalNames returns field names that are unusual and legal.
+func LegalNames() []string {
+	return []string{"X_Trace", "x.trace", "1", "-", "!#$%&'*+.^`|~", "X-Very-Long-" + strings.Repeat("Name-", 40)}
+}
--- a/front/unsound_test.go
+++ b/front/unsound_test.go
@@ -68,6 +68,41 @@
 // what followed it for the answer; one of 600 and more was passed on (issue 54).
 func TestAnswerWithBadStatus(t *testing.T) { refuseMessages(t, fakes.BadStatuses()) }
 
+// Guards against MIXED: a line whose name held a blank was passed over, with the length that
+// it stated, or passed on with the line before it (issue 54).
+func TestAnswerWithBadField(t *testing.T) { refuseMessages(t, fakes.BadFields()) }
+
+// An answer whose trailer is none has not ended as it should: a stream of it is cut, and
+// what was not passed on yet is no answer.
+func TestAnswerWithBadTrailer(t *testing.T) {
+	for _, m := range fakes.BadTrailers() {
+		for _, path := range messagePaths {
+			t.Run(m.Name+" "+path, func(t *testing.T) {
+				f, _ := newMessageFixture(t, path, m)
+				got := f.call(t, "POST", path, nil)
+				if got.status == http.StatusOK && !got.truncated || got.status == http.StatusServiceUnavailable {
+					t.Fatalf("status %d, body %q, truncated %v", got.status, got.body, got.truncated)
+				}
+			})
+		}
+	}
+}
+
+// Each legal field of an answer is passed on.
+func TestLegalFieldNames(t *testing.T) {
+	for _, name := range fakes.LegalNames() {
+		for _, path := range messagePaths {
+			t.Run(name+" "+path, func(t *testing.T) {
+				f, _ := newMessageFixture(t, path, fakes.Message{Text: "HTTP/1.1 200 OK\r\n{fields}" + name + ": b c\r\n\r\n{body}"})
+				got := f.call(t, "POST", path, nil)
+				if got.status != http.StatusOK || got.truncated || got.header.Get(name) != "b c" {
+					t.Fatalf("status %d, header %v, truncated %v", got.status, got.header, got.truncated)
+				}
+			})
+		}
+	}
+}
+
 // What is an answer by RFC 9112 goes on being served.
 func TestSoundAnswers(t *testing.T) {
 	for _, m := range fakes.SoundMessages() {
--- a/reply/error.go
+++ b/reply/error.go
@@ -12,6 +12,7 @@
 const (
 	Unread Kind = iota // it ended with its connection before the request had been sent whole
 	Status             // it begins with no status line of an answer
+	Field              // a line of its head or its trailer is no field line
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Kind -output=kind_string.go
--- a/reply/head.go
+++ b/reply/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
 )
 
 // part is the part of a message that the next byte belongs to.
@@ -14,7 +15,10 @@
 	outside    part = iota // of any head: a body, or nothing that was asked for
 	statusLine             // the first line of a head
 	lineStart              // the first byte of a field line, or of the empty line that ends the head
-	fieldLine              // the rest of one
+	fieldName              // what comes before the colon
+	fieldValue             // what comes after it
+	lineEnd                // the LF after the CR of a field line
+	headEnd                // the LF after the CR of the empty line
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=part -output=part_string.go
@@ -55,10 +59,14 @@
 		return h.stepStatus(b)
 	case lineStart:
 		return h.stepStart(b)
-	case fieldLine:
-		if b == '\n' {
-			h.at = lineStart
-		}
+	case fieldName:
+		return h.stepName(b)
+	case fieldValue:
+		return h.stepValue(b)
+	case lineEnd:
+		return h.stepLineEnd(b)
+	case headEnd:
+		return h.stepHeadEnd(b)
 	case outside:
 	}
 	return nil
@@ -80,20 +88,84 @@
 	return nil
 }
 
-// stepStart reads the first byte of a line after the status line, and the CR that may come
-// before the LF of an empty line.
+// stepStart reads the first byte of a line after the status line. A line that begins with a
+// blank would go on with the line before it; a gateway may refuse such an answer (RFC 9112,
+// section 5.2).
 func (h *head) stepStart(b byte) error {
 	switch {
-	case b == '\n' && h.informational:
-		h.begin()
+	case b == '\r':
+		h.at = headEnd
 	case b == '\n':
+		return h.stepHeadEnd(b)
+	case isToken(b):
+		h.at = fieldName
+	default:
+		return fieldError(errName)
+	}
+	return nil
+}
+
+func (h *head) stepName(b byte) error {
+	switch {
+	case b == ':':
+		h.at = fieldValue
+	case !isToken(b):
+		return fieldError(errName)
+	}
+	return nil
+}
+
+func (h *head) stepValue(b byte) error {
+	switch {
+	case b == '\r':
+		h.at = lineEnd
+	case b == '\n':
+		h.at = lineStart
+	case b < ' ' && b != '\t' || b == del:
+		return fieldError(errValue)
+	}
+	return nil
+}
+
+func (h *head) stepLineEnd(b byte) error {
+	if b != '\n' {
+		return fieldError(errValue)
+	}
+	h.at = lineStart
+	return nil
+}
+
+// stepHeadEnd reads the last byte of a head.
+func (h *head) stepHeadEnd(b byte) error {
+	switch {
+	case b != '\n':
+		return fieldError(errName)
+	case h.informational:
+		h.begin()
+	default:
 		h.at = outside
-	case b != '\r':
-		h.at = fieldLine
 	}
 	return nil
 }
 
+var (
+	errName  = errors.New("a name that is no token")
+	errValue = errors.New("a control byte in a value")
+)
+
+func fieldError(err error) error { return &Error{Op: "read", Kind: Field, Err: err} }
+
+const del = 0x7f // the control byte after the printable ones of ASCII
+
+// isToken reports whether a byte may be part of a field's name (RFC 9110, section 5.6.2).
+func isToken(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', isDigit(b):
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 var (
 	errVersion = errors.New("not of HTTP/1")
 	errStatus  = errors.New("not of three digits from 100 to 599")
--- a/reply/kind_string.go
+++ b/reply/kind_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[Unread-0]
 	_ = x[Status-1]
+	_ = x[Field-2]
 }
 
-const _Kind_name = "UnreadStatus"
+const _Kind_name = "UnreadStatusField"
 
-var _Kind_index = [...]uint8{0, 6, 12}
+var _Kind_index = [...]uint8{0, 6, 12, 17}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/reply/message_test.go
+++ b/reply/message_test.go
@@ -50,6 +50,22 @@
 
 func TestBadStatuses(t *testing.T) { refuse(t, fakes.BadStatuses()) }
 
+func TestBadFields(t *testing.T) { refuse(t, fakes.BadFields()) }
+
+// The body is whole, and its reader is told that the answer isn't.
+func TestBadTrailers(t *testing.T) {
+	for _, m := range fakes.BadTrailers() {
+		t.Run(m.Name, func(t *testing.T) {
+			is := is.New(t)
+			address, stop, err := m.Send(soundFields, soundBody)
+			is.NoErr(err)
+			defer stop()
+			_, err = call(reply.NewTransport(&http.Transport{}), true, address)
+			is.True(err != nil)
+		})
+	}
+}
+
 // All answers are read as they are, also if they come byte by byte.
 func TestSoundMessages(t *testing.T) {
 	for _, m := range fakes.SoundMessages() {
@@ -73,11 +89,13 @@
 
 // A message that is none is found wherever the reads that it comes in begin.
 func TestBadMessagesByteByByte(t *testing.T) {
-	for _, m := range fakes.BadStatuses() {
-		t.Run(m.Name, func(t *testing.T) {
-			_, err := readSlowly(m.With(soundFields, soundBody))
-			is.New(t).True(reply.Is(err, reply.Status))
-		})
+	for kind, messages := range map[reply.Kind][]fakes.Message{reply.Status: fakes.BadStatuses(), reply.Field: fakes.BadFields()} {
+		for _, m := range messages {
+			t.Run(m.Name, func(t *testing.T) {
+				_, err := readSlowly(m.With(soundFields, soundBody))
+				is.New(t).True(reply.Is(err, kind))
+			})
+		}
 	}
 }
 
--- a/reply/part_string.go
+++ b/reply/part_string.go
@@ -11,12 +11,15 @@
 	_ = x[outside-0]
 	_ = x[statusLine-1]
 	_ = x[lineStart-2]
-	_ = x[fieldLine-3]
+	_ = x[fieldName-3]
+	_ = x[fieldValue-4]
+	_ = x[lineEnd-5]
+	_ = x[headEnd-6]
 }
 
-const _part_name = "outsidestatusLinelineStartfieldLine"
+const _part_name = "outsidestatusLinelineStartfieldNamefieldValuelineEndheadEnd"
 
-var _part_index = [...]uint8{0, 7, 17, 26, 35}
+var _part_index = [...]uint8{0, 7, 17, 26, 35, 45, 52, 59}
 
 func (i part) String() string {
 	idx := int(i) - 0
--- a/reply/transport.go
+++ b/reply/transport.go
@@ -60,7 +60,12 @@
 			}
 		},
 	}
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), hooks)))
+	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), hooks)))
+	if err != nil {
+		return nil, err
+	}
+	CheckBody(response)
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that carry no call.
