Take no message for an answer that tells in two ways where its body ends

What callers got: of an HTTP/1.0 answer in chunks the chunks' sizes and ends as a part of the body, and of an answer with a transfer coding beside a length one of the two readings.

Cause: net/http passes over the coding in the first case and over the length in the second.

Change: such a head is no answer's (RFC 9112, section 6.1: the framing of the first is faulty; section 6.3: the second ought to be handled as an error). The other 28 framings of the table are errors by net/http already and stay so.

--- a/fakes/message.go
+++ b/fakes/message.go
@@ -119,3 +119,28 @@
 func LegalNames() []string {
 	return []string{"X_Trace", "x.trace", "1", "-", "!#$%&'*+.^`|~", "X-Very-Long-" + strings.Repeat("Name-", 40)}
 }
+
+// BadFramings returns messages that are no answers, since where they end isn't told, or is
+// told in two ways.
+func BadFramings() []Message {
+	var all []Message
+	for _, lines := range []string{
+		"Content-Length: {length}\r\nContent-Length: 4", "Content-Length: {length}, 4", "Content-Length: -1", "Content-Length: +{length}", "Content-Length: {length}x",
+		"Content-Length: ", "Content-Length: 4 4", "Content-Length: 0x4", "Content-Length: 99999999999999999999", "Content-Length: 99",
+	} {
+		all = append(all, Message{fmt.Sprintf("%q", lines), "HTTP/1.1 200 OK\r\n{fields}" + lines + "\r\n\r\n{body}"})
+	}
+	for _, lines := range []string{
+		"Transfer-Encoding: gzip", "Transfer-Encoding: identity", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: chunked, chunked",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: ", "Transfer-Encoding: xchunked",
+		"Transfer-Encoding: chunked\r\nContent-Length: {length}", "content-length: 4\r\ntransfer-encoding: chunked", "Content-Length: 0\r\nTransfer-Encoding: chunked",
+	} {
+		all = append(all, Message{fmt.Sprintf("%q", lines), "HTTP/1.1 200 OK\r\n{fields}" + lines + "\r\n\r\n{chunk}\r\n0\r\n\r\n"})
+	}
+	for _, body := range []string{
+		"{chunk}\r\n", "{chunk}\r\n0\r\n", "{chunk}\r\n0", "{chunk}0\r\n\r\n", "{chunk}x\r\n0\r\n\r\n", "-1\r\n\r\n", "+1\r\nx\r\n0\r\n\r\n", "0x1\r\nx\r\n0\r\n\r\n", "\r\n{body}", "g\r\n{body}\r\n0\r\n\r\n",
+	} {
+		all = append(all, Message{fmt.Sprintf("chunks %q", body), "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n" + body})
+	}
+	return append(all, Message{"chunks of HTTP/1.0", "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n\r\n"})
+}
--- a/front/unsound_test.go
+++ b/front/unsound_test.go
@@ -72,16 +72,25 @@
 // it stated, or passed on with the line before it (issue 54).
 func TestAnswerWithBadField(t *testing.T) { refuseMessages(t, fakes.BadFields()) }
 
+// An answer whose end isn't told, or is told in two ways, is none: nothing says that its body
+// is the endpoint's.
+func TestAnswerWithBadFraming(t *testing.T) { cutMessages(t, fakes.BadFramings()) }
+
 // An answer whose trailer is none has not ended as it should: a stream of it is cut, and
 // what was not passed on yet is no answer.
-func TestAnswerWithBadTrailer(t *testing.T) {
-	for _, m := range fakes.BadTrailers() {
+func TestAnswerWithBadTrailer(t *testing.T) { cutMessages(t, fakes.BadTrailers()) }
+
+// cutMessages checks that callers get none of the messages as a whole answer, but at most as
+// a stream that is cut, nor hear that a request has not run.
+func cutMessages(t *testing.T, messages []fakes.Message) {
+	t.Helper()
+	for _, m := range messages {
 		for _, path := range messagePaths {
 			t.Run(m.Name+" "+path, func(t *testing.T) {
 				f, _ := newMessageFixture(t, path, m)
 				got := f.call(t, "POST", path, nil)
-				if got.status == http.StatusOK && !got.truncated || got.status == http.StatusServiceUnavailable {
-					t.Fatalf("status %d, body %q, truncated %v", got.status, got.body, got.truncated)
+				if !got.truncated && got.status != http.StatusBadGateway {
+					t.Fatalf("status %d, body %q", got.status, got.body)
 				}
 			})
 		}
--- a/reply/doc.go
+++ b/reply/doc.go
@@ -10,10 +10,12 @@
 //   - whose status line is not of HTTP/1, or states no status from 100 to 599, or a change of
 //     the protocol that wasn't asked for (RFC 9112, section 4; RFC 9110, section 15). Other
 //     statuses below 200 are those of informational answers, which come before the final one,
-//   - or one of whose field lines has a name that is no token, a value with a control byte
+//   - one of whose field lines has a name that is no token, a value with a control byte
 //     other than a tab, or begins with a blank (RFC 9112, section 5; RFC 9110, section 5).
-//     That holds for informational heads and for trailers, too.
+//     That holds for informational heads and for trailers, too,
+//   - or that states a transfer coding beside a length, or in HTTP/1.0, which knows none (RFC
+//     9112, sections 6.1 and 6.3).
 //
 // The package decodes no content, retries nothing and doesn't tell whether a request has run.
-// Framing by lengths and chunks is left to net/http, and so is HTTP/2.
+// The reading of lengths and chunks is left to net/http, and so is HTTP/2.
 package reply
--- a/reply/error.go
+++ b/reply/error.go
@@ -10,9 +10,10 @@
 
 // The values of Kind.
 const (
-	Unread Kind = iota // it ended with its connection before the request had been sent whole
-	Status             // it begins with no status line of an answer
-	Field              // a line of its head or its trailer is no field line
+	Unread  Kind = iota // it ended with its connection before the request had been sent whole
+	Status              // it begins with no status line of an answer
+	Field               // a line of its head or its trailer is no field line
+	Framing             // its head tells in two ways where the body ends
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Kind -output=kind_string.go
--- a/reply/head.go
+++ b/reply/head.go
@@ -23,16 +23,19 @@
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=part -output=part_string.go
 
-// maxStatusLine is how many bytes of a status line are kept; those after the status don't
-// matter.
-const maxStatusLine = 64
+// maxLine is how many bytes of a line are kept: those after the status don't matter, and the
+// names that do are shorter.
+const maxLine = 64
 
 // head reads the heads of messages byte by byte: those of informational answers, and that of
 // the final answer.
 type head struct {
 	at            part
-	line          []byte // the status line so far, up to maxStatusLine
+	line          []byte // the status line or the field's name so far, up to maxLine
 	informational bool   // another head follows
+	old           bool   // it is of HTTP/1.0
+	length        bool   // it states a length
+	coded         bool   // it states a transfer coding
 }
 
 // begin makes the next byte the first one of a head.
@@ -72,17 +75,24 @@
 	return nil
 }
 
+// keep adds a byte to what is kept of the line.
+func (h *head) keep(b byte) {
+	if len(h.line) < maxLine {
+		h.line = append(h.line, b)
+	}
+}
+
 func (h *head) stepStatus(b byte) error {
 	if b != '\n' {
-		if len(h.line) < maxStatusLine {
-			h.line = append(h.line, b)
-		}
+		h.keep(b)
 		return nil
 	}
-	status, err := parseStatus(bytes.TrimSuffix(h.line, []byte("\r")))
+	line := bytes.TrimSuffix(h.line, []byte("\r"))
+	status, err := parseStatus(line)
 	if err != nil {
 		return err
 	}
+	h.old = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 	h.informational = status < http.StatusOK
 	h.at = lineStart
 	return nil
@@ -99,6 +109,7 @@
 		return h.stepHeadEnd(b)
 	case isToken(b):
 		h.at = fieldName
+		h.line = append(h.line[:0], b)
 	default:
 		return fieldError(errName)
 	}
@@ -109,7 +120,11 @@
 	switch {
 	case b == ':':
 		h.at = fieldValue
-	case !isToken(b):
+		h.length = h.length || strings.EqualFold(string(h.line), "Content-Length")
+		h.coded = h.coded || strings.EqualFold(string(h.line), "Transfer-Encoding")
+	case isToken(b):
+		h.keep(b)
+	default:
 		return fieldError(errName)
 	}
 	return nil
@@ -142,12 +157,23 @@
 		return fieldError(errName)
 	case h.informational:
 		h.begin()
-	default:
-		h.at = outside
+		return nil
+	}
+	h.at = outside
+	return h.checkFraming()
+}
+
+// checkFraming returns an error if the head tells in two ways where the body ends, or in one
+// that its version of HTTP lacks (RFC 9112, sections 6.1 and 6.3).
+func (h *head) checkFraming() error {
+	if h.coded && (h.length || h.old) {
+		return &Error{Op: "read", Kind: Framing, Err: errFraming}
 	}
 	return nil
 }
 
+var errFraming = errors.New("a transfer coding beside a length or in HTTP/1.0")
+
 var (
 	errName  = errors.New("a name that is no token")
 	errValue = errors.New("a control byte in a value")
--- a/reply/kind_string.go
+++ b/reply/kind_string.go
@@ -11,11 +11,12 @@
 	_ = x[Unread-0]
 	_ = x[Status-1]
 	_ = x[Field-2]
+	_ = x[Framing-3]
 }
 
-const _Kind_name = "UnreadStatusField"
+const _Kind_name = "UnreadStatusFieldFraming"
 
-var _Kind_index = [...]uint8{0, 6, 12, 17}
+var _Kind_index = [...]uint8{0, 6, 12, 17, 24}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/reply/message_test.go
+++ b/reply/message_test.go
@@ -52,9 +52,15 @@
 
 func TestBadFields(t *testing.T) { refuse(t, fakes.BadFields()) }
 
-// The body is whole, and its reader is told that the answer isn't.
-func TestBadTrailers(t *testing.T) {
-	for _, m := range fakes.BadTrailers() {
+func TestBadFramings(t *testing.T) { cut(t, fakes.BadFramings()) }
+
+func TestBadTrailers(t *testing.T) { cut(t, fakes.BadTrailers()) }
+
+// cut checks that the reader of each of the messages is told that it is no answer, before
+// the body or at its end.
+func cut(t *testing.T, messages []fakes.Message) {
+	t.Helper()
+	for _, m := range messages {
 		t.Run(m.Name, func(t *testing.T) {
 			is := is.New(t)
 			address, stop, err := m.Send(soundFields, soundBody)
