--- a/cmd/chead/operator.go
+++ b/cmd/chead/operator.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"clementinehead.example/chead/bound"
+	"clementinehead.example/chead/reply"
 )
 
 // Limits of one call to a daemon.
@@ -65,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := reply.Default.Do(request)
 	if err != nil {
 		return err
 	}
--- a/cmd/chead/where.go
+++ b/cmd/chead/where.go
@@ -14,6 +14,7 @@
 	"clementinehead.example/chead/bound"
 	"clementinehead.example/chead/edge"
 	"clementinehead.example/chead/pick"
+	"clementinehead.example/chead/reply"
 )
 
 // whereCommand holds the flags of "chead where".
@@ -51,7 +52,7 @@
 	if err != nil {
 		return found, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := reply.Default.Do(request)
 	if err != nil {
 		return found, err
 	}
--- a/cmd/chfake/caller.go
+++ b/cmd/chfake/caller.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/simul"
 )
 
@@ -92,7 +93,7 @@
 	if err != nil {
 		return 0, 0, false
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := reply.Default.Do(r)
 	if err != nil {
 		return 0, 0, false
 	}
@@ -121,5 +122,5 @@
 func (c callerCommand) resolve(guide string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), guideTimeout)
 	defer cancel()
-	return simul.Resolve(ctx, http.DefaultClient, guide)
+	return simul.Resolve(ctx, reply.Default, guide)
 }
--- a/cmd/chfake/client.go
+++ b/cmd/chfake/client.go
@@ -12,6 +12,8 @@
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
+
+	"clementinehead.example/chead/reply"
 )
 
 // clientCommand holds the flags of "chfake client".
@@ -42,7 +44,7 @@
 func (c clientCommand) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Workers}}
+	client := &http.Client{Transport: reply.NewTransport(&http.Transport{MaxIdleConnsPerHost: c.Workers})}
 	s := &sender{
 		command: c,
 		do:      client.Do,
--- a/cmd/chfake/engine.go
+++ b/cmd/chfake/engine.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"net/http"
 	"time"
 
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/store"
 )
 
@@ -76,7 +76,7 @@
 		EventLag:    c.Delay,
 		Reboot:      c.Reboot,
 		Load:        p.loadWeights(c.Weights),
-		Member:      engine.New(http.DefaultClient.Do).Probe,
+		Member:      engine.New(reply.Default.Do).Probe,
 		OnRun:       func(_, prompt string) { p.countRun(fakes.PromptKey(prompt)) },
 	}
 }
--- a/cmd/chfake/entries.go
+++ b/cmd/chfake/entries.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -73,7 +74,11 @@
 		} `json:"entries"`
 		Hold string `json:"hold"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
 		return nil, 0, err
 	}
 	var addresses []string
--- a/cmd/chfake/process.go
+++ b/cmd/chfake/process.go
@@ -12,6 +12,7 @@
 
 	"clementinehead.example/chead/engine"
 	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/store"
 )
 
@@ -28,7 +29,7 @@
 }
 
 func newProcessClient(base string) processClient {
-	return processClient{base: base, do: http.DefaultClient.Do}
+	return processClient{base: base, do: reply.Default.Do}
 }
 
 // register returns an actor that registers an engine in the list of instances every
--- a/cmd/chfake/site.go
+++ b/cmd/chfake/site.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/simul"
 )
 
@@ -135,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := (&http.Client{Timeout: entryTimeout}).Do(request)
+	response, err := (&http.Client{Transport: reply.Default.Transport, Timeout: entryTimeout}).Do(request)
 	if err != nil {
 		return err
 	}
--- a/cmd/chsize/daemons.go
+++ b/cmd/chsize/daemons.go
@@ -21,6 +21,7 @@
 	"clementinehead.example/chead/conf"
 	"clementinehead.example/chead/daemon"
 	"clementinehead.example/chead/fakes"
+	"clementinehead.example/chead/reply"
 )
 
 // daemonsCommand holds the flags of "chsize daemons". The world is the process
@@ -241,7 +242,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := reply.Default.Do(request)
 	if err != nil {
 		return err
 	}
--- a/conns/send.go
+++ b/conns/send.go
@@ -68,17 +68,12 @@
 func (r *Response) readHead() error {
 	r.conn.link.beginHead()
 	defer r.conn.link.endHead()
-	for {
-		parsed, err := http.ReadResponse(r.conn.link.reader, &http.Request{Method: r.method})
-		if err != nil {
-			return err
-		}
-		if parsed.StatusCode >= http.StatusOK {
-			reply.CheckBody(parsed)
-			r.Response = parsed
-			return nil
-		}
+	parsed, err := reply.Read(r.conn.link.reader, &http.Request{Method: r.method})
+	if err != nil {
+		return err
 	}
+	r.Response = parsed
+	return nil
 }
 
 // write writes a request, without a copy of its parts.
--- a/fakes/message.go
+++ b/fakes/message.go
@@ -1,12 +1,14 @@
 package fakes
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 )
 
 // Message is what a server sends in answer to a request: the heads of informational answers,
@@ -23,14 +25,6 @@
 	).Replace(m.Text)
 }
 
-// Send starts a server that answers each request with the message and closes the connection.
-func (m Message) Send(fields, body string) (address string, stop func(), err error) {
-	return Script(func(c *net.TCPConn, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(c, m.With(fields, body))
-	})
-}
-
 // statusLine returns a message with a status line, and what follows it in a sound answer.
 func statusLine(line string) Message {
 	return Message{Name: line, Text: line + "\r\n{fields}\r\n{body}"}
@@ -126,7 +120,7 @@
 	var all []Message
 	for _, lines := range []string{
 		"Content-Length: {length}\r\nContent-Length: 4", "Content-Length: {length}, 4", "Content-Length: -1", "Content-Length: +{length}", "Content-Length: {length}x",
-		"Content-Length: ", "Content-Length: 4 4", "Content-Length: 0x4", "Content-Length: 99999999999999999999", "Content-Length: 99",
+		"Content-Length: ", "Content-Length: 4 4", "Content-Length: 0x4", "Content-Length: 99999999999999999999", "Content-Length: 99999",
 	} {
 		all = append(all, Message{fmt.Sprintf("%q", lines), "HTTP/1.1 200 OK\r\n{fields}" + lines + "\r\n\r\n{body}"})
 	}
@@ -144,3 +138,56 @@
 	}
 	return append(all, Message{"chunks of HTTP/1.0", "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n\r\n"})
 }
+
+// BadHeads returns some of the messages whose head shows that they are no answers.
+func BadHeads() []Message { return append(Some(BadStatuses()), Some(BadFields())...) }
+
+// BadMessages returns some of the messages that are no answers, as their reader is told
+// before the body or at its end.
+func BadMessages() []Message {
+	return append(append(BadHeads(), Some(BadFramings())...), BadTrailers()...)
+}
+
+// someOf is of how many messages Some returns one. It isn't even, so that all forms of a line
+// are among them.
+const someOf = 7
+
+// Some returns a part of a table of messages, for tests that open connections for each.
+func Some(messages []Message) []Message {
+	var some []Message
+	for i := 0; i < len(messages); i += someOf {
+		some = append(some, messages[i])
+	}
+	return some
+}
+
+// Reader reads an answer from an address.
+type Reader func(ctx context.Context, address string) error
+
+// Misread returns the messages, by name, that a reader of answers takes as it should not: one
+// that is no answer without an error, or one that is with an error. They come with fields and
+// a body that the reader understands.
+func Misread(ctx context.Context, read Reader, fields, body string, bad []Message) ([]string, error) {
+	var text atomic.Pointer[string]
+	address, stop, err := Script(func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, *text.Load())
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	var names []string
+	try := func(messages []Message, sound bool) {
+		for _, m := range messages {
+			sent := m.With(fields, body)
+			text.Store(&sent)
+			if got := read(ctx, address); (got == nil) != sound {
+				names = append(names, fmt.Sprintf("%s: %v", m.Name, got))
+			}
+		}
+	}
+	try(bad, false)
+	try(SoundMessages(), true)
+	return names, nil
+}
--- a/fakes/network.go
+++ b/fakes/network.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"clementinehead.example/chead/reply"
 )
 
 // AnyHost means every host in Cut, Heal, Silence and Reset.
@@ -34,7 +36,7 @@
 	cut        map[link]bool
 	listeners  map[string]*listener
 	conns      map[*pair]bool
-	transports []*http.Transport
+	transports []*reply.Transport
 	servers    []*http.Server
 	serving    sync.WaitGroup
 	ports      int
@@ -118,12 +120,12 @@
 
 // Client returns a client whose connections come from host.
 func (n *Network) Client(host string) *http.Client {
-	transport := &http.Transport{
+	transport := reply.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return n.Dial(ctx, host, address)
 		},
 		MaxIdleConnsPerHost: idlePerHost,
-	}
+	})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.transports = append(n.transports, transport)
--- a/front/unsound_test.go
+++ b/front/unsound_test.go
@@ -48,8 +48,8 @@
 // request has not run.
 func refuseMessages(t *testing.T, messages []fakes.Message) {
 	t.Helper()
-	for _, m := range messages {
-		for _, path := range messagePaths {
+	for _, path := range messagePaths {
+		for _, m := range messages {
 			t.Run(m.Name+" "+path, func(t *testing.T) {
 				f, b := newMessageFixture(t, path, m)
 				got := f.call(t, "POST", path, nil)
@@ -61,6 +61,7 @@
 				}
 			})
 		}
+		messages = fakes.Some(messages) // on the other paths
 	}
 }
 
--- a/reply/body.go
+++ b/reply/body.go
@@ -1,15 +1,31 @@
 package reply
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net/http"
 )
 
-// CheckBody makes the body of an answer end with an error of kind Field, and not with
+// Read reads the head of the final answer to a request, after informational ones, from a
+// reader over a Conn.
+func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(r, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			checkBody(response)
+			return response, nil
+		}
+	}
+}
+
+// checkBody makes the body of an answer end with an error of kind Field, and not with
 // io.EOF, if the trailer after it has a name that is no token. The other faults of a trailer
 // are errors by net/http.
-func CheckBody(r *http.Response) {
+func checkBody(r *http.Response) {
 	if len(r.TransferEncoding) > 0 { // there is no trailer without chunks
 		r.Body = &body{ReadCloser: r.Body, response: r}
 	}
--- a/reply/early_test.go
+++ b/reply/early_test.go
@@ -76,6 +76,11 @@
 	if single {
 		client = transport.Single()
 	}
+	return post(client, address, body)
+}
+
+// post posts a body to an address and returns that of the answer.
+func post(client *http.Client, address string, body []byte) (string, error) {
 	response, err := client.Post("http://"+address, "text/plain", bytes.NewReader(body))
 	if err != nil {
 		return "", err
--- a/reply/message_test.go
+++ b/reply/message_test.go
@@ -1,9 +1,13 @@
 package reply_test
 
 import (
+	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 
@@ -18,83 +22,88 @@
 	soundBody   = "the body"
 )
 
-// call gets the answer of an address over a new connection, or the last of three over a kept
-// one.
-func call(transport *reply.Transport, single bool, address string) (string, error) {
-	if single {
-		return fetch(transport, true, address, nil)
-	}
-	for range 2 {
-		_, _ = fetch(transport, false, address, nil)
-	}
-	return fetch(transport, false, address, nil)
-}
-
-// refuse checks that no caller gets one of the messages as an answer.
-func refuse(t *testing.T, messages []fakes.Message) {
-	t.Helper()
-	for _, m := range messages {
+// A Transport returns no message that is no answer, or tells so at the end of its body.
+func TestTransportRefusesWhatIsNoAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  []fakes.Message
+	}{
+		{"statuses", fakes.BadStatuses()},
+		{"fields", fakes.BadFields()},
+		{"framings", fakes.BadFramings()},
+		{"trailers", fakes.BadTrailers()},
+	} {
 		for _, single := range []bool{false, true} {
-			t.Run(m.Name, func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, single %v", c.name, single), func(t *testing.T) {
 				is := is.New(t)
-				address, stop, err := m.Send(soundFields, soundBody)
+				read := func(_ context.Context, address string) error {
+					body, err := fetch(reply.NewTransport(&http.Transport{}), single, address, nil)
+					if err == nil && body != soundBody {
+						err = fmt.Errorf("body %q", body)
+					}
+					return err
+				}
+				wrong, err := fakes.Misread(t.Context(), read, soundFields, soundBody, c.bad)
 				is.NoErr(err)
-				defer stop()
-				body, err := call(reply.NewTransport(&http.Transport{}), single, address)
-				is.True(err != nil)
-				is.Equal(body, "")
+				is.Equal(wrong, nil)
 			})
 		}
 	}
 }
 
-func TestBadStatuses(t *testing.T) { refuse(t, fakes.BadStatuses()) }
-
-func TestBadFields(t *testing.T) { refuse(t, fakes.BadFields()) }
-
-func TestBadFramings(t *testing.T) { cut(t, fakes.BadFramings()) }
-
-func TestBadTrailers(t *testing.T) { cut(t, fakes.BadTrailers()) }
-
-// cut checks that the reader of each of the messages is told that it is no answer, before
-// the body or at its end.
-func cut(t *testing.T, messages []fakes.Message) {
-	t.Helper()
-	for _, m := range messages {
+// On a kept connection a message is checked as on a new one.
+func TestMessagesOnAKeptConnection(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	sound := map[string]bool{}
+	for _, m := range fakes.SoundMessages() {
+		sound[m.Name] = true
+	}
+	for _, m := range append(fakes.BadHeads(), fakes.SoundMessages()...) {
 		t.Run(m.Name, func(t *testing.T) {
 			is := is.New(t)
-			address, stop, err := m.Send(soundFields, soundBody)
+			client, server := net.Pipe()
+			defer func() { _ = client.Close() }()
+			go answerInTurn(server, first, m.With(soundFields, soundBody))
+			transport := reply.NewTransport(&http.Transport{DialContext: dialOnce(client)})
+			defer transport.CloseIdleConnections()
+			body, err := post(&http.Client{Transport: transport}, "server", nil)
 			is.NoErr(err)
-			defer stop()
-			_, err = call(reply.NewTransport(&http.Transport{}), true, address)
-			is.True(err != nil)
+			is.Equal(body, "ok")
+			body, err = post(&http.Client{Transport: transport}, "server", nil)
+			is.Equal(err == nil, sound[m.Name])
+			is.Equal(body == soundBody, sound[m.Name])
 		})
 	}
 }
 
-// All answers are read as they are, also if they come byte by byte.
-func TestSoundMessages(t *testing.T) {
-	for _, m := range fakes.SoundMessages() {
-		t.Run(m.Name, func(t *testing.T) {
-			is := is.New(t)
-			address, stop, err := m.Send(soundFields, soundBody)
-			is.NoErr(err)
-			defer stop()
-			for _, single := range []bool{false, true} {
-				body, err := call(reply.NewTransport(&http.Transport{}), single, address)
-				is.NoErr(err)
-				is.Equal(body, soundBody)
-			}
-			text := m.With(soundFields, soundBody)
-			got, err := readSlowly(text)
-			is.NoErr(err)
-			is.Equal(got, text)
-		})
+// answerInTurn answers one request with each of the texts and closes the connection.
+func answerInTurn(c net.Conn, texts ...string) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for _, text := range texts {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+}
+
+// dialOnce returns a connection to the first caller and an error to the others.
+func dialOnce(c net.Conn) func(context.Context, string, string) (net.Conn, error) {
+	var used atomic.Bool
+	return func(context.Context, string, string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, io.ErrClosedPipe
+		}
+		return c, nil
 	}
 }
 
-// A message that is none is found wherever the reads that it comes in begin.
-func TestBadMessagesByteByByte(t *testing.T) {
+// A message that is none is found wherever the reads that it comes in begin, and one that is
+// an answer is read as it is.
+func TestMessagesByteByByte(t *testing.T) {
 	for kind, messages := range map[reply.Kind][]fakes.Message{reply.Status: fakes.BadStatuses(), reply.Field: fakes.BadFields()} {
 		for _, m := range messages {
 			t.Run(m.Name, func(t *testing.T) {
@@ -103,6 +112,15 @@
 			})
 		}
 	}
+	for _, m := range fakes.SoundMessages() {
+		t.Run(m.Name, func(t *testing.T) {
+			is := is.New(t)
+			text := m.With(soundFields, soundBody)
+			got, err := readSlowly(text)
+			is.NoErr(err)
+			is.Equal(got, text)
+		})
+	}
 }
 
 // readSlowly reads a message from a connection that gives one byte at a time.
--- a/reply/transport.go
+++ b/reply/transport.go
@@ -31,10 +31,8 @@
 	return &Transport{base: bound.Heads(base)}
 }
 
-// NewClient returns a client over a Transport with the settings of http.DefaultTransport.
-func NewClient() *http.Client {
-	return &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
-}
+// Default takes the place of http.DefaultClient.
+var Default = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
 
 // Single returns a client whose calls have a connection each: on a kept one, a late answer
 // to an earlier call would be taken for the call's.
@@ -64,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	CheckBody(response)
+	checkBody(response)
 	return response, nil
 }
 
--- a/simul/caller.go
+++ b/simul/caller.go
@@ -84,6 +84,10 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, nil // the daemon names no address now
 	}
-	err = json.NewDecoder(response.Body).Decode(&answer)
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	err = json.Unmarshal(data, &answer)
 	return answer.Addresses, err
 }
--- a/soak/client.go
+++ b/soak/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementinehead.example/chead/reply"
 	"clementinehead.example/chead/simul"
 )
 
@@ -34,7 +35,7 @@
 }
 
 func newClient(c *cluster) *client {
-	return &client{cluster: c, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}}
+	return &client{cluster: c, http: &http.Client{Transport: reply.NewTransport(&http.Transport{MaxIdleConnsPerHost: 20})}}
 }
 
 // addresses returns the addresses for callers that the daemons' directory lists.
--- a/soak/kept.go
+++ b/soak/kept.go
@@ -5,9 +5,10 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
+
+	"clementinehead.example/chead/reply"
 )
 
 // keptCaller opens connections to one daemon only and uses each until the daemon
@@ -64,13 +65,13 @@
 			time.Sleep(connectPause)
 			continue
 		}
-		k.use(ctx, conn)
+		k.use(ctx, reply.NewConn(conn))
 		_ = conn.Close()
 	}
 }
 
 // use sends requests over a connection until it ends.
-func (k *keptCaller) use(ctx context.Context, conn net.Conn) {
+func (k *keptCaller) use(ctx context.Context, conn *reply.Conn) {
 	reader := bufio.NewReader(conn)
 	for ctx.Err() == nil {
 		if k.maxIdle > 0 {
@@ -99,17 +100,17 @@
 )
 
 // slowDown makes the caller of some requests a slow one, if the profile has such.
-func (k *keptCaller) slowDown(conn net.Conn, rec *record) {
+func (k *keptCaller) slowDown(conn *reply.Conn, rec *record) {
 	if !k.client.cluster.traits.slow || !routes[k.path].stream || k.chances.IntN(slowShare) > 0 {
 		return
 	}
 	rec.size = slowSize
-	_ = conn.(*net.TCPConn).SetReadBuffer(slowBuffer)
+	_ = conn.Conn.(*net.TCPConn).SetReadBuffer(slowBuffer)
 }
 
 // exchange sends a request, fills in its result and reports whether the connection is
 // to be closed.
-func (k *keptCaller) exchange(conn net.Conn, reader *bufio.Reader, rec *record) (ends bool) {
+func (k *keptCaller) exchange(conn *reply.Conn, reader *bufio.Reader, rec *record) (ends bool) {
 	call := rec.call(k.daemon.caller)
 	request, err := call.Request(context.Background())
 	if err != nil {
@@ -120,12 +121,15 @@
 		request.ContentLength = int64(len(call.Body())) // otherwise it goes in chunks
 	}
 	_ = conn.SetDeadline(time.Now().Add(rec.deadline + callerSlack))
-	if err := request.Write(conn); err != nil {
+	conn.Begin()
+	err = request.Write(conn)
+	conn.Sent(err)
+	if err != nil {
 		rec.err, rec.ending = err, reset // whatever the error, which package http may hide
 		return true
 	}
 	rec.written = time.Now()
-	response, err := http.ReadResponse(reader, request)
+	response, err := reply.Read(reader, request)
 	if err != nil {
 		rec.end(err)
 		return true
--- a/soak/unready.go
+++ b/soak/unready.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"clementinehead.example/chead/reply"
 )
 
 // unreadyLimit is the time after SIGTERM from which a daemon may not say that it is
@@ -16,7 +18,7 @@
 	if !d.isStopping() {
 		return
 	}
-	response, err := (&http.Client{Timeout: time.Second}).Get("http://" + d.ready + "/api/readyz")
+	response, err := (&http.Client{Transport: reply.Default.Transport, Timeout: time.Second}).Get("http://" + d.ready + "/api/readyz")
 	if err != nil {
 		return
 	}
