conns: whether a request was sent is known in one place

Before, Response kept the result of the write beside reply.Conn, which knows it since. No change in behaviour; conns' and reply's tests pass.

--- a/conns/send.go
+++ b/conns/send.go
@@ -29,7 +29,6 @@
 	conn     *Conn
 	method   string      // of the request
 	stop     func() bool // cancels the closing of conn at the context's end; false if that has come
-	writeErr chan error
 	consumed bool
 	strayed  bool // a response to another request came before
 }
@@ -44,16 +43,16 @@
 // if the context ends before Response.Close. The kind of an error is Sent.
 func (p *Pool) Send(ctx context.Context, c *Conn, r Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	response := &Response{pool: p, conn: c, method: r.Method, stop: stop, writeErr: make(chan error, 1)}
+	response := &Response{pool: p, conn: c, method: r.Method, stop: stop}
 	head := r.encodeHead()
 	c.link.Begin()
 	if len(head)+len(r.Body) > asyncWriteSize {
-		go func() { response.writeErr <- c.write(head, r.Body) }()
+		go c.write(head, r.Body)
 		answered := make(chan struct{})
 		defer close(answered)
 		c.watchLong(answered)
 	} else {
-		response.writeErr <- c.write(append(head, r.Body...))
+		c.write(append(head, r.Body...))
 	}
 	if err := response.readHead(); err != nil {
 		stop()
@@ -76,12 +75,9 @@
 	return nil
 }
 
-// write writes a request, without a copy of its parts.
-func (c *Conn) write(parts ...[]byte) error {
-	err := c.link.WriteBuffers(parts)
-	c.link.Sent(err)
-	return err
-}
+// write writes a request, without a copy of its parts. The read of the answer returns its
+// error, unless the answer is whole without the rest.
+func (c *Conn) write(parts ...[]byte) { c.link.Sent(c.link.WriteBuffers(parts)) }
 
 // encodeHead returns the request without its body in the wire format of HTTP/1.1.
 func (r Request) encodeHead() []byte {
@@ -123,7 +119,7 @@
 // unread bytes, and one that it has no space for. Calls after the first have no effect.
 func (r *Response) Close() {
 	stopped := r.stop()
-	if !stopped || !r.consumed || r.strayed || r.Response.Close || !r.Framed() || !r.written() {
+	if !stopped || !r.consumed || r.strayed || r.Response.Close || !r.Framed() || !r.conn.link.Whole() {
 		_ = r.conn.Close()
 		return
 	}
@@ -131,13 +127,3 @@
 		r.pool.put(r.conn.link, r.Header)
 	}
 }
-
-// written reports whether the whole request has been written without an error.
-func (r *Response) written() bool {
-	select {
-	case err := <-r.writeErr:
-		return err == nil
-	default:
-		return false
-	}
-}
--- a/reply/conn.go
+++ b/reply/conn.go
@@ -62,6 +62,13 @@
 	close(c.sent)
 }
 
+// Whole reports whether the present request has been sent whole.
+func (c *Conn) Whole() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed == nil && c.sent != nil && closed(c.sent)
+}
+
 // closed reports whether a channel that carries no values is closed.
 func closed(c <-chan struct{}) bool {
 	select {
