--- a/fakes/network.go
+++ b/fakes/network.go
@@ -9,8 +9,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"clementinehead.example/chead/reply"
 )
 
 // AnyHost means every host in Cut, Heal, Silence and Reset.
@@ -36,7 +34,7 @@
 	cut        map[link]bool
 	listeners  map[string]*listener
 	conns      map[*pair]bool
-	transports []*reply.Transport
+	transports []*http.Transport
 	servers    []*http.Server
 	serving    sync.WaitGroup
 	ports      int
@@ -120,12 +118,12 @@
 
 // Client returns a client whose connections come from host.
 func (n *Network) Client(host string) *http.Client {
-	transport := reply.NewTransport(&http.Transport{
+	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return n.Dial(ctx, host, address)
 		},
 		MaxIdleConnsPerHost: idlePerHost,
-	})
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.transports = append(n.transports, transport)
