--- a/fakes/message.go
+++ b/fakes/message.go
@@ -177,6 +177,7 @@
 		return nil, err
 	}
 	defer stop()
+	fields += "Connection: close\r\n" // as Script does after each
 	var names []string
 	try := func(messages []Message, sound bool) {
 		for _, m := range messages {
