--- a/front/unsound_test.go
+++ b/front/unsound_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// A stream that is resumed at an endpoint whose answer is none is cut, and goes on with nothing
+// of what came.
+func TestStreamResumedByNoAnswer(t *testing.T) {
+	for sound, messages := range map[bool][]fakes.Message{false: fakes.BadHeads(), true: fakes.SoundMessages()} {
+		for _, m := range messages {
+			t.Run(m.Name, func(t *testing.T) {
+				first := events(3, false)
+				b := newStub(t, "a", func(w io.Writer, r *http.Request) bool {
+					if r.Header.Get("Last-Event-Id") == "" {
+						return first(w, r)
+					}
+					_, _ = io.WriteString(w, m.With(soundFields, "id: 4\ndata: rest\n\n"))
+					return false
+				})
+				c := newStub(t, "b", b.script)
+				got := newFixture(t, "engines", b, c).call(t, "POST", "/talk/x", nil)
+				if got.truncated == sound || strings.Contains(got.body, "data: rest") != sound || strings.Count(got.body, "data: x") != 3 {
+					t.Fatalf("status %d, body %q, truncated %v", got.status, got.body, got.truncated)
+				}
+			})
+		}
+	}
+}
+
 // Each legal field of an answer is passed on.
 func TestLegalFieldNames(t *testing.T) {
 	for _, name := range fakes.LegalNames() {
