--- a/fakes/message.go
+++ b/fakes/message.go
@@ -12,10 +12,11 @@
 )
 
 // Message is what a server sends in answer to a request: the heads of informational answers,
-// a status line, field lines and a body. Fields and Body stand for those that a test adds.
+// a status line, field lines and a body. In Text {fields} and {body} stand for what a test
+// adds, {length} for the body's length in bytes and {chunk} for the body as one chunk.
 type Message struct {
 	Name string
-	Text string // with {fields} and {body}
+	Text string
 }
 
 // With returns the message with fields, lines that end with CRLF, and a body.
@@ -148,8 +149,8 @@
 	return append(append(BadHeads(), Some(BadFramings())...), BadTrailers()...)
 }
 
-// someOf is of how many messages Some returns one. It isn't even, so that all forms of a line
-// are among them.
+// someOf is of how many messages Some returns one. It has no factor in common with the number
+// of forms that BadFields gives each line, so that all of them are among those returned.
 const someOf = 7
 
 // Some returns a part of a table of messages, for tests that open connections for each.
--- a/reply/doc.go
+++ b/reply/doc.go
@@ -1,7 +1,7 @@
 // Package reply decides whether what a server sent over an HTTP/1.1 connection is an answer
-// to a request, as RFC 9110 and RFC 9112 have it. All that this project reads of answers
-// over HTTP/1.1 comes through a Conn or a Transport of this package, so that a message that
-// is no answer is an error to every reader.
+// to a request, as RFC 9110 and RFC 9112 have it. All that the programs read of answers over
+// HTTP/1.1 comes through a Conn or a Transport of this package, so that a message that is no
+// answer is an error to every reader.
 //
 // No answer is a message
 //
--- a/reply/head.go
+++ b/reply/head.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	h.old = bytes.HasPrefix(line, []byte("HTTP/1.0"))
+	h.old = bytes.HasPrefix(line, []byte(major+"0"))
 	h.informational = status < http.StatusOK
 	h.at = lineStart
 	return nil
@@ -192,6 +192,9 @@
 	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
+// major begins each status line of HTTP/1; the digit of the minor version follows.
+const major = "HTTP/1."
+
 var (
 	errVersion = errors.New("not of HTTP/1")
 	errStatus  = errors.New("not of three digits from 100 to 599")
@@ -202,11 +205,11 @@
 // invalid (RFC 9110, section 15), and after 101 the connection carries another protocol,
 // which no request of this program asks for.
 func parseStatus(line []byte) (int, error) {
-	const version = "HTTP/1.1" // or another digit at its end
-	if len(line) <= len(version) || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[len(version)-1]) || line[len(version)] != ' ' {
+	minor, rest, spaced := bytes.Cut(bytes.TrimPrefix(line, []byte(major)), []byte(" "))
+	if !bytes.HasPrefix(line, []byte(major)) || len(minor) != 1 || !isDigit(minor[0]) || !spaced {
 		return 0, &Error{Op: "read", Kind: Status, Err: errVersion}
 	}
-	code, _, _ := bytes.Cut(bytes.TrimLeft(line[len(version):], " "), []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
 		return 0, &Error{Op: "read", Kind: Status, Err: errStatus}
 	}
