Take no message for an answer whose trailer has a folded line; tables of messages played whole

What callers saw: an answer in chunks whose trailer holds a line that begins with a blank came as a whole one.

Cause: checked a trailer's names after net/textproto had unfolded its lines.

Change: package reply follows the chunks of a body as they come and reads the trailer after them by the rule for heads, so that there is one rule for both. net/http still decides whether chunks are framed as they should be. The check at the end of the body is gone.

All paths play all rows again; they share one stand-in for a path instead.

--- a/fakes/message.go
+++ b/fakes/message.go
@@ -13,7 +13,8 @@
 
 // Message is what a server sends in answer to a request: the heads of informational answers,
 // a status line, field lines and a body. In Text {fields} and {body} stand for what a test
-// adds, {length} for the body's length in bytes and {chunk} for the body as one chunk.
+// adds, {length} for the body's length in bytes, {chunk} for the body as one chunk, and
+// {chunk;a=b} for one with an extension.
 type Message struct {
 	Name string
 	Text string
@@ -22,7 +23,7 @@
 // With returns the message with fields, lines that end with CRLF, and a body.
 func (m Message) With(fields, body string) string {
 	return strings.NewReplacer(
-		"{fields}", fields, "{body}", body, "{length}", strconv.Itoa(len(body)), "{chunk}", fmt.Sprintf("%x\r\n%s", len(body), body),
+		"{fields}", fields, "{body}", body, "{length}", strconv.Itoa(len(body)), "{chunk}", fmt.Sprintf("%x\r\n%s", len(body), body), "{chunk;a=b}", fmt.Sprintf("0%X;a=b\r\n%s", len(body), body),
 	).Replace(m.Text)
 }
 
@@ -65,17 +66,19 @@
 		{"with a length", "HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n{body}"},
 		{"in chunks", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n\r\n"},
 		{"in chunks, with a trailer", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\nX-Sum: 1\r\n\r\n"},
+		{"in chunks with extensions", "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk;a=b}\r\n00;c=\"d\"\r\nX_Sum: 1\r\n!: 2\r\n\r\n"},
 		{"empty and unusual values", "HTTP/1.1 200 OK\r\nA:\r\nB: \r\nC:\td\t\r\nD: \xe4: b\r\n{fields}\r\n{body}"},
 		{"lines that end with LF", "HTTP/1.1 200 OK\nA: b\n{fields}\n{body}"},
 	}
 }
 
-// BadFields returns messages that are no answers by a line of their head that is no field
-// line, or is folded. Without that line they are sound.
-func BadFields() []Message {
-	const length = "Content-Length: {length}\r\n"
+// badLines returns lines that are no field lines, or that go on with the line before them.
+// The name of some would be one that counts without what is wrong with it.
+func badLines() []string {
 	lines := []string{
-		"Content-Length : 4", "Content-Length\t: 4", "Transfer-Encoding : chunked", "X-Trace : b", "X Trace: b", " X-Trace: b", "\tX-Trace: b", " ", "\t",
+		"Content-Length : 4", "Content-Length\t: 4", "Content Length: 4", " Content-Length: 4", "Content-Length\x00: 4", "Transfer-Encoding : chunked", " Transfer-Encoding: chunked",
+		"X-Not-Executed : 1", " X-Not-Executed: 1", "X-Server-Signature : s", "X-Request-Id : id-1", "Connection : close",
+		"X-Trace : b", "X Trace: b", " X-Trace: b", "\tX-Trace: b", " ", "\t",
 		": b", " : b", "X-Trace", "X-Trace b", "X-Trace\r: b", "X\rTrace: b", "\rX-Trace: b", "X\x80: b", "\xefX: b",
 		"X-Trace: a\x00b", "X-Trace: a\rb", "X-Trace: a\x01b", "X-Trace: a\x7fb",
 	}
@@ -87,8 +90,15 @@
 	for _, b := range "\x7f\"(),/;<=>?@[\\]{}" {
 		lines = append(lines, "X"+string(b)+"Y: b")
 	}
+	return lines
+}
+
+// BadFields returns messages that are no answers by a line of their head that is no field
+// line, or is folded. Without that line they are sound.
+func BadFields() []Message {
+	const length = "Content-Length: {length}\r\n"
 	var all []Message
-	for _, line := range lines {
+	for _, line := range badLines() {
 		name := fmt.Sprintf("%q", line)
 		all = append(all,
 			Message{name, "HTTP/1.1 200 OK\r\n{fields}" + line + "\r\n\r\n{body}"},
@@ -100,19 +110,28 @@
 	return all
 }
 
-// BadTrailers returns messages with a trailer that holds a line that is no field line. The
-// body is whole before it.
+// BadTrailers returns messages with a trailer that holds a line that is no field line, or is
+// folded. The body is whole before it.
 func BadTrailers() []Message {
+	const whole = "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n"
 	var all []Message
-	for _, line := range []string{"X Trace: b", "X-Trace : b", "X-Trace", ": b", "X\x01Y: b", "X-Trace: a\x00b"} {
-		all = append(all, Message{fmt.Sprintf("trailer %q", line), "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n" + line + "\r\n\r\n"})
+	for _, line := range badLines() {
+		name := fmt.Sprintf("trailer %q", line)
+		all = append(all,
+			Message{name, whole + line + "\r\n\r\n"},
+			Message{name + " after another", whole + "A: b\r\n" + line + "\r\n\r\n"},
+		)
 	}
 	return all
 }
 
 // LegalNames returns field names that are unusual and legal.
 func LegalNames() []string {
-	return []string{"X_Trace", "x.trace", "1", "-", "!#$%&'*+.^`|~", "X-Very-Long-" + strings.Repeat("Name-", 40)}
+	names := []string{"X_Trace", "x.trace", "!#$%&'*+.^`|~", "X-Very-Long-" + strings.Repeat("Name-", 40)}
+	for _, b := range "!#$%&'*+-.^_`|~09azAZ" {
+		names = append(names, string(b), "X"+string(b)+"y")
+	}
+	return names
 }
 
 // BadFramings returns messages that are no answers, since where they end isn't told, or is
@@ -146,7 +165,7 @@
 // BadMessages returns some of the messages that are no answers, as their reader is told
 // before the body or at its end.
 func BadMessages() []Message {
-	return append(append(BadHeads(), Some(BadFramings())...), BadTrailers()...)
+	return append(append(BadHeads(), Some(BadFramings())...), Some(BadTrailers())...)
 }
 
 // someOf is of how many messages Some returns one. It has no factor in common with the number
--- a/front/early_test.go
+++ b/front/early_test.go
@@ -34,12 +34,13 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
-// upload sends a request with a long body.
-func (f *fixture) upload(t *testing.T, path string) reply {
+// upload sends a request with a body of so many bytes.
+func (f *fixture) upload(t *testing.T, path string, size int64) reply {
 	t.Helper()
 	return f.call(t, "POST", path, func(r *http.Request) {
-		r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadSize)))
-		r.ContentLength = uploadSize
+		r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", int(size))))
+		r.ContentLength = size
+		r.Header.Set("X-Deadline-Ms", "700") // what may be repeated waits for another endpoint
 	})
 }
 
@@ -80,7 +81,7 @@
 						writeEarly(conn, r, c.framing, c.body)
 						c.end(conn, r)
 					})
-					got := f.upload(t, path)
+					got := f.upload(t, path, uploadSize)
 					if whole := got.status == http.StatusOK && !got.truncated; whole != c.served {
 						t.Fatalf("status %d, body %q, truncated %v", got.status, got.body, got.truncated)
 					}
@@ -96,6 +97,69 @@
 	}
 }
 
+// ends are ways in which an endpoint ends the connection of an early answer.
+var ends = map[string]func(c *net.TCPConn, r *http.Request){
+	"reset":        resetConn,
+	"unread bytes": func(*net.TCPConn, *http.Request) {},
+	"a part read":  func(_ *net.TCPConn, r *http.Request) { _, _ = io.CopyN(io.Discard, r.Body, r.ContentLength/2) },
+	"a part read, reset": func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.CopyN(io.Discard, r.Body, r.ContentLength/2)
+		resetConn(c, r)
+	},
+}
+
+// early is an answer without a length to a request that isn't read whole.
+type early struct {
+	path    string
+	size    int64 // bytes of the request's body
+	end     string
+	pause   time.Duration // before the end
+	version string
+	status  int
+}
+
+// earlies returns all combinations.
+func earlies() []early {
+	var all []early
+	for _, path := range []string{"/file/x", "/read/x", "/open/x", "/tell/x", "/talk/x", "/seek/x", relayedPath} {
+		for _, size := range []int64{64 << 10, 512 << 10, uploadSize} {
+			for end := range ends {
+				for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+					for _, version := range []string{"1.0", "1.1"} {
+						for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+							all = append(all, early{path, size, end, pause, version, status})
+						}
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
+// No early answer without a marked end is passed on as whole if the connection ends before
+// the request was read, whatever the route, its size, the version, the status and the end.
+func TestEarlyAnswerOfEachKind(t *testing.T) {
+	const part = "id: 1\ndata: x\n\n"
+	for _, c := range earlies() {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			t.Parallel()
+			f := newEarlyFixture(t, c.path, func(conn *net.TCPConn, r *http.Request) {
+				fmt.Fprintf(conn, "HTTP/%s %d X\r\nX-Request-Id: id-1\r\nX-Server-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n%s", c.version, c.status, part)
+				time.Sleep(c.pause)
+				ends[c.end](conn, r)
+			})
+			got := f.upload(t, c.path, c.size)
+			if got.truncated {
+				return
+			}
+			if got.status != http.StatusBadGateway && got.status != http.StatusGatewayTimeout || got.header.Get("X-Server-Signature") != "" || strings.Contains(got.body, part) {
+				t.Fatalf("status %d, header %v, body %q", got.status, got.header, got.body)
+			}
+		})
+	}
+}
+
 // relayedPath is a path whose requests are sent through another daemon.
 const relayedPath = "/file/relayed"
 
@@ -104,11 +168,7 @@
 func newEarlyFixture(t *testing.T, path string, answer func(*net.TCPConn, *http.Request)) *fixture {
 	t.Helper()
 	b := earlyStub(t, "a", answer)
-	service := "plain"
-	if path == "/tell/x" {
-		service = "engines"
-	}
-	f := newFixture(t, service, b)
+	f := newFixture(t, serviceOf(path), b)
 	f.allowUploads()
 	if path == relayedPath {
 		f.cut.Store(true)
@@ -117,6 +177,15 @@
 	return f
 }
 
+// serviceOf returns the service that has a path's route.
+func serviceOf(path string) string {
+	switch path {
+	case "/tell/x", "/talk/x", "/seek/x":
+		return "engines"
+	}
+	return "plain"
+}
+
 // halfClose ends the answer properly and resets the connection somewhat later.
 func halfClose(c *net.TCPConn, r *http.Request) {
 	_ = c.CloseWrite()
--- a/front/unsound_test.go
+++ b/front/unsound_test.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"clementinehead.example/chead/fakes"
@@ -15,29 +17,37 @@
 
 const soundEvents = "id: 1\ndata: x\n\n"
 
-// answerMessage returns a script that sends a message and closes the connection.
-func answerMessage(m fakes.Message) script {
-	return func(w io.Writer, _ *http.Request) bool {
-		_, _ = io.WriteString(w, m.With(soundFields, soundEvents))
+// messenger is an endpoint, or another daemon, that answers with a message and closes the
+// connection.
+type messenger struct {
+	*stub
+	message atomic.Pointer[string]
+}
+
+func newMessenger(t *testing.T) *messenger {
+	m := &messenger{}
+	m.stub = newStub(t, "a", func(w io.Writer, _ *http.Request) bool {
+		_, _ = io.WriteString(w, *m.message.Load())
 		return false
-	}
+	})
+	return m
 }
 
-// newMessageFixture starts a Front in front of an endpoint, or of another daemon, that
-// answers with a message.
-func newMessageFixture(t *testing.T, path string, m fakes.Message) (*fixture, *stub) {
+// answer returns the answer to a caller's request as the messenger answers with a text.
+func (m *messenger) answer(t *testing.T, path, text string) reply {
 	t.Helper()
-	b := newStub(t, "a", answerMessage(m))
-	service := "plain"
-	if path == "/tell/x" || path == "/talk/x" {
-		service = "engines"
-	}
-	f := newFixture(t, service, b)
+	m.message.Store(&text)
+	before := m.count()
+	f := newFixture(t, serviceOf(path), m.stub)
 	if path == relayedPath {
 		f.cut.Store(true)
-		f.peers = []site.Daemon{{ID: "peer", Peer: b.address}}
+		f.peers = []site.Daemon{{ID: "peer", Peer: m.address}}
+	}
+	got := f.call(t, "POST", path, nil)
+	if m.count() == before {
+		t.Fatal("the endpoint didn't get the request")
 	}
-	return f, b
+	return got
 }
 
 // messagePaths are paths of requests that endpoints answer whole and by a stream, and that
@@ -49,19 +59,15 @@
 func refuseMessages(t *testing.T, messages []fakes.Message) {
 	t.Helper()
 	for _, path := range messagePaths {
+		b := newMessenger(t)
 		for _, m := range messages {
 			t.Run(m.Name+" "+path, func(t *testing.T) {
-				f, b := newMessageFixture(t, path, m)
-				got := f.call(t, "POST", path, nil)
-				if b.count() == 0 {
-					t.Fatal("the endpoint didn't get the request")
-				}
+				got := b.answer(t, path, m.With(soundFields, soundEvents))
 				if got.status != http.StatusBadGateway || got.truncated || strings.Contains(got.body, "data: x") {
 					t.Fatalf("status %d, header %v, body %q, truncated %v", got.status, got.header, got.body, got.truncated)
 				}
 			})
 		}
-		messages = fakes.Some(messages) // on the other paths
 	}
 }
 
@@ -85,11 +91,11 @@
 // a stream that is cut, nor hear that a request has not run.
 func cutMessages(t *testing.T, messages []fakes.Message) {
 	t.Helper()
-	for _, m := range messages {
-		for _, path := range messagePaths {
+	for _, path := range messagePaths {
+		b := newMessenger(t)
+		for _, m := range messages {
 			t.Run(m.Name+" "+path, func(t *testing.T) {
-				f, _ := newMessageFixture(t, path, m)
-				got := f.call(t, "POST", path, nil)
+				got := b.answer(t, path, m.With(soundFields, soundEvents))
 				if !got.truncated && got.status != http.StatusBadGateway {
 					t.Fatalf("status %d, body %q", got.status, got.body)
 				}
@@ -98,6 +104,28 @@
 	}
 }
 
+// An endpoint says in its head that it has not run a request. It doesn't in one that has a
+// line that is no field line, whether that is the one that says it or another.
+func TestNotRunByABadHead(t *testing.T) {
+	const sound = "X-Request-Id: id-1\r\nX-Not-Executed: 1\r\n"
+	for _, status := range []string{"408", "421", "429", "503"} {
+		for _, path := range messagePaths {
+			b := newMessenger(t)
+			for _, lines := range []string{
+				"X-Request-Id: id-1\r\nX-Not-Executed : 1\r\n", "X-Request-Id: id-1\r\n X-Not-Executed: 1\r\n", "X-Request-Id: id-1\r\nX-Not-\x01Executed: 1\r\n",
+				sound + "X Trace: b\r\n", sound + ": b\r\n", sound + "X\x7f: b\r\n",
+			} {
+				t.Run(fmt.Sprintf("%s %q %s", status, lines, path), func(t *testing.T) {
+					got := b.answer(t, path, "HTTP/1.1 "+status+" X\r\n"+lines+"\r\n")
+					if got.status != http.StatusBadGateway {
+						t.Fatalf("status %d, header %v", got.status, got.header)
+					}
+				})
+			}
+		}
+	}
+}
+
 // A stream that is resumed at an endpoint whose answer is none is cut, and goes on with nothing
 // of what came.
 func TestStreamResumedByNoAnswer(t *testing.T) {
@@ -122,15 +150,18 @@
 	}
 }
 
-// Each legal field of an answer is passed on.
+// Each legal field of an answer is passed on; one of an informational answer or a trailer
+// spoils nothing.
 func TestLegalFieldNames(t *testing.T) {
-	for _, name := range fakes.LegalNames() {
-		for _, path := range messagePaths {
+	for _, path := range messagePaths {
+		b := newMessenger(t)
+		for _, name := range fakes.LegalNames() {
 			t.Run(name+" "+path, func(t *testing.T) {
-				f, _ := newMessageFixture(t, path, fakes.Message{Text: "HTTP/1.1 200 OK\r\n{fields}" + name + ": b c\r\n\r\n{body}"})
-				got := f.call(t, "POST", path, nil)
-				if got.status != http.StatusOK || got.truncated || got.header.Get(name) != "b c" {
-					t.Fatalf("status %d, header %v, truncated %v", got.status, got.header, got.truncated)
+				line := name + ": b c\r\n"
+				m := fakes.Message{Text: "HTTP/1.1 103 X\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n{fields}" + line + "Transfer-Encoding: chunked\r\n\r\n{chunk}\r\n0\r\n" + line + "\r\n"}
+				got := b.answer(t, path, m.With(soundFields, soundEvents))
+				if got.status != http.StatusOK || got.truncated || got.header.Get(name) != "b c" || got.body != soundEvents {
+					t.Fatalf("status %d, header %v, body %q, truncated %v", got.status, got.header, got.body, got.truncated)
 				}
 			})
 		}
@@ -139,11 +170,11 @@
 
 // What is an answer by RFC 9112 goes on being served.
 func TestSoundAnswers(t *testing.T) {
-	for _, m := range fakes.SoundMessages() {
-		for _, path := range messagePaths {
+	for _, path := range messagePaths {
+		b := newMessenger(t)
+		for _, m := range fakes.SoundMessages() {
 			t.Run(m.Name+" "+path, func(t *testing.T) {
-				f, _ := newMessageFixture(t, path, m)
-				got := f.call(t, "POST", path, nil)
+				got := b.answer(t, path, m.With(soundFields, soundEvents))
 				if got.status != http.StatusOK || got.truncated || got.body != soundEvents {
 					t.Fatalf("status %d, body %q, truncated %v", got.status, got.body, got.truncated)
 				}
--- a/reply/conn.go
+++ b/reply/conn.go
@@ -1,9 +1,11 @@
 package reply
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -23,7 +25,7 @@
 	writing chan struct{} // holds a value while bytes are written
 
 	mu     sync.Mutex
-	head   head          // of what is read
+	scan   scanner       // of what is read
 	bad    error         // what is read is no answer
 	failed error         // of a write
 	sent   chan struct{} // closed once the present request has been sent; nil before the first one
@@ -32,11 +34,22 @@
 // NewConn returns a Conn over a connection that has carried no request.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, writing: make(chan struct{}, 1)} }
 
+// Read reads the head of the final answer to a request, after informational ones, from a
+// reader over a Conn.
+func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(r, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
 // Begin has to be called before each request. What is read then begins with a head.
 func (c *Conn) Begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.begin()
+	c.scan.begin()
 	c.sent = make(chan struct{})
 }
 
@@ -45,7 +58,7 @@
 func (c *Conn) Again(read []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.begin()
+	c.scan.begin()
 	_, err := c.check(read)
 	return err
 }
@@ -110,7 +123,8 @@
 	c.fail(err)
 }
 
-// Read reads from the connection. Its error says if what comes is no answer's head. At the
+// Read reads from the connection. Its error says if what comes is no
+// answer's head or trailer. At the
 // end it is io.EOF only if all writes succeeded, and the present request has been sent whole.
 func (c *Conn) Read(p []byte) (int, error) {
 	if err := c.refused(); err != nil {
@@ -132,7 +146,7 @@
 // check returns how many of the bytes that were read belong to an answer, and an error if
 // not all do. The lock must be held.
 func (c *Conn) check(read []byte) (int, error) {
-	n, err := c.head.read(read)
+	n, err := c.scan.read(read)
 	if c.bad == nil {
 		c.bad = err
 	}
--- a/reply/message_test.go
+++ b/reply/message_test.go
@@ -104,7 +104,9 @@
 // A message that is none is found wherever the reads that it comes in begin, and one that is
 // an answer is read as it is.
 func TestMessagesByteByByte(t *testing.T) {
-	for kind, messages := range map[reply.Kind][]fakes.Message{reply.Status: fakes.BadStatuses(), reply.Field: fakes.BadFields()} {
+	for kind, messages := range map[reply.Kind][]fakes.Message{
+		reply.Status: fakes.BadStatuses(), reply.Field: append(fakes.BadFields(), fakes.BadTrailers()...),
+	} {
 		for _, m := range messages {
 			t.Run(m.Name, func(t *testing.T) {
 				_, err := readSlowly(m.With(soundFields, soundBody))
--- a/reply/part_string.go
+++ b/reply/part_string.go
@@ -15,11 +15,15 @@
 	_ = x[fieldValue-4]
 	_ = x[lineEnd-5]
 	_ = x[headEnd-6]
+	_ = x[chunkSize-7]
+	_ = x[chunkLine-8]
+	_ = x[chunkData-9]
+	_ = x[chunkEnd-10]
 }
 
-const _part_name = "outsidestatusLinelineStartfieldNamefieldValuelineEndheadEnd"
+const _part_name = "outsidestatusLinelineStartfieldNamefieldValuelineEndheadEndchunkSizechunkLinechunkDatachunkEnd"
 
-var _part_index = [...]uint8{0, 7, 17, 26, 35, 45, 52, 59}
+var _part_index = [...]uint8{0, 7, 17, 26, 35, 45, 52, 59, 68, 77, 86, 94}
 
 func (i part) String() string {
 	idx := int(i) - 0
--- a/reply/head.go
+++ b/reply/scan.go
@@ -19,6 +19,10 @@
 	fieldValue             // what comes after it
 	lineEnd                // the LF after the CR of a field line
 	headEnd                // the LF after the CR of the empty line
+	chunkSize              // the digits of a chunk's size
+	chunkLine              // what follows them on their line
+	chunkData              // the bytes of a chunk
+	chunkEnd               // the line end after them
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=part -output=part_string.go
@@ -27,146 +31,160 @@
 // names that do are shorter.
 const maxLine = 64
 
-// head reads the heads of messages byte by byte: those of informational answers, and that of
-// the final answer.
-type head struct {
+// scanner reads the heads of messages byte by byte: those of informational answers, that of
+// the final answer, and the trailer after a body in chunks.
+type scanner struct {
 	at            part
 	line          []byte // the status line or the field's name so far, up to maxLine
 	informational bool   // another head follows
 	old           bool   // it is of HTTP/1.0
 	length        bool   // it states a length
 	coded         bool   // it states a transfer coding
+	size          uint64 // of a chunk: what is left of it, in bytes
+	digits        int    // of its size, so far
+	trailer       bool   // the field lines are those of the trailer
 }
 
 // begin makes the next byte the first one of a head.
-func (h *head) begin() { *h = head{at: statusLine, line: h.line[:0]} }
+func (s *scanner) begin() { *s = scanner{at: statusLine, line: s.line[:0]} }
 
 // read reads bytes of a message, and returns how many of them belong to an answer: all, or
 // with an error those before the byte that shows that it is none.
-func (h *head) read(p []byte) (int, error) {
-	for i, b := range p {
-		if h.at == outside {
-			break
+func (s *scanner) read(p []byte) (int, error) {
+	for i := 0; i < len(p) && s.at != outside; {
+		if s.at == chunkData {
+			i += s.skip(len(p) - i)
+			continue
 		}
-		if err := h.step(b); err != nil {
+		if err := s.step(p[i]); err != nil {
 			return i, err
 		}
+		i++
 	}
 	return len(p), nil
 }
 
-// step reads one byte of a head.
-func (h *head) step(b byte) error {
-	switch h.at {
+// step reads one byte of a head, or of what frames a chunk.
+func (s *scanner) step(b byte) error {
+	switch s.at {
 	case statusLine:
-		return h.stepStatus(b)
+		return s.stepStatus(b)
 	case lineStart:
-		return h.stepStart(b)
+		return s.stepStart(b)
 	case fieldName:
-		return h.stepName(b)
+		return s.stepName(b)
 	case fieldValue:
-		return h.stepValue(b)
+		return s.stepValue(b)
 	case lineEnd:
-		return h.stepLineEnd(b)
+		return s.stepLineEnd(b)
 	case headEnd:
-		return h.stepHeadEnd(b)
-	case outside:
+		return s.stepHeadEnd(b)
+	case chunkSize:
+		s.stepSize(b)
+	case chunkLine:
+		s.stepLine(b)
+	case chunkEnd:
+		s.stepChunkEnd(b)
+	case outside, chunkData:
 	}
 	return nil
 }
 
 // keep adds a byte to what is kept of the line.
-func (h *head) keep(b byte) {
-	if len(h.line) < maxLine {
-		h.line = append(h.line, b)
+func (s *scanner) keep(b byte) {
+	if len(s.line) < maxLine {
+		s.line = append(s.line, b)
 	}
 }
 
-func (h *head) stepStatus(b byte) error {
+func (s *scanner) stepStatus(b byte) error {
 	if b != '\n' {
-		h.keep(b)
+		s.keep(b)
 		return nil
 	}
-	line := bytes.TrimSuffix(h.line, []byte("\r"))
+	line := bytes.TrimSuffix(s.line, []byte("\r"))
 	status, err := parseStatus(line)
 	if err != nil {
 		return err
 	}
-	h.old = bytes.HasPrefix(line, []byte(major+"0"))
-	h.informational = status < http.StatusOK
-	h.at = lineStart
+	s.old = bytes.HasPrefix(line, []byte(major+"0"))
+	s.informational = status < http.StatusOK
+	s.at = lineStart
 	return nil
 }
 
 // stepStart reads the first byte of a line after the status line. A line that begins with a
 // blank would go on with the line before it; a gateway may refuse such an answer (RFC 9112,
 // section 5.2).
-func (h *head) stepStart(b byte) error {
+func (s *scanner) stepStart(b byte) error {
 	switch {
 	case b == '\r':
-		h.at = headEnd
+		s.at = headEnd
 	case b == '\n':
-		return h.stepHeadEnd(b)
+		return s.stepHeadEnd(b)
 	case isToken(b):
-		h.at = fieldName
-		h.line = append(h.line[:0], b)
+		s.at = fieldName
+		s.line = append(s.line[:0], b)
 	default:
 		return fieldError(errName)
 	}
 	return nil
 }
 
-func (h *head) stepName(b byte) error {
+func (s *scanner) stepName(b byte) error {
 	switch {
 	case b == ':':
-		h.at = fieldValue
-		h.length = h.length || strings.EqualFold(string(h.line), "Content-Length")
-		h.coded = h.coded || strings.EqualFold(string(h.line), "Transfer-Encoding")
+		s.at = fieldValue
+		s.length = s.length || strings.EqualFold(string(s.line), "Content-Length")
+		s.coded = s.coded || strings.EqualFold(string(s.line), "Transfer-Encoding")
 	case isToken(b):
-		h.keep(b)
+		s.keep(b)
 	default:
 		return fieldError(errName)
 	}
 	return nil
 }
 
-func (h *head) stepValue(b byte) error {
+func (s *scanner) stepValue(b byte) error {
 	switch {
 	case b == '\r':
-		h.at = lineEnd
+		s.at = lineEnd
 	case b == '\n':
-		h.at = lineStart
+		s.at = lineStart
 	case b < ' ' && b != '\t' || b == del:
 		return fieldError(errValue)
 	}
 	return nil
 }
 
-func (h *head) stepLineEnd(b byte) error {
+func (s *scanner) stepLineEnd(b byte) error {
 	if b != '\n' {
 		return fieldError(errValue)
 	}
-	h.at = lineStart
+	s.at = lineStart
 	return nil
 }
 
-// stepHeadEnd reads the last byte of a head.
-func (h *head) stepHeadEnd(b byte) error {
+// stepHeadEnd reads the last byte of a head or a trailer.
+func (s *scanner) stepHeadEnd(b byte) error {
 	switch {
 	case b != '\n':
 		return fieldError(errName)
-	case h.informational:
-		h.begin()
+	case s.informational:
+		s.begin()
 		return nil
+	case s.coded && !s.trailer:
+		s.beginChunk()
+	default:
+		s.at = outside
 	}
-	h.at = outside
-	return h.checkFraming()
+	return s.checkFraming()
 }
 
 // checkFraming returns an error if the head tells in two ways where the body ends, or in one
 // that its version of HTTP lacks (RFC 9112, sections 6.1 and 6.3).
-func (h *head) checkFraming() error {
-	if h.coded && (h.length || h.old) {
+func (s *scanner) checkFraming() error {
+	if s.coded && (s.length || s.old) {
 		return &Error{Op: "read", Kind: Framing, Err: errFraming}
 	}
 	return nil
--- a/reply/transport.go
+++ b/reply/transport.go
@@ -58,12 +58,7 @@
 			}
 		},
 	}
-	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), hooks)))
-	if err != nil {
-		return nil, err
-	}
-	checkBody(response)
-	return response, nil
+	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), hooks)))
 }
 
 // CloseIdleConnections closes the connections that carry no call.
