Need a key wherever the configuration has a list of client accounts

Cause: DecodeConfig put accounts into a map by key, in which an account without keys leaves no trace, and front.identify read an empty map as "no accounts are configured".

Change: site.Config.Open says that the configuration has no list of accounts; it is set there alone, and its zero value needs a key. NeedsKey and Account are the only readers. An empty key belongs to no account. The log tells the number of keys, and whether the configuration is open.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -231,14 +231,7 @@
 // awaitRefused waits until all daemons refuse a key.
 func (c *cluster) awaitRefused(t *testing.T, key string) {
 	t.Helper()
-	await(t, "the key is refused everywhere", 5*time.Second, func() bool {
-		for _, d := range c.daemons {
-			if status, _ := c.call(d.Caller, "/file/", c.nextID(), key); status != http.StatusUnauthorized {
-				return false
-			}
-		}
-		return true
-	})
+	await(t, "the key is refused everywhere", 5*time.Second, func() bool { return c.statuses(key, http.StatusUnauthorized) })
 }
 
 func streamBody(events int) string {
--- a/front/front.go
+++ b/front/front.go
@@ -175,17 +175,17 @@
 
 // identify finds the client account by the request's key, and the priority. A
 // stale snapshot proves neither that a key is valid nor that it is invalid, so keys
-// are not checked by it. A public route, or a configuration without accounts,
-// needs no key.
+// are not checked by it. It isn't known by which account a request came that needs no
+// key.
 func (f *Front) identify(j *job, c *site.Config, stale bool) *refusal {
 	j.priority = j.route.Priority
-	if len(c.Accounts) == 0 || j.route.Public {
+	if !c.NeedsKey(j.route) {
 		return nil
 	}
 	if stale {
 		return staleOr(true, 0, "")
 	}
-	account, known := c.Accounts[platform.APIKey(j.r.Header)]
+	account, known := c.Account(platform.APIKey(j.r.Header))
 	if !known {
 		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 	}
--- a/site/config.go
+++ b/site/config.go
@@ -24,10 +24,24 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
-	Accounts map[string]Account // by API key; empty if no request needs one
+	Open     bool               // no request needs an API key; if not set, one needs a key even if Accounts has none
+	Accounts map[string]Account // by API key
 	Limits   Limits
 }
 
+// NeedsKey reports whether requests of a route need the API key of a client account.
+func (c *Config) NeedsKey(r Route) bool { return !c.Open && !r.Public }
+
+// Account returns the client account that has an API key, and whether there is one. An
+// empty key belongs to none.
+func (c *Config) Account(key string) (Account, bool) {
+	if key == "" {
+		return Account{}, false
+	}
+	account, known := c.Accounts[key]
+	return account, known
+}
+
 // Route is a rule for requests to Host whose path begins with Prefix.
 type Route struct {
 	Name          string
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -149,7 +149,7 @@
 		return
 	}
 	s.Config = config
-	w.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes))
+	w.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes), "keys", len(config.Accounts), "open", config.Open)
 }
 
 func (w *Watcher) applyEvacuation(s *Snapshot, domain string, item platform.Item) {
