Send a route's requests to no service if none has a weight

Cause: chooseService read a sum of 0 as "no weights are set", since a weight of 0 and one that is absent were decoded alike.

A request of a route without any weight is refused with 503 and hasn't run.

--- a/front/front.go
+++ b/front/front.go
@@ -148,7 +148,11 @@
 	if refused := f.identify(j, v.Config, stale); refused != nil {
 		return refused
 	}
-	j.service = chooseService(route.Shares, rand.IntN)
+	service, found := chooseService(route.Shares, rand.IntN)
+	if !found {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no service has a weight", retryAfter: defaultRetryAfter}
+	}
+	j.service = service
 	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -226,22 +230,23 @@
 	return strings.TrimSuffix(r.Host, ".")
 }
 
-// chooseService chooses a service at random by weight. The function random returns a
+// chooseService chooses a service at random by weight. It reports false if none has a
+// weight above 0, so that no request is to be sent to any. The function random returns a
 // random number in [0, n).
-func chooseService(shares []site.Share, random func(int) int) string {
+func chooseService(shares []site.Share, random func(int) int) (service string, found bool) {
 	total := 0
 	for _, s := range shares {
 		total += max(0, s.Weight)
 	}
 	if total == 0 {
-		return shares[0].Service
+		return "", false
 	}
 	n := random(total)
 	for _, s := range shares {
 		n -= max(0, s.Weight)
 		if n < 0 {
-			return s.Service
+			return s.Service, true
 		}
 	}
-	return shares[0].Service
+	return "", false
 }
