Accept keys only by a configuration that is shown to be the newest

Cause: a wait of 0.5 or 3 s counted from the start of the process, during which nobody could be heard, was taken for a proof that no newer version had been in force; for running daemons, 3 s of silence in a new era.

A daemon that knows the newest version writes it to the store once in an era, in which the store loses nothing; all that start later go by it, whether they hear others or not. A configuration that was written after a daemon's first listing of the era shows it too, and so does a store that no daemon has used. Only where nothing can tell is there a wait, 4 s from the first listing. The log line "configuration compared" tells why.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -5,43 +5,102 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"clementinehead.example/chead/gossip"
 	"clementinehead.example/chead/watch"
 )
 
-// catchUpWait is how long a daemon that has started listens to the others before it
-// takes its configuration for the newest: five rounds of gossip.
-const catchUpWait = 500 * time.Millisecond
+const (
+	// listenWait is how long a daemon that starts listens to the others before it accepts
+	// callers, from its first listing of the store: five rounds of gossip.
+	listenWait = 500 * time.Millisecond
+	// unheardWait is how long it listens if the store lists other daemons and it has heard
+	// none of them. Failure domains that the store lacks are written again by then.
+	unheardWait = 3 * time.Second
+	// rewriteWait is how long after the first listing of an era operators may take to write
+	// a configuration again that the store lost: twice what endpoints take.
+	rewriteWait = 4 * time.Second
+)
+
+// basis is what shows that a configuration is at least the newest one that was put in force.
+type basis int
 
-// unheardWait is how long it listens if the store lists other daemons and it has heard none
-// of them: they may be late. Failure domains that the store lacks are written again by then.
-const unheardWait = 3 * time.Second
+// The values of basis.
+const (
+	unshown          basis = iota
+	outdated               // another daemon holds a newer one, or has recorded it
+	firstEra               // the store never lost anything
+	settledVersion         // a daemon recorded in this era which version is the newest
+	rewrittenVersion       // operators have written it since the store lost what came after its copy
+	unusedStore            // no daemon has served by this store before
+	otherDaemons           // this daemon and others have been running since before, and none holds a newer one
+	soleDaemon             // this daemon has been running since before, and knew no other
+	nobodyKnows            // nothing else shows anything, and operators had time to write it again
+)
 
-// catchUp tells when a daemon may accept keys by its configuration. A store that came
-// back from an older copy may hold a configuration with keys that have been revoked since.
-// Running daemons keep the newer one, if they had it: one that starts, or that the store
-// had turned away before it came back, waits until it holds one as new as theirs.
+//go:generate go tool -modfile=../tools/go.mod stringer -type=basis -output=basis_string.go
+
+// holds reports whether the configuration is shown to be the newest.
+func (b basis) holds() bool { return b > outdated }
+
+// catchUp tells when a daemon may accept keys by its configuration: once that is shown to be
+// at least the newest one that was put in force. A store that came back from an older copy may
+// hold one with keys that have been revoked since. Within an era the store loses nothing, so
+// that what was shown holds until the next one.
 type catchUp struct {
-	self      string        // ID of this daemon
-	peer      string        // its address for other daemons, which its earlier starts had too
-	startedAt time.Duration // boot clock
-	done      atomic.Bool
-	era       atomic.Int64 // the latest in which the configuration was as new as that of the others, once done
-	seenEra   int64        // the latest that update saw
-	seenAt    time.Duration
+	self       string // ID of this daemon
+	peer       string // its address for other daemons, which its earlier starts had too
+	log        logr.Logger
+	running    atomic.Bool   // something was shown in some era
+	era        atomic.Int64  // the latest in which it was, if running
+	knewOthers atomic.Bool   // there were others in that era
+	listed     bool          // update saw a configuration
+	listedEra  int64         // its era
+	listedAt   time.Duration // boot clock: the first listing of that era
+	logged     verdict       // the latest that the log has
+}
+
+// verdict is what was found of a version in an era.
+type verdict struct {
+	era, version int64
+	found        basis
 }
 
 // allows reports whether keys may be accepted by a snapshot, given what the other daemons
 // say now.
 func (c *catchUp) allows(held *watch.Snapshot, alive func() []gossip.Message) bool {
-	if !c.done.Load() || held.Config == nil {
+	switch {
+	case held.Config == nil || !c.running.Load():
 		return false
-	}
-	if held.Era == c.era.Load() {
+	case held.Era == c.era.Load():
 		return true
 	}
-	others := alive()
-	return (len(others) > 0 || !c.listsOthers(held)) && held.Config.Version >= newestVersion(others)
+	return c.shows(held, alive()).holds()
+}
+
+// shows returns what shows that the configuration of a snapshot is the newest, but for the
+// time that has passed.
+func (c *catchUp) shows(held *watch.Snapshot, alive []gossip.Message) basis {
+	switch {
+	case held.Era == 0:
+		return firstEra
+	case held.Config.Version < newestVersion(alive):
+		return outdated
+	case held.Settled.Era == held.Era && held.Config.Version < held.Settled.Version:
+		return outdated
+	case held.Settled.Era == held.Era:
+		return settledVersion
+	case held.Rewritten:
+		return rewrittenVersion
+	case held.Unused:
+		return unusedStore
+	case c.running.Load() && len(alive) > 0:
+		return otherDaemons
+	case c.running.Load() && !c.knewOthers.Load():
+		return soleDaemon
+	}
+	return unshown
 }
 
 // newestVersion returns the newest version of the configuration that daemons hold.
@@ -52,39 +111,55 @@
 	return newest
 }
 
-// update compares the configuration with the versions that the other daemons hold.
-// A store that never came back from a copy needs no comparison.
+// update records the era of a snapshot once its configuration is shown to be the newest.
 func (c *catchUp) update(held *watch.Snapshot, alive []gossip.Message, now time.Duration) {
 	if held.Config == nil {
 		return
 	}
-	if c.done.Load() {
-		c.updateEra(held, alive, now)
+	if c.running.Load() && held.Era == c.era.Load() {
+		c.knewOthers.Store(len(alive) > 0 || c.listsOthers(held))
 		return
 	}
-	newest := newestVersion(alive)
-	rewound := slices.ContainsFunc(alive, func(m gossip.Message) bool { return m.Rewound })
-	wait := catchUpWait
-	if len(alive) == 0 && c.listsOthers(held) {
-		wait = unheardWait
+	if !c.listed || held.Era != c.listedEra {
+		c.listed, c.listedEra, c.listedAt = true, held.Era, now
+	}
+	if c.listens(held, alive, now) {
+		return
 	}
-	caughtUp := now-c.startedAt >= wait && held.Config.Version >= newest && !rewound
-	if held.Era == 0 || caughtUp {
-		c.era.Store(held.Era)
-		c.done.Store(true)
+	found := c.shows(held, alive)
+	if found == unshown && now-c.listedAt >= rewriteWait {
+		found = nobodyKnows
 	}
+	c.note(verdict{held.Era, held.Config.Version, found}, newestVersion(alive))
+	if !found.holds() {
+		return
+	}
+	c.era.Store(held.Era)
+	c.running.Store(true)
 }
 
-// updateEra records the era once the configuration is as new as that of the others. If the
-// store lists others and none is heard, they may hold a newer one for unheardWait.
-func (c *catchUp) updateEra(held *watch.Snapshot, alive []gossip.Message, now time.Duration) {
-	if held.Era != c.seenEra {
-		c.seenEra, c.seenAt = held.Era, now
+// note logs what was found, if it is new.
+func (c *catchUp) note(v verdict, heard int64) {
+	if v == c.logged {
+		return
 	}
-	unheard := len(alive) == 0 && c.listsOthers(held) && now-c.seenAt < unheardWait
-	if held.Era != c.era.Load() && !unheard && held.Config.Version >= newestVersion(alive) {
-		c.era.Store(held.Era)
+	c.logged = v
+	c.log.Info("configuration compared", "era", v.era, "version", v.version, "heard", heard, "newest", v.found.holds(), "why", v.found.String())
+}
+
+// listens reports whether a daemon that starts doesn't accept callers yet by any configuration,
+// since others may tell it what the store's copy lacks: failure domains that are out of service,
+// and endpoints that leave.
+func (c *catchUp) listens(held *watch.Snapshot, alive []gossip.Message, now time.Duration) bool {
+	if c.running.Load() || held.Era == 0 {
+		return false
+	}
+	wait := listenWait
+	if len(alive) == 0 && c.listsOthers(held) {
+		wait = unheardWait
 	}
+	rewound := slices.ContainsFunc(alive, func(m gossip.Message) bool { return m.Rewound })
+	return rewound || now-c.listedAt < wait
 }
 
 // listsOthers reports whether the store lists a daemon besides this one and its earlier
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,12 +74,11 @@
 	s := o.Settings
 	d := &Daemon{options: o, crashes: &front.Crashes{}, parts: front.NewParts(o.Log), started: time.Now()}
 	d.current.Store(&s)
-	d.catchUp.startedAt = clock.Boot()
 	d.pulse = pulse.New(pulse.Options{Boot: clock.Boot, Log: o.Log, Registry: o.Registry})
 	d.self = site.Daemon{
 		ID: s.ID + "." + strconv.FormatInt(time.Now().UnixMilli(), 36), Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: s.Peer, Cores: s.Cores,
 	}
-	d.catchUp.self, d.catchUp.peer = d.self.ID, d.self.Peer
+	d.catchUp.self, d.catchUp.peer, d.catchUp.log = d.self.ID, d.self.Peer, o.Log
 	conn, err := net.ListenPacket("udp4", s.Peer)
 	if err != nil {
 		return nil, &Error{Op: "listen peer", Kind: Address, Err: err}
@@ -246,7 +245,7 @@
 		}
 		group.Go(func() error { return server.run(partsCtx, listener) })
 	}
-	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.pulse.Run, d.reach.Run, d.applyGossip, d.sweepConns, d.recordParts} {
+	for _, run := range []func(context.Context) error{d.watcher.Run, d.gossip.Run, d.keeper.Run, d.pulse.Run, d.reach.Run, d.applyGossip, d.sweepConns, d.recordParts, d.settle} {
 		group.Go(func() error { return partError(partsCtx, run(partsCtx)) })
 	}
 	reg := &registration{instance: s.ID, self: d.self, store: d.store, log: d.options.Log, removeTimeout: d.removeTimeout}
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"clementinehead.example/chead/platform"
@@ -20,6 +21,8 @@
 	switch {
 	case !w.listed:
 		next.Era = listing.Era
+		next.Unused = !hasTrace(listing)
+		w.eraRevision = listing.Revision
 		w.listed = true
 	case next.Era != listing.Era:
 		w.beginEra(next, listing)
@@ -39,6 +42,14 @@
 	w.publish(next)
 }
 
+// hasTrace reports whether daemons have served by a store before: then it has had a keeper,
+// or a settled configuration, and keeps their records for good.
+func hasTrace(listing platform.Listing) bool {
+	return slices.ContainsFunc(listing.Items, func(item platform.Item) bool {
+		return item.Key == platform.KeeperKey || item.Key == platform.SettledKey
+	})
+}
+
 // applyChanges applies the changes that a watch returned and drops lapsed
 // endpoints whose grace period is over.
 func (w *Watcher) applyChanges(listing platform.Listing) {
@@ -112,6 +123,8 @@
 		w.applyKeeper(s, item)
 	case platform.PartKey:
 		w.applyPart(s, name, item)
+	case platform.SettledVersionKey:
+		w.applySettled(s, item)
 	}
 }
 
@@ -149,6 +162,7 @@
 		return
 	}
 	s.Config = config
+	s.Rewritten = s.Rewritten || item.Revision > w.eraRevision
 	w.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes), "keys", len(config.Accounts), "open", config.Open)
 }
 
@@ -235,3 +249,16 @@
 	s.Keeper = term
 	w.options.Log.Info("keeper", "keeper", term.Daemon, "term", term.Number, "revision", item.Revision)
 }
+
+func (w *Watcher) applySettled(s *Snapshot, item platform.Item) {
+	s.Settled = Settled{}
+	if item.Removed {
+		return
+	}
+	record := Settled{Revision: item.Revision}
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		w.options.Log.Info("cannot decode record of the settled configuration", "revision", item.Revision, "error", err.Error())
+		record = Settled{Revision: item.Revision}
+	}
+	s.Settled = record
+}
--- a/watch/rewind.go
+++ b/watch/rewind.go
@@ -64,6 +64,9 @@
 	s.Era = listing.Era
 	s.Revision = 0
 	s.Keeper.Revision = 0
+	s.Unused = false
+	s.Rewritten = false
+	w.eraRevision = listing.Revision
 	w.rewind.copyRevision = listing.Revision
 	w.outageAt.Store(int64(now))
 	w.rewoundAt.Store(int64(now))
--- a/watch/snapshot.go
+++ b/watch/snapshot.go
@@ -19,6 +19,17 @@
 	Daemons      map[string]site.Daemon   // by ID
 	Keeper       Term
 	Parts        map[string]time.Time // parts of prompts that are refused, and until when, by the time of day
+	Settled      Settled
+	Unused       bool // no daemon had left a trace in the store when this one first listed it
+	Rewritten    bool // operators wrote the configuration after this daemon had first listed the store in this era
+}
+
+// Settled is the record of the configuration that a daemon has shown to be the newest one in
+// an era of the store. Within an era the store loses nothing, so that later ones follow it.
+type Settled struct {
+	Era      int64 `json:"era"` // 0 if there is no record
+	Version  int64 `json:"version"`
+	Revision int64 `json:"-"` // of the record in the store, 0 if there is none
 }
 
 // Term is one term of the keeper, the daemon that sends orders to the endpoints of
