front: the admission of requests in a file of its own

No code changes: front.go keeps the handler and the state of a request, admit.go has what finds the route and the client account, and refuses.

--- /dev/null
+++ b/front/admit.go
@@ -0,0 +1,143 @@
+package front
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"clementinehead.example/chead/platform"
+	"clementinehead.example/chead/site"
+)
+
+// refusal is an error response that the daemon itself gives.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration // lengthened by jitter; 0 for no Retry-After header
+	elsewhere  bool          // another daemon may take the request
+}
+
+// admit finds the route and the client account of a request and reads its body.
+// It returns nil if the request is accepted.
+func (f *Front) admit(j *job) *refusal {
+	stale := f.options.SnapshotAge() > f.options.MaxKeyAge()
+	v := f.options.Snapshot() // after its age: it may be replaced in between
+	if v.Config == nil {
+		return &refusal{http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter, true}
+	}
+	route, found := v.Config.Route(hostOf(j.r), j.r.URL.Path)
+	if !found {
+		return staleOr(stale || j.outdated, http.StatusNotFound, "no such route")
+	}
+	j.route = route
+	if limit := v.Config.Limits.Header; limit > 0 && headerSize(j.r) > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
+	}
+	if refused := f.identify(j, v.Config, stale); refused != nil {
+		return refused
+	}
+	service, found := chooseService(route.Shares, rand.IntN)
+	if !found {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no service has a weight", retryAfter: defaultRetryAfter}
+	}
+	j.service = service
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	deadline := platform.Deadline(j.r.Header, timeout)
+	j.deadline = j.arrived.Add(min(timeout, deadline))
+	j.progress.deadline.Store(int64(min(timeout, deadline)))
+	j.priorTime = f.deadlines.priorTime(route.Name, deadline)
+	j.header = platform.Outgoing(j.r.Header)
+	if j.account != "" {
+		j.header.Set(platform.HeaderAccount, j.account)
+	}
+	if s := v.Config.Services[j.service]; s.Engine != nil {
+		j.model = j.r.Header.Get(platform.HeaderModel)
+		j.size = platform.ParseSize(j.r.Header)
+		j.parts = platform.SharedParts(j.r.Header)
+		j.header.Set(platform.HeaderPriority, strconv.Itoa(min(9, max(0, j.priority))))
+	}
+	if j.relay.Daemon != "" {
+		j.route.Attempts = min(j.route.Attempts, j.relay.Attempts)
+	}
+	return f.readBody(j, v.Config.Limits)
+}
+
+// identify finds the client account by the request's key, and the priority. A
+// stale snapshot proves neither that a key is valid nor that it is invalid, so keys
+// are not checked by it. It isn't known by which account a request came that needs no
+// key.
+func (f *Front) identify(j *job, c *site.Config, stale bool) *refusal {
+	j.priority = j.route.Priority
+	if !c.NeedsKey(j.route) {
+		return nil
+	}
+	if stale {
+		return staleOr(true, 0, "")
+	}
+	account, known := c.Account(platform.APIKey(j.r.Header))
+	if !known {
+		return staleOr(j.outdated, http.StatusUnauthorized, "unknown key")
+	}
+	j.account = account.Name
+	if account.HasPriority {
+		j.priority = account.Priority
+	}
+	return nil
+}
+
+// staleOr returns a refusal with the given status and reason, or the refusal due
+// to a stale snapshot or an outdated configuration if stale is set.
+func staleOr(stale bool, status int, reason string) *refusal {
+	if stale {
+		return &refusal{http.StatusServiceUnavailable, "view too old", defaultRetryAfter, true}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
+// headerSize returns the size in bytes of the request line and the header.
+func headerSize(r *http.Request) int64 {
+	const separators = 4 // ": " and the line's end
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	n += len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return int64(n)
+}
+
+// hostOf returns the host of a request without its port.
+func hostOf(r *http.Request) string {
+	if host, _, err := net.SplitHostPort(r.Host); err == nil {
+		return host
+	}
+	return strings.TrimSuffix(r.Host, ".")
+}
+
+// chooseService chooses a service at random by weight. It reports false if none has a
+// weight above 0, so that no request is to be sent to any. The function random returns a
+// random number in [0, n).
+func chooseService(shares []site.Share, random func(int) int) (service string, found bool) {
+	total := 0
+	for _, s := range shares {
+		total += max(0, s.Weight)
+	}
+	if total == 0 {
+		return "", false
+	}
+	n := random(total)
+	for _, s := range shares {
+		n -= max(0, s.Weight)
+		if n < 0 {
+			return s.Service, true
+		}
+	}
+	return "", false
+}
