Record the version before the first daemon of a store serves by it

Change: an unused store shows the newest version only once it is recorded in it. The record then comes before all that is in force, in any copy.

TestUnusedStoreIsSettledFirst is new, and fails where "unused" holds by itself.

--- a/edge/basis_string.go
+++ b/edge/basis_string.go
@@ -10,18 +10,18 @@
 	var x [1]struct{}
 	_ = x[unshown-0]
 	_ = x[outdated-1]
-	_ = x[firstEra-2]
-	_ = x[settledVersion-3]
-	_ = x[rewrittenVersion-4]
-	_ = x[unusedStore-5]
+	_ = x[unusedStore-2]
+	_ = x[firstEra-3]
+	_ = x[settledVersion-4]
+	_ = x[rewrittenVersion-5]
 	_ = x[otherDaemons-6]
 	_ = x[soleDaemon-7]
 	_ = x[nobodyKnows-8]
 }
 
-const _basis_name = "unshownoutdatedfirstErasettledVersionrewrittenVersionunusedStoreotherDaemonssoleDaemonnobodyKnows"
+const _basis_name = "unshownoutdatedunusedStorefirstErasettledVersionrewrittenVersionotherDaemonssoleDaemonnobodyKnows"
 
-var _basis_index = [...]uint8{0, 7, 15, 23, 37, 53, 64, 76, 86, 97}
+var _basis_index = [...]uint8{0, 7, 15, 26, 34, 48, 64, 76, 86, 97}
 
 func (i basis) String() string {
 	idx := int(i) - 0
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -30,10 +30,10 @@
 const (
 	unshown          basis = iota
 	outdated               // another daemon holds a newer one, or has recorded it
+	unusedStore            // no daemon has served by this store before: it holds once it is recorded as settled
 	firstEra               // the store never lost anything
 	settledVersion         // a daemon recorded in this era which version is the newest
 	rewrittenVersion       // operators have written it since the store lost what came after its copy
-	unusedStore            // no daemon has served by this store before
 	otherDaemons           // this daemon and others have been running since before, and none holds a newer one
 	soleDaemon             // this daemon has been running since before, and knew no other
 	nobodyKnows            // nothing else shows anything, and operators had time to write it again
@@ -42,7 +42,7 @@
 //go:generate go tool -modfile=../tools/go.mod stringer -type=basis -output=basis_string.go
 
 // holds reports whether the configuration is shown to be the newest.
-func (b basis) holds() bool { return b > outdated }
+func (b basis) holds() bool { return b > unusedStore }
 
 // catchUp tells when a daemon may accept keys by its configuration: once that is shown to be
 // at least the newest one that was put in force. A store that came back from an older copy may
@@ -55,6 +55,7 @@
 	running    atomic.Bool   // something was shown in some era
 	era        atomic.Int64  // the latest in which it was, if running
 	knewOthers atomic.Bool   // there were others in that era
+	unused     atomic.Bool   // the configuration holds once this daemon has recorded it as settled
 	listed     bool          // update saw a configuration
 	listedEra  int64         // its era
 	listedAt   time.Duration // boot clock: the first listing of that era
@@ -127,7 +128,8 @@
 		return
 	}
 	found := c.shows(held, alive)
-	if found == unshown && now-c.listedAt >= rewriteWait {
+	c.unused.Store(found == unusedStore)
+	if found != outdated && !found.holds() && now-c.listedAt >= rewriteWait {
 		found = nobodyKnows
 	}
 	c.note(verdict{held.Era, held.Config.Version, found}, newestVersion(alive))
--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -69,7 +69,8 @@
 		{"settled in the era before", settled(5, 1, 5), nil, rewriteWait - 1, false},
 		{"written again", rewritten(5), nil, listenWait, true},
 		{"written again, a peer holds a newer one", rewritten(5), holding(6), time.Minute, false},
-		{"store that no daemon has used", unused(5), nil, listenWait, true},
+		{"store that no daemon has used, not recorded yet", unused(5), nil, rewriteWait - 1, false},
+		{"store that no daemon has used, time to write again", unused(5), nil, rewriteWait, true},
 		{"store that no daemon has used, a peer holds a newer one", unused(5), holding(6), time.Minute, false},
 		{"first era", watch.Snapshot{Config: &site.Config{Version: 5}}, nil, 0, true},
 	} {
@@ -87,6 +88,26 @@
 	}
 }
 
+// In a store that no daemon has used, a daemon records the version before it goes by it: a
+// copy without the record is then older than all that was in force.
+func TestUnusedStoreIsSettledFirst(t *testing.T) {
+	is := is.New(t)
+	state := catchUp{self: "d1"}
+	held := version(5)
+	held.Unused = true
+	state.update(&held, nil, 0)
+	is.True(!state.unused.Load()) // it listens first
+	state.update(&held, nil, listenWait)
+	is.True(state.unused.Load())
+	is.True(!state.running.Load())
+	state.update(&held, holding(6), listenWait)
+	is.True(!state.unused.Load()) // another daemon holds a newer one
+	held.Settled = watch.Settled{Era: 2, Version: 5}
+	state.update(&held, holding(5), listenWait)
+	is.True(!state.unused.Load())
+	is.True(state.running.Load())
+}
+
 // Other daemons are listed and not heard yet, as on a busy machine: what they know besides
 // the configuration is awaited for longer.
 func TestCatchUpWaitsForListedDaemons(t *testing.T) {
@@ -150,7 +171,7 @@
 			is := is.New(t)
 			alive := func() []gossip.Message { return c.alive }
 			state := catchUp{self: "d1"}
-			before := &watch.Snapshot{Era: 4, Config: &site.Config{Version: 1}, Daemons: listed, Unused: true}
+			before := &watch.Snapshot{Era: 4, Config: &site.Config{Version: 1}, Daemons: listed, Settled: watch.Settled{Era: 4, Version: 1}}
 			state.update(before, holding(1), 0)
 			state.update(before, holding(1), time.Minute)
 			is.True(state.allows(before, alive)) // in the same era a newer one arrives by the watch
@@ -182,7 +203,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			state := catchUp{self: "d1"}
-			before := &watch.Snapshot{Era: 1, Config: &site.Config{Version: 1}, Unused: true}
+			before := &watch.Snapshot{Era: 1, Config: &site.Config{Version: 1}, Settled: watch.Settled{Era: 1, Version: 1}}
 			state.update(before, c.others, 0)
 			state.update(before, c.others, time.Minute)
 			state.update(before, c.others, time.Minute)
--- a/edge/drill_test.go
+++ b/edge/drill_test.go
@@ -84,7 +84,6 @@
 			t.Parallel()
 			cluster := newCluster(t, 0, c.daemons)
 			await(t, "the key serves", 10*time.Second, func() bool { return cluster.statuses("good-key", http.StatusOK) })
-			time.Sleep(2 * settleInterval) // the store has the settled version
 			older := cluster.store.Copy()
 			cluster.store.SetDown(true)
 			for i := range c.replaced {
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -17,17 +17,18 @@
 
 // settle writes the version that is shown to be the newest to the store, once in each era
 // that isn't the first, until the context ends. Daemons that start learn it from there, though
-// they may hear none of the others.
+// they may hear none of the others. In a store that no daemon has used it comes before any
+// daemon serves, so that a copy of the store without it is older than all that was in force.
 func (d *Daemon) settle(ctx context.Context) error {
 	lacking := time.Duration(0) // for how long the store has lacked it
 	for clock.Beat(ctx, settleInterval) {
 		held := d.watcher.Snapshot()
-		if held.Era == 0 || held.Settled.Era == held.Era || !d.fresh() || !d.catchUp.allows(held, d.gossip.Alive) {
+		if !d.maySettle(held) {
 			lacking = 0
 			continue
 		}
 		lacking += settleInterval
-		if lacking < settleYield && d.precededByReady() {
+		if lacking < settleYield && d.precededToSettle() {
 			continue
 		}
 		if err := d.writeSettled(ctx, held); err != nil {
@@ -37,10 +38,21 @@
 	return nil
 }
 
-// precededByReady reports whether another daemon that is ready precedes this one.
-func (d *Daemon) precededByReady() bool {
+// maySettle reports whether the store lacks the settled version of a snapshot's era, and this
+// daemon knows it.
+func (d *Daemon) maySettle(held *watch.Snapshot) bool {
+	if held.Era == 0 || held.Settled.Era == held.Era || held.Config == nil || !d.fresh() {
+		return false
+	}
+	return d.catchUp.unused.Load() || d.catchUp.allows(held, d.gossip.Alive)
+}
+
+// precededToSettle reports whether another daemon that may know the settled version precedes
+// this one.
+func (d *Daemon) precededToSettle() bool {
+	unused := d.catchUp.unused.Load()
 	for _, m := range d.others().current {
-		if m.Ready && m.From.Precedes(d.self) {
+		if (m.Ready || m.Fresh && unused) && m.From.Precedes(d.self) {
 			return true
 		}
 	}
