--- a/edge/settle.go
+++ b/edge/settle.go
@@ -44,7 +44,7 @@
 	if held.Era == 0 || held.Settled.Era == held.Era || held.Config == nil || !d.fresh() {
 		return false
 	}
-	return d.catchUp.unused.Load() || d.catchUp.allows(held, d.gossip.Alive)
+	return held.Unused && d.catchUp.unused.Load() || d.catchUp.allows(held, d.gossip.Alive)
 }
 
 // precededToSettle reports whether another daemon that may know the settled version precedes
--- a/front/admit.go
+++ b/front/admit.go
@@ -53,7 +53,7 @@
 	j.progress.deadline.Store(int64(min(timeout, deadline)))
 	j.priorTime = f.deadlines.priorTime(route.Name, deadline)
 	j.header = platform.Outgoing(j.r.Header)
-	if j.account != "" {
+	if j.keyed {
 		j.header.Set(platform.HeaderAccount, j.account)
 	}
 	if s := v.Config.Services[j.service]; s.Engine != nil {
@@ -84,7 +84,7 @@
 	if !known {
 		return staleOr(j.outdated, http.StatusUnauthorized, "unknown key")
 	}
-	j.account = account.Name
+	j.keyed, j.account = true, account.Name
 	if account.HasPriority {
 		j.priority = account.Priority
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -65,7 +65,8 @@
 	priorTime  time.Duration // spent by the caller on earlier tries of its own, as estimated by deadlines
 	route      site.Route
 	service    string        // chosen among those of the route
-	account    string        // name of the client account, empty if none is needed
+	keyed      bool          // it was admitted by an API key
+	account    string        // name of the client account, if keyed
 	model      string        // empty for a plain service
 	size       platform.Size // as stated by the caller, for a model
 	digest     string        // identifies the request in Crashes
--- a/front/keys_test.go
+++ b/front/keys_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -58,3 +60,23 @@
 		})
 	}
 }
+
+// Guards against CONFIG: a request whose client account has no name was taken for one that
+// needed no key, so that its key wasn't looked at again when the snapshot had become too old
+// while it waited for a slot.
+func TestKeyOfAnAccountWithoutAName(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, "plain")
+	config := *testConfig
+	config.Accounts = map[string]site.Account{"good-key": {}}
+	j := &job{r: httptest.NewRequest("GET", "/read/", nil), route: testConfig.Routes[0]}
+	j.r.Header.Set("Authorization", "Bearer good-key")
+	is.Equal(f.front.identify(j, &config, false), nil)
+	is.True(!f.front.isStaleFor(j))
+	f.age = 4 * time.Second
+	is.True(f.front.isStaleFor(j))
+	j.route.Public = true
+	open := &job{r: j.r, route: j.route}
+	is.Equal(f.front.identify(open, &config, false), nil)
+	is.True(!f.front.isStaleFor(open))
+}
--- a/front/place.go
+++ b/front/place.go
@@ -87,5 +87,5 @@
 
 // isStaleFor reports whether the snapshot is too old to confirm a request's account.
 func (f *Front) isStaleFor(j *job) bool {
-	return !j.route.Public && j.account != "" && f.options.SnapshotAge() > f.options.MaxKeyAge()
+	return j.keyed && f.options.SnapshotAge() > f.options.MaxKeyAge()
 }
