Give operators 6 s to write a lost configuration again

The target bounds the wait from above: a fleet that failed as a whole has to serve again within recover_s, 12 s on all sites but one. Half of that leaves room for a start, and lets operators take three times what endpoints take. If they write again sooner, daemons serve at once, as before.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -19,8 +19,9 @@
 	// none of them. Failure domains that the store lacks are written again by then.
 	unheardWait = 3 * time.Second
 	// rewriteWait is how long after the first listing of an era operators may take to write
-	// a configuration again that the store lost: twice what endpoints take.
-	rewriteWait = 4 * time.Second
+	// a configuration again that the store lost: half of the time in which a fleet that
+	// failed as a whole has to serve again.
+	rewriteWait = 6 * time.Second
 )
 
 // basis is what shows that a configuration is at least the newest one that was put in force.
