serve: refuse an empty operators' secret, and an empty key

The hash of an empty key as the secret let in requests without a key.

Change: the secret is a pointer, nil where it isn't given; an empty one is a fault of the settings, which ends the start with its name. An empty key is none. Without a secret nothing changes.

Before (the same tests with the old readings): conf TestSecret, row "empty", failed, and 5 of 10 rows of admin TestEmptyOperatorsKey; now all pass. TestSettings and the admin tests' options set the pointer.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -38,7 +38,7 @@
 	Read          func(ctx context.Context, from, until time.Time) ([]audit.Entry, error) // audit.Log.Read
 	Ready         func() bool                                                             // whether this daemon knows the document; nil for always
 	Status        func() any                                                              // body of /admin/v1/status
-	Secret        string                                                                  // SHA-256 of the operators' bearer key, hexadecimal; empty for no key
+	Secret        *string                                                                 // SHA-256 of the operators' bearer key, hexadecimal; nil if none is needed
 	Log           logr.Logger
 	Registry      prometheus.Registerer
 }
@@ -83,16 +83,19 @@
 	a.mux.ServeHTTP(w, request)
 }
 
-// Authorized reports whether a request carries the operators' key. The hashes
-// are compared in constant time.
+// Authorized reports whether a request carries the operators' key, or none is needed.
+// An empty key is none. The hashes are compared in constant time.
 func (a *Admin) Authorized(request *http.Request) bool {
-	if a.options.Secret == "" {
+	if a.options.Secret == nil {
 		return true
 	}
 	key, _ := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	if key == "" {
+		return false
+	}
 	sum := sha256.Sum256([]byte(key))
 	given := hex.EncodeToString(sum[:])
-	return subtle.ConstantTimeCompare([]byte(given), []byte(strings.ToLower(a.options.Secret))) == 1
+	return subtle.ConstantTimeCompare([]byte(given), []byte(strings.ToLower(*a.options.Secret))) == 1
 }
 
 func (a *Admin) getStatus(w http.ResponseWriter, _ *http.Request) {
--- a/admin/http_test.go
+++ b/admin/http_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -43,7 +45,7 @@
 		Record:        func(audit.Entry) {},
 		Read:          func(context.Context, time.Time, time.Time) ([]audit.Entry, error) { return nil, nil },
 		Status:        func() any { return map[string]string{"daemon": "d0"} },
-		Secret:        secret,
+		Secret:        &secret,
 		Log:           logr.Discard(),
 	}
 }
@@ -53,6 +55,7 @@
 func TestNotReady(t *testing.T) {
 	is := is.New(t)
 	options := options("")
+	options.Secret = nil
 	options.Ready = func() bool { return false }
 	w := httptest.NewRecorder()
 	admin.New(options).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/admin/v1/config", nil))
@@ -60,6 +63,38 @@
 	is.True(w.Header().Get("Retry-After") != "")
 }
 
+// An empty key is none: neither a secret that is empty, nor the hash of an empty key, lets
+// requests without a key in. Only without a secret is no key needed.
+func TestEmptyOperatorsKey(t *testing.T) {
+	sum := sha256.Sum256(nil)
+	hashOfNothing, empty, given := hex.EncodeToString(sum[:]), "", secret
+	for _, c := range []struct {
+		name   string
+		secret *string
+		key    string // Authorization
+		want   bool
+	}{
+		{"no secret", nil, "", true},
+		{"no secret, a key", nil, "Bearer x", true},
+		{"empty secret", &empty, "", false},
+		{"empty secret, empty key", &empty, "Bearer ", false},
+		{"empty secret, a key", &empty, "Bearer x", false},
+		{"hash of an empty key", &hashOfNothing, "", false},
+		{"hash of an empty key, empty key", &hashOfNothing, "Bearer ", false},
+		{"hash of an empty key, a key", &hashOfNothing, "Bearer x", false},
+		{"secret, no key", &given, "", false},
+		{"secret and its key", &given, "Bearer open sesame", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := options("")
+			o.Secret = c.secret
+			r := httptest.NewRequest(http.MethodGet, "/admin/v1/status", nil)
+			r.Header.Set("Authorization", c.key)
+			is.New(t).Equal(admin.New(o).Authorized(r), c.want)
+		})
+	}
+}
+
 func TestHTTPAnswers(t *testing.T) {
 	const put = `{"id": "a", "base": 0, "who": "w", "sections": {"capacity": {"loads": 2}}}`
 	tests := []struct {
--- a/conf/parse.go
+++ b/conf/parse.go
@@ -129,6 +129,9 @@
 	if isNull(data) {
 		return newError(Type, path, "must not be null")
 	}
+	if typ.Kind() == reflect.Pointer {
+		typ = typ.Elem()
+	}
 	if err := json.Unmarshal(data, reflect.New(typ).Interface()); err != nil {
 		return newError(Type, path, "must be "+typeName(typ))
 	}
--- a/conf/parse_test.go
+++ b/conf/parse_test.go
@@ -94,7 +94,8 @@
 	is.NoErr(err)
 	is.Equal(len(conf.CheckSettings(settings)), 0)
 
-	settings.Peer, settings.Store, settings.Secret = "7000", "127.0.0.1:9000", "open sesame"
+	secret := "open sesame"
+	settings.Peer, settings.Store, settings.Secret = "7000", "127.0.0.1:9000", &secret
 	var locations []string
 	for _, fault := range conf.CheckSettings(settings) {
 		locations = append(locations, fault.Location())
@@ -102,6 +103,32 @@
 	is.Equal(locations, []string{"peer", "store", "secret"})
 }
 
+// Guards against an open operators' interface: a secret that was given empty, as by a template
+// without a value, was read as one that isn't given.
+func TestSecret(t *testing.T) {
+	const rest = `"domain": "d", "region": "r", "caller": "127.0.0.1:1", "peer": "127.0.0.1:2",
+		"operator": "127.0.0.1:3", "store": "http://127.0.0.1:4", "platform": "http://127.0.0.1:5"}`
+	hash := strings.Repeat("0a", 32)
+	for _, c := range []struct {
+		name, field string
+		sound       bool
+	}{
+		{"absent", "", true},
+		{"a hash", `"secret": "` + hash + `", `, true},
+		{"empty", `"secret": "", `, false},
+		{"blank", `"secret": " ", `, false},
+		{"null", `"secret": null, `, false},
+		{"a number", `"secret": 0, `, false},
+		{"a part of a hash", `"secret": "` + hash[1:] + `", `, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			settings, err := conf.ParseSettings([]byte("{" + c.field + rest))
+			is.Equal(err == nil && len(conf.CheckSettings(settings)) == 0, c.sound)
+		})
+	}
+}
+
 func TestSections(t *testing.T) {
 	is := is.New(t)
 	document, err := conf.Parse(readTestdata(t, "valid.json"))
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -12,5 +12,5 @@
 	Store    string   `json:"store"`            // URL of the key-value service
 	Platform string   `json:"platform"`         // URL of the platform's list of instances
 	Seeds    []string `json:"seeds,omitempty"`  // peer addresses to try while the store is down
-	Secret   string   `json:"secret,omitempty"` // SHA-256 of the operators' bearer key, hexadecimal; empty for none
+	Secret   *string  `json:"secret,omitempty"` // SHA-256 of the operators' bearer key, hexadecimal; nil for none
 }
--- a/conf/settings_check.go
+++ b/conf/settings_check.go
@@ -19,8 +19,8 @@
 	for i, seed := range s.Seeds {
 		c.address("seeds."+strconv.Itoa(i), seed)
 	}
-	if s.Secret != "" {
-		c.hash("", "secret", s.Secret)
+	if s.Secret != nil {
+		c.hash("", "secret", *s.Secret) // an empty one doesn't mean that no key is needed
 	}
 	return c.faults
 }
