front: admission in shorter functions; comments

The deadline and what a request for a model states are set in functions of their own. No change of behaviour. Comments of catchUp say what its fields hold.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -53,13 +53,13 @@
 	self       string // ID of this daemon
 	peer       string // its address for other daemons, which its earlier starts had too
 	log        logr.Logger
-	running    atomic.Bool   // something was shown in some era
-	era        atomic.Int64  // the latest in which it was, if running
-	knewOthers atomic.Bool   // there were others in that era
+	running    atomic.Bool   // its configuration was shown to be the newest in some era
+	era        atomic.Int64  // the latest such era, if running
+	knewOthers atomic.Bool   // there were other daemons in that era
 	unused     atomic.Bool   // the configuration holds once this daemon has recorded it as settled
-	listed     bool          // update saw a configuration
-	listedEra  int64         // its era
-	listedAt   time.Duration // boot clock: the first listing of that era
+	listed     bool          // the store was listed, and had a configuration
+	listedEra  int64         // era of the latest listing
+	listedAt   time.Duration // boot clock: first listing of that era
 	logged     verdict       // the latest that the log has
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -146,8 +146,8 @@
 	return d.fresh() && d.caughtUp()
 }
 
-// caughtUp reports whether the configuration is as new as that of the other daemons, as
-// far as the store may have lost a newer one.
+// caughtUp reports whether the configuration is shown to be at least the newest one that was
+// put in force, which the store may have lost.
 func (d *Daemon) caughtUp() bool { return d.catchUp.allows(d.watcher.Snapshot(), d.gossip.Alive) }
 
 // maxKeyAge returns the greatest age of a snapshot by which keys are accepted, or 0 if
--- a/front/admit.go
+++ b/front/admit.go
@@ -44,23 +44,13 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no service has a weight", retryAfter: defaultRetryAfter}
 	}
 	j.service = service
-	timeout := route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	deadline := platform.Deadline(j.r.Header, timeout)
-	j.deadline = j.arrived.Add(min(timeout, deadline))
-	j.progress.deadline.Store(int64(min(timeout, deadline)))
-	j.priorTime = f.deadlines.priorTime(route.Name, deadline)
+	f.setDeadline(j)
 	j.header = platform.Outgoing(j.r.Header)
 	if j.keyed {
 		j.header.Set(platform.HeaderAccount, j.account)
 	}
-	if s := v.Config.Services[j.service]; s.Engine != nil {
-		j.model = j.r.Header.Get(platform.HeaderModel)
-		j.size = platform.ParseSize(j.r.Header)
-		j.parts = platform.SharedParts(j.r.Header)
-		j.header.Set(platform.HeaderPriority, strconv.Itoa(min(9, max(0, j.priority))))
+	if v.Config.Services[j.service].Engine != nil {
+		j.describeModelRequest()
 	}
 	if j.relay.Daemon != "" {
 		j.route.Attempts = min(j.route.Attempts, j.relay.Attempts)
@@ -68,10 +58,31 @@
 	return f.readBody(j, v.Config.Limits)
 }
 
+// setDeadline sets the deadline by the caller's and the route's timeout, and the time that the
+// caller spent on earlier tries.
+func (f *Front) setDeadline(j *job) {
+	timeout := j.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	deadline := platform.Deadline(j.r.Header, timeout)
+	j.deadline = j.arrived.Add(min(timeout, deadline))
+	j.progress.deadline.Store(int64(min(timeout, deadline)))
+	j.priorTime = f.deadlines.priorTime(j.route.Name, deadline)
+}
+
+// describeModelRequest sets what the headers of a request for a model say of it, and its
+// priority for the endpoint.
+func (j *job) describeModelRequest() {
+	j.model = j.r.Header.Get(platform.HeaderModel)
+	j.size = platform.ParseSize(j.r.Header)
+	j.parts = platform.SharedParts(j.r.Header)
+	j.header.Set(platform.HeaderPriority, strconv.Itoa(min(9, max(0, j.priority))))
+}
+
 // identify finds the client account by the request's key, and the priority. A
 // stale snapshot proves neither that a key is valid nor that it is invalid, so keys
-// are not checked by it. It isn't known by which account a request came that needs no
-// key.
+// are not checked by it. A request that needs no key has no account.
 func (f *Front) identify(j *job, c *site.Config, stale bool) *refusal {
 	j.priority = j.route.Priority
 	if !c.NeedsKey(j.route) {
