Keep routes closed when a version leaves the list of client accounts out

Cause: DecodeConfig judged a version by itself, and no list meant "no key is needed". What its lack means depends on the versions before: it takes all their keys away.

Daemons that start later know it from the record chead/accounts, which is written once. Where no version ever had a list, routes stay open.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -38,7 +38,8 @@
 	came        map[string][]time.Time // requests by runner
 	paths       []*soak.Path           // to the runners, if they are reached by paths
 
-	throughPaths bool
+	throughPaths    bool
+	withoutAccounts bool
 }
 
 // addPath makes a path to an address and returns its own.
@@ -80,7 +81,10 @@
  "services":[{"name":"engines","health_path":"/healthz","max_connections":100,"engine":{"slots":8,"stride":1,"step_ms":5,"read_per_s":45000,"loads_per_s":5,"loads_at_once":7,"cached_prefixes":1,"report_lag_ms":50,"form_ms":50,
   "models":[{"name":"m","size":2,"traffic_share":1,"pace":1,"load_s":1,"warm_s":0.1}]}},
   {"name":"plain","health_path":"/healthz","max_connections":100}],
- "limits":{"max_body_bytes":100000},"tenants":[{"name":"guild","api_keys":[%s]}]}`
+ "limits":{"max_body_bytes":100000}` + clusterAccounts + `}`
+
+// clusterAccounts is the list of client accounts in clusterConfig.
+const clusterAccounts = `,"tenants":[{"name":"guild","api_keys":[%s]}]`
 
 func (c *cluster) configure(version int, keys ...string) {
 	c.store.Put("op/config", fmt.Appendf(nil, clusterConfig, version, `"`+strings.Join(keys, `","`)+`"`))
@@ -109,9 +113,13 @@
 // startCluster starts a cluster with so many model runners, a plain one and daemons.
 func startCluster(t *testing.T, c *cluster, engines, daemons int) *cluster {
 	t.Helper()
-	*c = cluster{throughPaths: c.throughPaths, store: simul.NewStore(), servers: map[string]*httptest.Server{}, runners: map[string]*simul.Runner{}, came: map[string][]time.Time{}}
+	*c = cluster{throughPaths: c.throughPaths, withoutAccounts: c.withoutAccounts, store: simul.NewStore(), servers: map[string]*httptest.Server{}, runners: map[string]*simul.Runner{}, came: map[string][]time.Time{}}
 	c.storeServer = httptest.NewServer(c.store)
-	c.configure(1, "good-key")
+	if c.withoutAccounts {
+		c.putAccounts(1, "")
+	} else {
+		c.configure(1, "good-key")
+	}
 	for i := range engines {
 		c.startRunner(fmt.Sprintf("e%d", i), "engines", "f1")
 	}
--- a/site/config.go
+++ b/site/config.go
@@ -24,7 +24,7 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
-	Open     bool               // no request needs an API key; if not set, one needs a key even if Accounts has none
+	Open     bool               // there has never been a list of client accounts, so no request needs an API key; if not set, one needs a key even if Accounts has none
 	Accounts map[string]Account // by API key
 	Limits   Limits
 }
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -125,6 +125,8 @@
 		w.applyPart(s, name, item)
 	case platform.SettledVersionKey:
 		w.applySettled(s, item)
+	case platform.AccountsVersionKey:
+		w.applyAccounts(s, item)
 	}
 }
 
@@ -162,8 +164,9 @@
 		return
 	}
 	s.Config = config
+	s.noteAccounts()
 	s.Rewritten = s.Rewritten || item.Revision > w.eraRevision
-	w.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes), "keys", len(config.Accounts), "open", config.Open)
+	w.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes), "keys", len(config.Accounts), "open", s.Config.Open)
 }
 
 func (w *Watcher) applyEvacuation(s *Snapshot, domain string, item platform.Item) {
--- a/watch/snapshot.go
+++ b/watch/snapshot.go
@@ -20,8 +20,10 @@
 	Keeper       Term
 	Parts        map[string]time.Time // parts of prompts that are refused, and until when, by the time of day
 	Settled      Settled
-	Unused       bool // no daemon had left a trace in the store when this one first listed it
-	Rewritten    bool // operators wrote the configuration after this daemon had first listed the store in this era
+	Unused       bool  // no daemon had left a trace in the store when this one first listed it
+	Rewritten    bool  // operators wrote the configuration after this daemon had first listed the store in this era
+	HadAccounts  int64 // a version of the configuration that has a list of client accounts, 0 if none is known
+	Recorded     bool  // the store has a record of HadAccounts
 }
 
 // Settled is the record of the configuration that a daemon has shown to be the newest one in
