In a new era, accept keys only by what operators wrote in it

Cause: a daemon took its configuration for the newest if the others held none newer, if it knew no other, or after 6 s. What no daemon has read, none can tell, and time tells nothing.

Change: those three rows of catchUp.shows are gone. In a new era only what operators wrote in it shows anything, as the users write: "What the operator and the runners wrote is written again." A daemon knows it by its first listing of the era, or by chead/settled in the copy, which is now written for each version in each era as it is taken up: the copy's configuration comes before its record, a rewritten one after it. Whether callers are taken is apart from that (takesCallers), so that routes which need no key are served. A keeper elected before a version was settled is no trace of an earlier use of the store, since nobody could show the version otherwise.

TestDaemonThatStartsInAnOutageServes had drills without operators and 12 s; operators write again there, at once to 8 s late, and daemons have 4 s from then. In TestNewDaemon- UsesADomainThatTheCopyLacks operators write the configuration again before the domain, so that the new daemon accepts keys while it doesn't know the domain. TestReplacedDaemonsAcceptARevokedKey tries keys for 8 s, 5 before.

--- a/edge/basis_string.go
+++ b/edge/basis_string.go
@@ -14,14 +14,12 @@
 	_ = x[firstEra-3]
 	_ = x[settledVersion-4]
 	_ = x[rewrittenVersion-5]
-	_ = x[otherDaemons-6]
-	_ = x[soleDaemon-7]
-	_ = x[nobodyKnows-8]
+	_ = x[writtenSinceRecord-6]
 }
 
-const _basis_name = "unshownoutdatedunusedStorefirstErasettledVersionrewrittenVersionotherDaemonssoleDaemonnobodyKnows"
+const _basis_name = "unshownoutdatedunusedStorefirstErasettledVersionrewrittenVersionwrittenSinceRecord"
 
-var _basis_index = [...]uint8{0, 7, 15, 26, 34, 48, 64, 76, 86, 97}
+var _basis_index = [...]uint8{0, 7, 15, 26, 34, 48, 64, 82}
 
 func (i basis) String() string {
 	idx := int(i) - 0
--- a/edge/drill_test.go
+++ b/edge/drill_test.go
@@ -12,11 +12,16 @@
 const (
 	catchUpBound = 4 * time.Second  // for a daemon that starts
 	recoverBound = 12 * time.Second // for the fleet after a fault of all of it
+	revokeBound  = 5 * time.Second  // from the acknowledgement of a version that takes a key away
 )
 
+// operatorsLate is after the store's return, and longer than any wait of a daemon.
+const operatorsLate = 8 * time.Second
+
 // Guards against CONFIG: while the store was away, daemons were replaced; it came back from a
 // copy older than the removal of a key, and the new daemons, which had heard none of the others
-// since their start, accepted that key until operators wrote the configuration again.
+// since their start, accepted that key until operators wrote the configuration again, or once
+// operators took longer than a wait.
 func TestReplacedDaemonsAcceptARevokedKey(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs for some seconds")
@@ -40,20 +45,50 @@
 			cluster.configure(2, "other-key")
 			cluster.awaitRefused(t, "good-key")
 			cluster.store.SetDown(true)
-			for i := range c.replaced {
-				cluster.cancels[i]()
-				cluster.startDaemon(t, c.daemons+i)
-			}
+			cluster.replace(t, c.replaced)
 			time.Sleep(unheardWait + 500*time.Millisecond) // longer than a daemon listens
 			cluster.store.Restore(older)
 			cluster.store.SetDown(false)
-			cluster.daemons = cluster.daemons[c.replaced:]
-			for end := time.Now().Add(rewriteWait - time.Second); time.Now().Before(end); {
-				for _, d := range cluster.daemons {
-					status, _ := cluster.call(d.Caller, "/file/", cluster.nextID(), "good-key")
-					is.True(status != http.StatusOK)
-				}
-			}
+			cluster.refusesFor(t, "good-key", operatorsLate)
+			cluster.configure(2, "other-key")
+			await(t, "the other key serves", catchUpBound, func() bool { return cluster.statuses("other-key", http.StatusOK) })
+			is.True(cluster.statuses("good-key", http.StatusUnauthorized))
+		})
+	}
+}
+
+// Guards against CONFIG: a version that takes a key away is acknowledged as the store goes
+// away for a drill, and no daemon reads it. Daemons that ran on took the version before it,
+// which they all held, for the newest, and accepted the key until operators wrote again.
+func TestVersionThatNoDaemonRead(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for some seconds")
+	}
+	t.Parallel()
+	for _, c := range []struct {
+		name              string
+		daemons, replaced int
+	}{
+		{"all run on", 3, 0},
+		{"the only one runs on", 1, 0},
+		{"one of three is replaced", 3, 1},
+		{"all are replaced", 2, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			cluster := newCluster(t, 0, c.daemons)
+			await(t, "the key serves", 10*time.Second, func() bool { return cluster.statuses("good-key", http.StatusOK) })
+			older := cluster.store.Copy()
+			cluster.store.SetDown(true)
+			cluster.configure(2, "other-key") // the store's last acknowledgement
+			acknowledged := time.Now()
+			cluster.replace(t, c.replaced)
+			time.Sleep(2 * time.Second)
+			cluster.store.Restore(older)
+			cluster.store.SetDown(false)
+			time.Sleep(time.Until(acknowledged.Add(revokeBound)))
+			cluster.refusesFor(t, "good-key", operatorsLate)
 			cluster.configure(2, "other-key")
 			await(t, "the other key serves", catchUpBound, func() bool { return cluster.statuses("other-key", http.StatusOK) })
 			is.True(cluster.statuses("good-key", http.StatusUnauthorized))
@@ -61,9 +96,32 @@
 	}
 }
 
+// replace stops the first daemons and starts as many others at other addresses.
+func (c *cluster) replace(t *testing.T, n int) {
+	t.Helper()
+	for i := range n {
+		c.cancels[i]()
+		c.startDaemon(t, len(c.started))
+	}
+	c.daemons = c.daemons[n:]
+}
+
+// refusesFor fails the test if a request with a key is served within a time.
+func (c *cluster) refusesFor(t *testing.T, key string, span time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		for _, d := range c.daemons {
+			if status, _ := c.call(d.Caller, "/file/", c.nextID(), key); status == http.StatusOK {
+				t.Fatalf("a request with %s is served", key)
+			}
+		}
+	}
+}
+
 // A daemon must not refuse for longer than it has to: one that starts in an outage of the store
-// serves as soon as the store is back, as the store lost nothing; after a drill it serves once the
-// newest version is known, or operators had the time to write it again.
+// serves as soon as the store is back, as the store lost nothing; after a drill it serves once
+// operators have written the configuration again, though nothing was lost, and whether daemons
+// saw the store before or not.
 func TestDaemonThatStartsInAnOutageServes(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs for some seconds")
@@ -73,12 +131,17 @@
 		name              string
 		daemons, replaced int
 		drill             bool
-		within            time.Duration // of the store's return
+		writtenAfter      time.Duration // of the store's return, in a drill
 	}{
-		{"plain outage, one more", 2, 0, false, catchUpBound},
-		{"plain outage, all", 2, 2, false, catchUpBound},
-		{"drill that lost nothing, one of three", 3, 1, true, recoverBound},
-		{"drill that lost nothing, all", 2, 2, true, recoverBound},
+		{"plain outage, one more", 2, 0, false, 0},
+		{"plain outage, all", 2, 2, false, 0},
+		{"drill that lost nothing, none", 2, 0, true, 2 * time.Second},
+		{"drill that lost nothing, none, written at once", 2, 0, true, 0},
+		{"drill that lost nothing, one of three", 3, 1, true, 2 * time.Second},
+		{"drill that lost nothing, one of three, written at once", 3, 1, true, 0},
+		{"drill that lost nothing, all", 2, 2, true, 2 * time.Second},
+		{"drill that lost nothing, all, written at once", 2, 2, true, 0},
+		{"drill that lost nothing, all, written late", 2, 2, true, operatorsLate},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -86,19 +149,61 @@
 			await(t, "the key serves", 10*time.Second, func() bool { return cluster.statuses("good-key", http.StatusOK) })
 			older := cluster.store.Copy()
 			cluster.store.SetDown(true)
-			for i := range c.replaced {
-				cluster.cancels[i]()
-			}
-			for i := range max(1, c.replaced) {
-				cluster.startDaemon(t, c.daemons+i)
+			cluster.replace(t, c.replaced)
+			if c.replaced == 0 {
+				cluster.startDaemon(t, c.daemons)
 			}
 			time.Sleep(4 * time.Second)
 			if c.drill {
 				cluster.store.Restore(older)
 			}
+			if c.drill && c.writtenAfter == 0 {
+				cluster.configure(1, "good-key")
+			}
 			cluster.store.SetDown(false)
-			cluster.daemons = cluster.daemons[c.replaced:]
-			await(t, "the key serves again", c.within, func() bool { return cluster.statuses("good-key", http.StatusOK) })
+			if c.writtenAfter > 0 {
+				time.Sleep(c.writtenAfter)
+				cluster.configure(1, "good-key")
+			}
+			await(t, "the key serves again", catchUpBound, func() bool { return cluster.statuses("good-key", http.StatusOK) })
+		})
+	}
+}
+
+// All daemons are gone while the store has a drill and operators write the configuration
+// again. Those that start later have seen neither the store before nor the one of the copy,
+// and serve: the record in the copy shows that the configuration was written since.
+func TestDaemonsThatStartAfterADrillServe(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for some seconds")
+	}
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		version int // that operators write again
+		key     string
+	}{
+		{"nothing was lost", 1, "good-key"},
+		{"a version was lost", 2, "other-key"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newCluster(t, 0, 2)
+			await(t, "the key serves", 10*time.Second, func() bool { return cluster.statuses("good-key", http.StatusOK) })
+			older := cluster.store.Copy()
+			if c.version > 1 {
+				cluster.configure(c.version, c.key)
+			}
+			for _, stop := range cluster.cancels {
+				stop()
+			}
+			cluster.running.Wait()
+			cluster.store.Restore(older)
+			cluster.configure(c.version, c.key)
+			cluster.daemons = nil
+			cluster.startDaemon(t, 2)
+			cluster.startDaemon(t, 3)
+			await(t, "the key serves again", catchUpBound, func() bool { return cluster.statuses(c.key, http.StatusOK) })
 		})
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -109,6 +109,14 @@
 	o.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "chead_processor_seconds_total", Help: "Processor time that this process has used.",
 	}, processorSeconds))
+	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "chead_keys_accepted", Help: "1 if API keys are accepted by the configuration, 0 until it is shown to be the newest.",
+	}, func() float64 {
+		if d.caughtUp() {
+			return 1
+		}
+		return 0
+	}))
 	d.pool = conns.New(dial)
 	d.reach = reach.New(reach.Options{
 		Boot: clock.Boot, Late: d.pulse.Late, Endpoints: d.probedEndpoints, Silence: d.placer.Silence, Probe: d.probe, Others: d.otherPaths,
@@ -143,7 +151,7 @@
 
 // ready reports whether this daemon accepts callers.
 func (d *Daemon) ready() bool {
-	return d.fresh() && d.caughtUp()
+	return d.fresh() && d.catchUp.takesCallers(d.watcher.Snapshot(), d.gossip.Alive)
 }
 
 // caughtUp reports whether the configuration is shown to be at least the newest one that was
--- a/edge/evacuated_test.go
+++ b/edge/evacuated_test.go
@@ -29,6 +29,7 @@
 	})
 	before := came.Load()
 	c.store.Restore(older)
+	c.configure(1, "good-key") // its keys are accepted before the domain is known
 	era := c.started[0].watcher.Snapshot().Era
 	await(t, "the daemons see the copy", 5*time.Second, func() bool { return c.started[0].watcher.Snapshot().Era != era })
 	restored := time.Now()
--- a/edge/lastkey_test.go
+++ b/edge/lastkey_test.go
@@ -82,6 +82,9 @@
 	c.store.Restore(older)
 	c.daemons = c.daemons[1:]
 	await(t, "no key is needed after a drill", catchUpBound, served)
+	c.store.Restore(older)
+	c.replace(t, 3)
+	await(t, "no key is needed after a drill in which all are replaced", recoverBound, served)
 }
 
 // putAccounts writes a version of the configuration with a list of client accounts: the field,
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -11,50 +11,79 @@
 )
 
 const (
-	settleInterval = 200 * time.Millisecond // between two looks whether the store lacks the settled version
-	settleYield    = time.Second            // for which a daemon leaves it to one that precedes it
+	settleInterval = 200 * time.Millisecond // between two looks whether the store lacks a record, if its snapshot doesn't change
+	settleYield    = time.Second            // for which a daemon leaves a record to each one that precedes it
 )
 
-// settle writes the version that is shown to be the newest to the store, once in each era
-// that isn't the first, until the context ends. Daemons that start learn it from there, though
-// they may hear none of the others. In a store that no daemon has used it comes before any
-// daemon serves, so that a copy of the store without it is older than all that was in force.
-// It also writes, once, that the configuration has had client accounts.
+// settle writes each version that is shown to be the newest to the store, until the context
+// ends. Daemons that start learn it from there, though they may hear none of the others, and
+// those of a later era which versions were written before the copy was made. In a store that
+// no daemon has used it comes before any daemon serves, so that a copy of the store without it
+// is older than all that was in force. It also writes, once, that the configuration has had
+// client accounts.
 func (d *Daemon) settle(ctx context.Context) error {
-	var settled, accounts turn
-	for clock.Beat(ctx, settleInterval) {
+	settled, accounts := turn{now: clock.Boot, rank: d.rankToRecord}, turn{now: clock.Boot, rank: d.rankToRecord}
+	for ctx.Err() == nil {
+		changed := d.watcher.Changed()
 		held := d.watcher.Snapshot()
-		if settled.isDue(d.maySettle(held), d.precededToSettle) {
+		if settled.isDue(d.maySettle(held), held.ConfigVersion()) {
 			d.noteRecord(platform.SettledKey, held, d.writeSettled(ctx, held))
 		}
-		if accounts.isDue(d.mayRecordAccounts(held), d.precededToSettle) {
+		if accounts.isDue(d.mayRecordAccounts(held), held.HadAccounts) {
 			d.noteRecord(platform.AccountsKey, held, d.writeAccounts(ctx, held))
 		}
+		awaitChange(ctx, changed, settleInterval)
 	}
 	return nil
 }
 
-// turn tells when it is this daemon's turn to write a record that all daemons may write. It
-// is called every settleInterval.
+// awaitChange waits until a channel is closed, for at most limit.
+func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// turn tells when it is this daemon's turn to write a record that all daemons may write.
 type turn struct {
-	lacking time.Duration // for how long the store has lacked the record
+	now     func() time.Duration // boot clock
+	rank    func() int           // how many daemons precede this one
+	lacks   bool                 // the store lacked the record at the last look
+	since   time.Duration        // boot clock: since when
+	version int64                // that this daemon wrote last
+	wroteAt time.Duration        // boot clock: when
 }
 
-// isDue reports whether this daemon is to write now: the record is lacking, and no daemon
-// precedes this one or that one has had settleYield.
-func (t *turn) isDue(lacks bool, preceded func() bool) bool {
+// isDue reports whether this daemon is to write a version now: the record lacks it, and each
+// daemon that precedes this one has had settleYield. What it wrote may not be seen yet.
+func (t *turn) isDue(lacks bool, version int64) bool {
 	if !lacks {
-		t.lacking = 0
+		t.lacks = false
+		return false
+	}
+	now := t.now()
+	if !t.lacks {
+		t.lacks, t.since = true, now
+	}
+	pause := settleInterval
+	if version == t.version {
+		pause = settleYield
+	}
+	if now-t.wroteAt < pause || now-t.since < time.Duration(t.rank())*settleYield {
 		return false
 	}
-	t.lacking += settleInterval
-	return t.lacking >= settleYield || !preceded()
+	t.version, t.wroteAt = version, now
+	return true
 }
 
 // noteRecord logs that a record couldn't be written.
 func (d *Daemon) noteRecord(key string, held *watch.Snapshot, err error) {
 	if err != nil {
-		d.options.Log.Info("record not written", "key", key, "era", held.Era, "version", held.Config.Version, "error", err.Error())
+		d.options.Log.Info("record not written", "key", key, "era", held.Era, "version", held.ConfigVersion(), "error", err.Error())
 	}
 }
 
@@ -67,22 +96,26 @@
 // maySettle reports whether the store lacks the settled version of a snapshot's era, and this
 // daemon knows it.
 func (d *Daemon) maySettle(held *watch.Snapshot) bool {
-	if held.Era == 0 || held.Settled.Era == held.Era || held.Config == nil || !d.fresh() {
+	switch {
+	case held.Config == nil || !d.fresh():
+		return false
+	case held.Settled.Version >= held.Config.Version && held.Settled.Era == held.Era:
 		return false
 	}
 	return held.Unused && d.catchUp.unused.Load() || d.catchUp.allows(held, d.gossip.Alive)
 }
 
-// precededToSettle reports whether another daemon that may know the settled version precedes
-// this one.
-func (d *Daemon) precededToSettle() bool {
+// rankToRecord returns how many of the other daemons that may know the settled version
+// precede this one.
+func (d *Daemon) rankToRecord() int {
+	rank := 0
 	unused := d.catchUp.unused.Load()
 	for _, m := range d.others().current {
 		if (m.Ready || m.Fresh && unused) && m.From.Precedes(d.self) {
-			return true
+			rank++
 		}
 	}
-	return false
+	return rank
 }
 
 // writeSettled writes the version of a snapshot as the settled one of its era, unless another
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -22,7 +22,7 @@
 	case !w.listed:
 		next.Era = listing.Era
 		next.Unused = !hasTrace(listing)
-		w.eraRevision = listing.Revision
+		next.EraRevision = listing.Revision
 		w.listed = true
 	case next.Era != listing.Era:
 		w.beginEra(next, listing)
@@ -42,14 +42,22 @@
 	w.publish(next)
 }
 
-// hasTrace reports whether daemons have served by a store before: then it has had a keeper,
-// or a settled configuration, and keeps their records for good.
+// hasTrace reports whether daemons have served by a store before: then it has a settled
+// configuration, or had a keeper in an earlier era, and keeps their records for good.
 func hasTrace(listing platform.Listing) bool {
 	return slices.ContainsFunc(listing.Items, func(item platform.Item) bool {
-		return item.Key == platform.KeeperKey || item.Key == platform.SettledKey
+		return item.Key == platform.SettledKey || item.Key == platform.KeeperKey && !isOfEra(item, listing.Era)
 	})
 }
 
+// isOfEra reports whether the term in a keeper's record began in an era. A keeper may be
+// elected before the first configuration is settled.
+func isOfEra(item platform.Item, era int64) bool {
+	var term Term
+	err := json.Unmarshal(item.Value, &term)
+	return err == nil && term.Era == era
+}
+
 // applyChanges applies the changes that a watch returned and drops lapsed
 // endpoints whose grace period is over.
 func (w *Watcher) applyChanges(listing platform.Listing) {
@@ -165,7 +173,7 @@
 	}
 	s.Config = config
 	s.noteAccounts()
-	s.Rewritten = s.Rewritten || item.Revision > w.eraRevision
+	s.ConfigAt = item.Revision
 	w.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes), "keys", len(config.Accounts), "open", s.Config.Open)
 }
 
--- a/watch/proof_test.go
+++ b/watch/proof_test.go
@@ -113,7 +113,7 @@
 	for time.Now().Before(until) {
 		now := time.Now()
 		age := w.Age()
-		held := w.Snapshot().configVersion()
+		held := w.Snapshot().ConfigVersion()
 		if must := a.before(now.Add(-age - time.Millisecond)); held < must {
 			t.Errorf("a view that says it is %v old holds version %d, but %d was acknowledged before", age, held, must)
 			return
@@ -155,17 +155,17 @@
 				c.store.Put(fmt.Sprintf("servers/e%d", i), []byte(entryReady))
 			}
 			w := runWatcher(t, serveTest(t, c.store.ServeHTTP), nil)
-			awaitSnapshot(t, w, "the first version", func(s *Snapshot) bool { return s.configVersion() == 1 })
+			awaitSnapshot(t, w, "the first version", func(s *Snapshot) bool { return s.ConfigVersion() == 1 })
 			// Another daemon reads through it.
 			relay := serveTest(t, w.Relay)
 			follower := runWatcher(t, serveTest(t, c.store.ServeHTTP), []string{relay})
-			awaitSnapshot(t, follower, "the first version", func(s *Snapshot) bool { return s.configVersion() == 1 })
+			awaitSnapshot(t, follower, "the first version", func(s *Snapshot) bool { return s.ConfigVersion() == 1 })
 			// A third one reads the store itself, by the revisions that the first one read.
 			asker := newWatcher(t, serveTest(t, c.store.ServeHTTP), nil, func() bool { return false })
 			index := serveTest(t, w.Index)
 			asker.options.Index = func() string { return index }
 			runUntilEnd(t, asker)
-			awaitSnapshot(t, asker, "the first version", func(s *Snapshot) bool { return s.configVersion() == 1 })
+			awaitSnapshot(t, asker, "the first version", func(s *Snapshot) bool { return s.ConfigVersion() == 1 })
 			c.store.away.Store(c.away > 0)
 			time.AfterFunc(c.away, func() { c.store.away.Store(false) })
 			began := time.Now()
@@ -187,9 +187,9 @@
 			newest := acks.before(time.Now())
 			time.Sleep(applyBound)
 			is := is.New(t)
-			is.Equal(w.Snapshot().configVersion(), newest)
-			is.Equal(follower.Snapshot().configVersion(), newest)
-			is.Equal(asker.Snapshot().configVersion(), newest)
+			is.Equal(w.Snapshot().ConfigVersion(), newest)
+			is.Equal(follower.Snapshot().ConfigVersion(), newest)
+			is.Equal(asker.Snapshot().ConfigVersion(), newest)
 			wait.Wait()
 		})
 	}
--- a/watch/rewind.go
+++ b/watch/rewind.go
@@ -60,13 +60,13 @@
 func (w *Watcher) beginEra(s *Snapshot, listing platform.Listing) {
 	now := w.options.Boot()
 	w.options.Log.Info("store came back from an older copy", "era", listing.Era, "before", s.Era,
-		"revision", listing.Revision, "held", s.Revision, "version", s.configVersion())
+		"revision", listing.Revision, "held", s.Revision, "version", s.ConfigVersion())
 	s.Era = listing.Era
 	s.Revision = 0
 	s.Keeper.Revision = 0
 	s.Unused = false
-	s.Rewritten = false
-	w.eraRevision = listing.Revision
+	s.ConfigAt = 0
+	s.EraRevision = listing.Revision
 	w.rewind.copyRevision = listing.Revision
 	w.outageAt.Store(int64(now))
 	w.rewoundAt.Store(int64(now))
@@ -78,8 +78,8 @@
 	}
 }
 
-// configVersion returns the version of the configuration, 0 if there is none.
-func (s *Snapshot) configVersion() int64 {
+// ConfigVersion returns the version of the configuration, 0 if there is none.
+func (s *Snapshot) ConfigVersion() int64 {
 	if s.Config == nil {
 		return 0
 	}
--- a/watch/settled_test.go
+++ b/watch/settled_test.go
@@ -25,37 +25,68 @@
 	f.store.Put(platform.SettledKey, []byte(`{"era":"x"}`))
 	f.await(t, "a record that can't be decoded", func(s *Snapshot) bool { return s.Settled.Era == 0 && s.Settled.Revision > 0 })
 	f.store.Put("op/config", []byte(configV9))
-	f.await(t, "a newer version", func(s *Snapshot) bool { return s.Config.Version == 9 && s.Rewritten })
+	f.await(t, "a newer version", func(s *Snapshot) bool { return s.Config.Version == 9 && s.Rewritten() })
 
 	f.store.Restore(older)
 	f.await(t, "second era", func(s *Snapshot) bool { return s.Era == 2 })
 	s := f.watcher.Snapshot()
 	is.Equal(s.Settled, Settled{})
 	is.True(!s.Unused)
-	is.True(!s.Rewritten) // the copy's
+	is.True(!s.Rewritten()) // the copy's
 	f.store.Put("op/config", []byte(configV5))
 	f.store.Put("servers/e", []byte(entryReady))
 	f.await(t, "an older version and an endpoint", func(s *Snapshot) bool { return len(s.Endpoints) == 1 })
-	is.True(!f.watcher.Snapshot().Rewritten)
+	is.True(!f.watcher.Snapshot().Rewritten())
 	f.store.Put("op/config", []byte(configV9))
-	f.await(t, "written again", func(s *Snapshot) bool { return s.Rewritten })
+	f.await(t, "written again", func(s *Snapshot) bool { return s.Rewritten() })
+}
+
+// A copy tells by the record in it which configurations were written before it was made, to
+// daemons too that first list the store after operators have written again.
+func TestConfigurationWrittenSinceTheRecord(t *testing.T) {
+	const settled = `{"era":1,"version":5}`
+	for _, c := range []struct {
+		name  string
+		puts  [][2]string // before the first listing
+		since bool
+	}{
+		{"before the record", [][2]string{{"op/config", configV5}, {platform.SettledKey, settled}}, false},
+		{"again after the record", [][2]string{{"op/config", configV5}, {platform.SettledKey, settled}, {"op/config", configV5}}, true},
+		{"a newer one after the record", [][2]string{{"op/config", configV5}, {platform.SettledKey, settled}, {"op/config", configV9}}, true},
+		{"no record", [][2]string{{"op/config", configV5}, {"op/config", configV9}}, false},
+		{"a record that can't be decoded", [][2]string{{"op/config", configV5}, {platform.SettledKey, "["}, {"op/config", configV9}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := simul.NewStore()
+			for _, put := range c.puts {
+				store.Put(put[0], []byte(put[1]))
+			}
+			store.Restore(store.Copy())
+			watcher := runWatcher(t, serveTest(t, store.ServeHTTP), nil)
+			awaitSnapshot(t, watcher, "a listing", func(s *Snapshot) bool { return s.Revision > 0 })
+			is.New(t).Equal(watcher.Snapshot().WrittenSinceRecord(), c.since)
+		})
+	}
 }
 
 // A store by which daemons have served isn't unused, though their own records have lapsed.
 func TestStoreThatWasUsed(t *testing.T) {
 	for _, c := range []struct {
-		key    string
-		unused bool
+		name, key, value string
+		unused           bool
 	}{
-		{platform.KeeperKey, false},
-		{platform.SettledKey, false},
-		{platform.DaemonRecordKey("d0"), true}, // it has just started, as this one
-		{"servers/e", true},
-		{"op/config", true},
+		{"keeper", platform.KeeperKey, `{}`, false},
+		{"keeper of an earlier era", platform.KeeperKey, `{"term":1,"era":0}`, false},
+		{"keeper elected before a version was settled", platform.KeeperKey, `{"term":1,"era":1}`, true},
+		{"keeper that can't be decoded", platform.KeeperKey, `[`, false},
+		{"settled", platform.SettledKey, `{}`, false},
+		{"daemon that has just started, as this one", platform.DaemonRecordKey("d0"), `{}`, true},
+		{"endpoint", "servers/e", `{}`, true},
+		{"configuration", "op/config", `{}`, true},
 	} {
-		t.Run(c.key, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			store := simul.NewStore()
-			store.Put(c.key, []byte(`{}`))
+			store.Put(c.key, []byte(c.value))
 			watcher := runWatcher(t, serveTest(t, store.ServeHTTP), nil)
 			awaitSnapshot(t, watcher, "a listing", func(s *Snapshot) bool { return s.Revision > 0 })
 			is.New(t).Equal(watcher.Snapshot().Unused, c.unused)
--- a/watch/snapshot.go
+++ b/watch/snapshot.go
@@ -21,17 +21,19 @@
 	Parts        map[string]time.Time // parts of prompts that are refused, and until when, by the time of day
 	Settled      Settled
 	Unused       bool  // no daemon had left a trace in the store when this one first listed it
-	Rewritten    bool  // operators wrote the configuration after this daemon had first listed the store in this era
+	ConfigAt     int64 // revision at which Config was written in this era, 0 if it is held from an earlier one
+	EraRevision  int64 // of the first listing of this era
 	HadAccounts  int64 // a version of the configuration that has a list of client accounts, 0 if none is known
 	Recorded     bool  // the store has a record of HadAccounts
 }
 
-// Settled is the record of the configuration that a daemon has shown to be the newest one in
-// an era of the store. Within an era the store loses nothing, so that later ones follow it.
+// Settled is the record of the newest configuration that a daemon had shown to be in force.
+// Within an era the store loses nothing, so that later daemons follow it; the one in a copy
+// tells which configurations were written before the copy was made.
 type Settled struct {
-	Era      int64 `json:"era"` // 0 if there is no record
-	Version  int64 `json:"version"`
-	Revision int64 `json:"-"` // of the record in the store, 0 if there is none
+	Era      int64 `json:"era"`
+	Version  int64 `json:"version"` // 0 if there is no record
+	Revision int64 `json:"-"`       // of the record in the store, 0 if there is none
 }
 
 // Term is one term of the keeper, the daemon that sends orders to the endpoints of
@@ -43,6 +45,16 @@
 	Revision int64  `json:"-"`   // of the keeper key in the store, 0 if it was never read
 }
 
+// Rewritten reports whether operators wrote the configuration after the daemon had first
+// listed the store in this era.
+func (s *Snapshot) Rewritten() bool { return s.ConfigAt > s.EraRevision }
+
+// WrittenSinceRecord reports whether operators wrote the configuration after the record of
+// the version in force, which the store's copy has from an earlier era.
+func (s *Snapshot) WrittenSinceRecord() bool {
+	return s.Settled.Version > 0 && s.ConfigAt > s.Settled.Revision
+}
+
 // Usable reports whether an endpoint may get new work: it is not draining and its
 // failure domain is in service.
 func (s *Snapshot) Usable(e site.Endpoint) bool { return !e.Draining && !s.OutOfService[e.Domain] }
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -38,7 +38,6 @@
 	goal        goal                 // what the snapshot is to be complete to
 	proved      atomic.Pointer[goal] // the last goal that it was complete to, nil at first
 	rewind      rewind
-	eraRevision int64             // of the first listing of the present era
 	daemonIDs   map[string]string // ID of the daemon that is listed for an instance
 	history     history
 	encoded     encodedItems
