--- a/edge/edge.go
+++ b/edge/edge.go
@@ -124,7 +124,7 @@
 	})
 	d.front = front.New(front.Options{
 		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool, Reach: d.reach, Self: d.self.ID,
-		MaxKeyAge: d.maxKeyAge,
+		MaxKeyAge: d.maxKeyAge, Basis: d.keyBasis,
 		Hold:      newBook(s, o.Registry), Crashes: d.crashes, Parts: d.parts, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
 	d.keeper = groups.New(groups.Options{
@@ -158,6 +158,13 @@
 // put in force, which the store may have lost.
 func (d *Daemon) caughtUp() bool { return d.catchUp.allows(d.watcher.Snapshot(), d.gossip.Alive) }
 
+// keyBasis returns what shows that the configuration of a snapshot is the newest, and whether
+// keys are accepted by that.
+func (d *Daemon) keyBasis(held *watch.Snapshot) (string, bool) {
+	found := d.catchUp.basis(held, d.gossip.Alive)
+	return found.String(), found.holds()
+}
+
 // maxKeyAge returns the greatest age of a snapshot by which keys are accepted, or 0 if
 // none are.
 func (d *Daemon) maxKeyAge() time.Duration {
--- a/front/admit.go
+++ b/front/admit.go
@@ -10,6 +10,7 @@
 
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/site"
+	"clementinehead.example/chead/watch"
 )
 
 // refusal is an error response that the daemon itself gives.
@@ -20,10 +21,25 @@
 	elsewhere  bool          // another daemon may take the request
 }
 
+// admission is what a request was admitted by. The zero value is of one that was not.
+type admission struct {
+	version int64         // of the configuration
+	era     int64         // of the store
+	basis   string        // what showed that configuration to be the newest, or why no key was needed
+	age     time.Duration // of the snapshot
+}
+
+// Reasons for which a request needs no key, as the basis of its admission.
+const (
+	publicRoute = "publicRoute"
+	noAccounts  = "noAccounts" // no configuration has had client accounts
+)
+
 // admit finds the route and the client account of a request and reads its body.
 // It returns nil if the request is accepted.
 func (f *Front) admit(j *job) *refusal {
-	stale := f.options.SnapshotAge() > f.options.MaxKeyAge()
+	age := f.options.SnapshotAge()
+	stale := age > f.options.MaxKeyAge()
 	v := f.options.Snapshot() // after its age: it may be replaced in between
 	if v.Config == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter, true}
@@ -36,7 +52,8 @@
 	if limit := v.Config.Limits.Header; limit > 0 && headerSize(j.r) > limit {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
 	}
-	if refused := f.identify(j, v.Config, stale); refused != nil {
+	j.admission = admission{version: v.Config.Version, era: v.Era, age: age}
+	if refused := f.identify(j, v, stale); refused != nil {
 		return refused
 	}
 	service, found := chooseService(route.Shares, rand.IntN)
@@ -83,12 +100,18 @@
 // identify finds the client account by the request's key, and the priority. A
 // stale snapshot proves neither that a key is valid nor that it is invalid, so keys
 // are not checked by it. A request that needs no key has no account.
-func (f *Front) identify(j *job, c *site.Config, stale bool) *refusal {
+func (f *Front) identify(j *job, v *watch.Snapshot, stale bool) *refusal {
+	c := v.Config
 	j.priority = j.route.Priority
 	if !c.NeedsKey(j.route) {
+		j.admission.basis = noAccounts
+		if j.route.Public {
+			j.admission.basis = publicRoute
+		}
 		return nil
 	}
-	if stale {
+	basis, holds := f.options.Basis(v)
+	if stale || !holds {
 		return staleOr(true, 0, "")
 	}
 	account, known := c.Account(platform.APIKey(j.r.Header))
@@ -96,6 +119,7 @@
 		return staleOr(j.outdated, http.StatusUnauthorized, "unknown key")
 	}
 	j.keyed, j.account = true, account.Name
+	j.admission.basis = basis
 	if account.HasPriority {
 		j.priority = account.Priority
 	}
--- a/front/ending.go
+++ b/front/ending.go
@@ -64,6 +64,7 @@
 		"ahead", j.queue.InTime+j.queue.Late, "fit", j.eligible, "limited", j.queue.Limited, "hidden", j.queue.Hidden, "level", j.queue.Level, "freed", round(j.queue.FreeRate), "arrivals", round(j.queue.ArrivalRate),
 		"slack_ms", j.queue.Slack.Milliseconds(), "returned_ms", j.priorTime.Milliseconds(),
 		"waited_ms", j.waited.Milliseconds(), "took_ms", took.Milliseconds(),
+		"admitted", j.admission.version, "era", j.admission.era, "basis", j.admission.basis, "admitted_age_ms", j.admission.age.Milliseconds(),
 		"version", version, "revision", v.Revision, "age_ms", f.options.SnapshotAge().Milliseconds())
 }
 
--- a/front/fixture_test.go
+++ b/front/fixture_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -171,6 +172,28 @@
 	age      time.Duration
 	cut      atomic.Bool   // whether it is cut off from the endpoints
 	peers    []site.Daemon // that requests are sent through then
+	log      logLines
+}
+
+// logLines keeps the lines that are logged.
+type logLines struct {
+	mu    sync.Mutex
+	lines []byte
+}
+
+// Write appends to the lines.
+func (l *logLines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, b...)
+	return len(b), nil
+}
+
+// String returns the lines so far.
+func (l *logLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(l.lines)
 }
 
 const testHost = "front.example"
@@ -212,7 +235,8 @@
 	placer := pick.New(o)
 	f.front = New(Options{
 		Snapshot: f.snapshot.Load, SnapshotAge: func() time.Duration { return f.age }, MaxKeyAge: func() time.Duration { return 3 * time.Second },
-		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(t, true), Self: service + "-daemon", Hold: hold.New(hold.NewLimits(64 << 20)), Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.Discard(),
+		Basis:  func(v *watch.Snapshot) (string, bool) { return "settledVersion", v.Settled.Version == 0 },
+		Placer: placer, Pool: conns.New(conns.Dial), Reach: newReach(t, true), Self: service + "-daemon", Hold: hold.New(hold.NewLimits(64 << 20)), Crashes: &Crashes{}, Parts: NewParts(logr.Discard()), Metrics: NewMetrics(prometheus.NewRegistry()), Log: logr.FromSlogHandler(slog.NewJSONHandler(&f.log, nil)),
 	})
 	f.http = httptest.NewServer(f.front)
 	t.Cleanup(f.http.Close)
--- a/front/front.go
+++ b/front/front.go
@@ -28,15 +28,18 @@
 	Snapshot    func() *watch.Snapshot
 	SnapshotAge func() time.Duration // of the latest snapshot
 	MaxKeyAge   func() time.Duration // the greatest age of a snapshot by which keys are accepted
-	Placer      *pick.Placer
-	Pool        *conns.Pool
-	Reach       *reach.Reach
-	Self        string // ID of this daemon
-	Hold        *hold.Book
-	Crashes     *Crashes
-	Parts       *Parts
-	Metrics     *Metrics
-	Log         logr.Logger
+	// Basis tells what shows that the configuration of a snapshot is the newest that was put in
+	// force, and whether keys are accepted by that.
+	Basis   func(*watch.Snapshot) (basis string, holds bool)
+	Placer  *pick.Placer
+	Pool    *conns.Pool
+	Reach   *reach.Reach
+	Self    string // ID of this daemon
+	Hold    *hold.Book
+	Crashes *Crashes
+	Parts   *Parts
+	Metrics *Metrics
+	Log     logr.Logger
 }
 
 // Front is an http.Handler that forwards callers' requests to endpoints. Use New to
@@ -64,9 +67,10 @@
 	deadline   time.Time     // by the caller's deadline or the route's timeout, whichever is sooner
 	priorTime  time.Duration // spent by the caller on earlier tries of its own, as estimated by deadlines
 	route      site.Route
-	service    string        // chosen among those of the route
-	keyed      bool          // it was admitted by an API key
-	account    string        // name of the client account, if keyed
+	service    string // chosen among those of the route
+	keyed      bool   // it was admitted by an API key
+	account    string // name of the client account, if keyed
+	admission  admission
 	model      string        // empty for a plain service
 	size       platform.Size // as stated by the caller, for a model
 	digest     string        // identifies the request in Crashes
--- a/front/keys_test.go
+++ b/front/keys_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"clementinehead.example/chead/site"
+	"clementinehead.example/chead/watch"
 )
 
 // Guards against CONFIG and ROUTE: once the client accounts had no key left, requests with
@@ -71,12 +72,12 @@
 	config.Accounts = map[string]site.Account{"good-key": {}}
 	j := &job{r: httptest.NewRequest("GET", "/read/", nil), route: testConfig.Routes[0]}
 	j.r.Header.Set("Authorization", "Bearer good-key")
-	is.Equal(f.front.identify(j, &config, false), nil)
+	is.Equal(f.front.identify(j, &watch.Snapshot{Config: &config}, false), nil)
 	is.True(!f.front.isStaleFor(j))
 	f.age = 4 * time.Second
 	is.True(f.front.isStaleFor(j))
 	j.route.Public = true
 	open := &job{r: j.r, route: j.route}
-	is.Equal(f.front.identify(open, &config, false), nil)
+	is.Equal(f.front.identify(open, &watch.Snapshot{Config: &config}, false), nil)
 	is.True(!f.front.isStaleFor(open))
 }
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -75,6 +75,9 @@
 		until = trace.End.Time
 	}
 	r := relatedTo(l.tagged)
+	if trace.End.Get("basis") != "" {
+		trace.Related = l.admissionLines(trace.End.Daemon, trace.Arrived.Add(-lookback))
+	}
 	for _, line := range l.untagged {
 		if line.Time.Before(trace.Arrived.Add(-lookback)) || line.Time.After(until) || !r.matches(line) {
 			continue
@@ -85,6 +88,29 @@
 	return trace, nil
 }
 
+// admissionLines returns the latest line of a daemon before a time on each of what its
+// admission of requests rested on: the configuration, what showed it to be the newest, and
+// the store's last return from a copy. They may be much older than the request.
+func (l *Logs) admissionLines(daemon string, before time.Time) []Line {
+	latest := map[string]Line{}
+	for _, line := range l.untagged {
+		if line.Daemon != daemon || !isOnAdmission(line) || !line.Time.Before(before) || line.Time.Before(latest[line.Message].Time) {
+			continue
+		}
+		latest[line.Message] = line
+	}
+	var lines []Line
+	for _, line := range latest {
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// isOnAdmission reports whether a line tells what admissions rest on.
+func isOnAdmission(l Line) bool {
+	return l.Message == "configuration in force" || l.Message == "configuration compared" || l.Message == "store came back from an older copy"
+}
+
 // inProgress is the message of a line on a request that has not ended.
 const inProgress = "request in progress"
 
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -13,14 +13,16 @@
 
 var update = flag.Bool("update", false, "rewrite the golden files")
 
-// Compares the traces of three requests from logs of a simulated day with golden
+// Compares the traces of three requests from logs of a simulated day, and of one after a
+// drill of the store, with golden
 // files: one was refused because all endpoints were full, one had its stream
-// continued at another endpoint, and one had its stream cut short.
+// continued at another endpoint, one had its stream cut short, and one had its key accepted.
 func TestTraceGolden(t *testing.T) {
 	for _, c := range []struct{ name, id string }{
 		{"full", "8c72832002bf887b"},
 		{"moved", "5fce85e9c48aea6e"},
 		{"cut", "41a565d3fbb9c0a9"},
+		{"keyed", "key-kept-75-0"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/trace/write.go
+++ b/trace/write.go
@@ -36,11 +36,21 @@
 // writeHeader writes the identity, the arrival time and the outcome of the request.
 func (t *Trace) writeHeader(w io.Writer) error {
 	e := t.End
-	_, err := fmt.Fprintf(w, "request %s at %s\n  route %s, account %s, model %s; arrived %s\n  %s\n\n",
-		t.ID, e.Daemon, orNone(e.Get("route")), orNone(e.Get("account")), orNone(e.Get("model")), t.Arrived.UTC().Format(time.RFC3339Nano), t.outcome())
+	_, err := fmt.Fprintf(w, "request %s at %s\n  route %s, account %s, model %s; arrived %s\n  %s\n%s\n",
+		t.ID, e.Daemon, orNone(e.Get("route")), orNone(e.Get("account")), orNone(e.Get("model")), t.Arrived.UTC().Format(time.RFC3339Nano), t.outcome(), t.admission())
 	return err
 }
 
+// admission returns a line on what a request was admitted by, or nothing if it wasn't or its
+// daemon doesn't tell.
+func (t *Trace) admission() string {
+	e := t.End
+	if e.Get("basis") == "" {
+		return ""
+	}
+	return fmt.Sprintf("  admitted by configuration %s of era %s, %s ms after that was confirmed; basis: %s\n", e.Get("admitted"), e.Get("era"), e.Get("admitted_age_ms"), e.Get("basis"))
+}
+
 // outcome returns one sentence on how the request ended and whether it ran.
 func (t *Trace) outcome() string {
 	e := t.End
