explain: show the build of the daemon that admitted a request

The line 'daemon starts' names the program's build; the trace now has it with the other lines on an admission, however old.

--- a/trace/trace.go
+++ b/trace/trace.go
@@ -89,8 +89,9 @@
 }
 
 // admissionLines returns the latest line of a daemon before a time on each of what its
-// admission of requests rested on: the configuration, what showed it to be the newest, and
-// the store's last return from a copy. They may be much older than the request.
+// admission of requests rested on: the program's build, the configuration, what showed it to
+// be the newest, and the store's last return from a copy. They may be much older than the
+// request.
 func (l *Logs) admissionLines(daemon string, before time.Time) []Line {
 	latest := map[string]Line{}
 	for _, line := range l.untagged {
@@ -108,7 +109,11 @@
 
 // isOnAdmission reports whether a line tells what admissions rest on.
 func isOnAdmission(l Line) bool {
-	return l.Message == "configuration in force" || l.Message == "configuration compared" || l.Message == "store came back from an older copy"
+	switch l.Message {
+	case "daemon starts", "configuration in force", "configuration compared", "store came back from an older copy":
+		return true
+	}
+	return false
 }
 
 // inProgress is the message of a line on a request that has not ended.
