Keep a lost failure domain out of service until operators write again

Cause: 3 s since the return were taken for a proof that operators had written again what was lost.

Change: the domain stays out until operators are known to have written in the new era, and 3 s more, in which they write the domain. Daemons that start wait as long, since the others report the return.

TestOlderCopyIsNotBelieved expected the domain back with operators who write nothing at all, which is the fault: they write the configuration there now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -125,7 +125,7 @@
 	d.front = front.New(front.Options{
 		Snapshot: d.watcher.Snapshot, SnapshotAge: d.watcher.Age, Placer: d.placer, Pool: d.pool, Reach: d.reach, Self: d.self.ID,
 		MaxKeyAge: d.maxKeyAge, Basis: d.keyBasis,
-		Hold:      newBook(s, o.Registry), Crashes: d.crashes, Parts: d.parts, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
+		Hold: newBook(s, o.Registry), Crashes: d.crashes, Parts: d.parts, Metrics: front.NewMetrics(o.Registry), Log: o.Log,
 	})
 	d.keeper = groups.New(groups.Options{
 		Self: d.self, Store: d.store, Engines: d.newEngines(transport), Watcher: d.watcher, Alive: d.gossip.Alive,
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -37,6 +37,7 @@
 			w.applyItem(next, platform.Item{Key: key, Revision: listing.Revision, Removed: true})
 		}
 	}
+	next.limitKept(w.options.Boot())
 	next.Revision = listing.Revision
 	w.history.reset(listing)
 	w.publish(next)
@@ -69,6 +70,7 @@
 	for _, item := range listing.Items {
 		w.applyItem(next, item)
 	}
+	next.limitKept(now)
 	w.dropExpired(next, now)
 	next.Revision = max(next.Revision, listing.Revision)
 	w.history.add(listing)
--- a/watch/rewind.go
+++ b/watch/rewind.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"math"
 	"time"
 
 	"clementinehead.example/chead/platform"
@@ -8,9 +9,11 @@
 )
 
 const (
-	// domainGrace is how long a failure domain stays out of service after the store
-	// came back from a copy that does not say so. Operators write it again by then.
+	// domainGrace is how long a failure domain that the store's copy lacks stays out of
+	// service after operators have begun to write again. They write it again by then.
 	domainGrace = 3 * time.Second
+	// untilWritten is the end of that time while operators have not begun.
+	untilWritten = time.Duration(math.MaxInt64)
 	// departureMemory is how long endpoints that have left are remembered. Copies
 	// of the store are some seconds old.
 	departureMemory = 60 * time.Second
@@ -56,7 +59,8 @@
 
 // beginEra prepares a snapshot for the listing of a new era. The revisions of the old
 // one are forgotten. Entries that the copy lacks count as lapsed, since endpoints
-// write them again, and failure domains stay out of service for domainGrace.
+// write them again, and failure domains stay out of service until operators have had
+// domainGrace to write them again.
 func (w *Watcher) beginEra(s *Snapshot, listing platform.Listing) {
 	now := w.options.Boot()
 	w.options.Log.Info("store came back from an older copy", "era", listing.Era, "before", s.Era,
@@ -74,10 +78,29 @@
 		w.revisions[key] = 0
 	}
 	for domain := range s.OutOfService {
-		s.KeptOut[domain] = now + domainGrace
+		s.KeptOut[domain] = untilWritten
 	}
 }
 
+// limitKept sets the time until which failure domains are kept out of service, once
+// operators have begun to write again what the store lost.
+func (s *Snapshot) limitKept(now time.Duration) {
+	if !s.operatorsWrote() {
+		return
+	}
+	for domain, until := range s.KeptOut {
+		if until == untilWritten {
+			s.KeptOut[domain] = now + domainGrace
+		}
+	}
+}
+
+// operatorsWrote reports whether operators are known to have written the configuration in
+// this era.
+func (s *Snapshot) operatorsWrote() bool {
+	return s.Rewritten() || s.WrittenSinceRecord() || s.Settled.Era == s.Era
+}
+
 // ConfigVersion returns the version of the configuration, 0 if there is none.
 func (s *Snapshot) ConfigVersion() int64 {
 	if s.Config == nil {
--- a/watch/rewind_test.go
+++ b/watch/rewind_test.go
@@ -47,6 +47,7 @@
 	f.await(t, "endpoints that write again", func(s *Snapshot) bool {
 		return len(s.Lapsed) == 0 && s.Endpoints["gone"].State.Started == 7
 	})
+	f.store.Put("op/config", []byte(configV9)) // operators write again, and not this domain
 	f.await(t, "domain back in service", func(s *Snapshot) bool { return !s.OutOfService["north"] })
 	f.store.Put("op/evacuate/north", []byte("{}"))
 	f.await(t, "domain out of service again", func(s *Snapshot) bool { return s.OutOfService["north"] })
@@ -67,3 +68,26 @@
 	f.store.Put("servers/e", []byte(entryOther))
 	f.await(t, "entry of the second era", func(s *Snapshot) bool { return s.Endpoints["e"].State.Started == 7 })
 }
+
+// Guards against EVAC: a failure domain whose leaving the store had lost was in service again
+// 3 s after the store's return, though operators had not begun to write again.
+func TestDomainIsKeptOutUntilOperatorsWrite(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.store.Put("op/config", []byte(configV5))
+	older := f.store.Copy()
+	f.store.Put("op/evacuate/north", []byte("{}"))
+	f.await(t, "domain out of service", func(s *Snapshot) bool { return s.OutOfService["north"] })
+	f.store.Restore(older)
+	f.await(t, "second era", func(s *Snapshot) bool { return s.Era == 2 })
+	for end := time.Now().Add(domainGrace + time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		f.store.Put("servers/e", []byte(entryReady))
+		is.True(f.watcher.Snapshot().OutOfService["north"])
+	}
+	is.True(f.watcher.Rewound()) // daemons that start wait for what this one knows
+	f.store.Put("op/config", []byte(configV5))
+	written := time.Now()
+	f.await(t, "domain back in service", func(s *Snapshot) bool { return !s.OutOfService["north"] })
+	is.True(time.Since(written) > domainGrace-100*time.Millisecond)
+	is.True(!f.watcher.Rewound())
+}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -69,10 +69,11 @@
 	return w.options.Boot() - time.Duration(w.freshAt.Load())
 }
 
-// Rewound reports whether the store came back from an older copy within domainGrace. The
-// copy may lack what this daemon knows, and what will be written again.
+// Rewound reports whether the store came back from an older copy within domainGrace, or
+// since operators last wrote while a failure domain is kept out of service. The copy may lack
+// what this daemon knows, and what will be written again.
 func (w *Watcher) Rewound() bool {
-	return w.options.Boot()-time.Duration(w.rewoundAt.Load()) < domainGrace
+	return w.options.Boot()-time.Duration(w.rewoundAt.Load()) < domainGrace || len(w.Snapshot().KeptOut) > 0
 }
 
 // Changed returns a channel that is closed when the snapshot next changes.
