--- a/edge/evacuated_test.go
+++ b/edge/evacuated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,21 +18,9 @@
 	}
 	is := is.New(t)
 	c := newCluster(t, 0, 2)
-	came := c.plainEndpoint("p1", "south", http.Header{})
-	await(t, "both endpoints serve", 10*time.Second, func() bool {
-		c.burst(0)
-		return came.Load() > 0
-	})
-	older := c.store.Copy()
-	c.store.Put("op/evacuate/south", []byte("{}"))
-	await(t, "the domain is out of service", 5*time.Second, func() bool {
-		return c.started[0].watcher.Snapshot().OutOfService["south"] && c.started[1].watcher.Snapshot().OutOfService["south"]
-	})
-	before := came.Load()
-	c.store.Restore(older)
+	came := c.loseDomain(t)
 	c.configure(1, "good-key") // its keys are accepted before the domain is known
-	era := c.started[0].watcher.Snapshot().Era
-	await(t, "the daemons see the copy", 5*time.Second, func() bool { return c.started[0].watcher.Snapshot().Era != era })
+	before := came.Load()
 	restored := time.Now()
 	c.startDaemon(t, 2)
 	for time.Since(restored) < 2*time.Second {
@@ -51,18 +40,8 @@
 	}
 	is := is.New(t)
 	c := startCluster(t, &cluster{withoutAccounts: true}, 0, 2)
-	came := c.plainEndpoint("p1", "south", http.Header{})
-	await(t, "both endpoints serve", 10*time.Second, func() bool {
-		c.burst(0)
-		return came.Load() > 0
-	})
-	older := c.store.Copy()
-	c.store.Put("op/evacuate/south", []byte("{}"))
-	await(t, "the domain is out of service", 5*time.Second, func() bool {
-		return c.started[0].watcher.Snapshot().OutOfService["south"] && c.started[1].watcher.Snapshot().OutOfService["south"]
-	})
+	came := c.loseDomain(t)
 	before := came.Load()
-	c.store.Restore(older)
 	restored := time.Now()
 	c.startDaemon(t, 2)
 	served := 0
@@ -81,3 +60,23 @@
 	c.burst(2)
 	is.Equal(came.Load(), before)
 }
+
+// loseDomain takes a failure domain out of service, which two daemons see, and has the store
+// come back from a copy that lacks it. It returns the requests at the domain's endpoint.
+func (c *cluster) loseDomain(t *testing.T) *atomic.Int64 {
+	t.Helper()
+	came := c.plainEndpoint("p1", "south", http.Header{})
+	await(t, "both endpoints serve", 10*time.Second, func() bool {
+		c.burst(0)
+		return came.Load() > 0
+	})
+	older := c.store.Copy()
+	c.store.Put("op/evacuate/south", []byte("{}"))
+	await(t, "the domain is out of service", 5*time.Second, func() bool {
+		return c.started[0].watcher.Snapshot().OutOfService["south"] && c.started[1].watcher.Snapshot().OutOfService["south"]
+	})
+	era := c.started[0].watcher.Snapshot().Era
+	c.store.Restore(older)
+	await(t, "the daemons see the copy", 5*time.Second, func() bool { return c.started[0].watcher.Snapshot().Era != era })
+	return came
+}
