--- a/front/admit.go
+++ b/front/admit.go
@@ -21,7 +21,7 @@
 	elsewhere  bool          // another daemon may take the request
 }
 
-// admission is what a request was admitted by. The zero value is of one that was not.
+// admission is what a request was admitted by. The zero value is that of one that was not.
 type admission struct {
 	version int64         // of the configuration
 	era     int64         // of the store
@@ -52,10 +52,11 @@
 	if limit := v.Config.Limits.Header; limit > 0 && headerSize(j.r) > limit {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
 	}
-	j.admission = admission{version: v.Config.Version, era: v.Era, age: age}
-	if refused := f.identify(j, v, stale); refused != nil {
+	basis, refused := f.identify(j, v, stale)
+	if refused != nil {
 		return refused
 	}
+	j.admission = admission{version: v.Config.Version, era: v.Era, basis: basis, age: age}
 	service, found := chooseService(route.Shares, rand.IntN)
 	if !found {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no service has a weight", retryAfter: defaultRetryAfter}
@@ -97,33 +98,34 @@
 	j.header.Set(platform.HeaderPriority, strconv.Itoa(min(9, max(0, j.priority))))
 }
 
-// identify finds the client account by the request's key, and the priority. A
-// stale snapshot proves neither that a key is valid nor that it is invalid, so keys
-// are not checked by it. A request that needs no key has no account.
-func (f *Front) identify(j *job, v *watch.Snapshot, stale bool) *refusal {
-	c := v.Config
+// identify finds the client account by the request's key, and the priority, and returns the
+// basis of the request's admission. A stale snapshot proves neither that a key is valid nor
+// that it is invalid, and nor does one that isn't shown to hold the newest configuration, so
+// keys are not checked by these. A request that needs no key has no account.
+func (f *Front) identify(j *job, v *watch.Snapshot, stale bool) (basis string, refused *refusal) {
 	j.priority = j.route.Priority
-	if !c.NeedsKey(j.route) {
-		j.admission.basis = noAccounts
-		if j.route.Public {
-			j.admission.basis = publicRoute
-		}
-		return nil
+	switch {
+	case j.route.Public:
+		return publicRoute, nil
+	case !v.Config.NeedsKey(j.route):
+		return noAccounts, nil
 	}
 	basis, holds := f.options.Basis(v)
-	if stale || !holds {
-		return staleOr(true, 0, "")
+	if !holds {
+		return "", &refusal{http.StatusServiceUnavailable, "configuration not shown to be the newest", defaultRetryAfter, true}
+	}
+	if stale {
+		return "", staleOr(true, 0, "")
 	}
-	account, known := c.Account(platform.APIKey(j.r.Header))
+	account, known := v.Config.Account(platform.APIKey(j.r.Header))
 	if !known {
-		return staleOr(j.outdated, http.StatusUnauthorized, "unknown key")
+		return "", staleOr(j.outdated, http.StatusUnauthorized, "unknown key")
 	}
 	j.keyed, j.account = true, account.Name
-	j.admission.basis = basis
 	if account.HasPriority {
 		j.priority = account.Priority
 	}
-	return nil
+	return basis, nil
 }
 
 // staleOr returns a refusal with the given status and reason, or the refusal due
