Know a rewritten configuration by its revision if the copy has no record

Where operators wrote the configuration again before any daemon had listed the new era, daemons that ran on saw no sign of that and refused keys until the next version: refusing too much.

If the new era has that version at another one, and the copy has no record, operators wrote it again.

--- a/edge/basis_string.go
+++ b/edge/basis_string.go
@@ -15,11 +15,12 @@
 	_ = x[settledVersion-4]
 	_ = x[rewrittenVersion-5]
 	_ = x[writtenSinceRecord-6]
+	_ = x[movedRevision-7]
 }
 
-const _basis_name = "unshownoutdatedunusedStorefirstErasettledVersionrewrittenVersionwrittenSinceRecord"
+const _basis_name = "unshownoutdatedunusedStorefirstErasettledVersionrewrittenVersionwrittenSinceRecordmovedRevision"
 
-var _basis_index = [...]uint8{0, 7, 15, 26, 34, 48, 64, 82}
+var _basis_index = [...]uint8{0, 7, 15, 26, 34, 48, 64, 82, 95}
 
 func (i basis) String() string {
 	idx := int(i) - 0
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -37,6 +37,7 @@
 	settledVersion                  // a daemon recorded in this era which version is the newest
 	rewrittenVersion                // operators wrote it after this daemon had first listed the store in this era
 	writtenSinceRecord              // operators wrote it after the record that the store's copy has of an earlier era
+	movedRevision                   // operators wrote it, by its revision, and the store's copy is older than all records
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=basis -output=basis_string.go
@@ -120,6 +121,8 @@
 		return rewrittenVersion
 	case held.WrittenSinceRecord():
 		return writtenSinceRecord
+	case held.MovedInUnusedCopy():
+		return movedRevision
 	case held.Unused:
 		return unusedStore
 	}
--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -41,6 +41,11 @@
 		s.ConfigAt = s.EraRevision + 1
 		return s
 	}
+	moved := func(n, recorded int64) watch.Snapshot {
+		s := settled(n, 1, recorded)
+		s.Moved = true
+		return s
+	}
 	unused := func(n int64) watch.Snapshot {
 		s := version(n)
 		s.Unused = true
@@ -78,6 +83,8 @@
 		{"newer, written after the record", written(6, 41, 5), nil, listenWait, writtenSinceRecord},
 		{"written after the record, a peer holds a newer one", written(6, 41, 5), holding(7), forEver, unshown},
 		{"written after a record that can't be decoded", written(6, 41, 0), nil, forEver, unshown},
+		{"at another revision, no record in the copy", moved(5, 0), nil, listenWait, movedRevision},
+		{"at another revision, a record in the copy", moved(5, 5), nil, forEver, unshown},
 		{"written again", rewritten(5), nil, listenWait, rewrittenVersion},
 		{"written again, a peer holds a newer one", rewritten(5), holding(6), forEver, unshown},
 		{"store that no daemon has used, not recorded yet", unused(5), nil, forEver, unshown},
--- a/edge/drill_test.go
+++ b/edge/drill_test.go
@@ -204,3 +204,42 @@
 		})
 	}
 }
+
+// The store comes back from a copy that is older than the first daemon's start, and operators
+// write the configuration again before any daemon has listed it. Daemons that ran on serve.
+func TestCopyOlderThanAllDaemons(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for some seconds")
+	}
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		version int // that operators write again
+		key     string
+	}{
+		{"nothing was lost", 1, "good-key"},
+		{"a version was lost", 2, "other-key"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newCluster(t, 0, 0)
+			older := cluster.store.Copy()
+			cluster.startDaemon(t, 0)
+			cluster.startDaemon(t, 1)
+			await(t, "the key serves", 10*time.Second, func() bool { return cluster.statuses("good-key", http.StatusOK) })
+			if c.version > 1 {
+				cluster.configure(c.version, c.key)
+				cluster.awaitRefused(t, "good-key")
+			}
+			era := cluster.started[0].watcher.Snapshot().Era
+			cluster.store.SetDown(true)
+			cluster.store.Restore(older)
+			cluster.configure(c.version, c.key)
+			cluster.store.SetDown(false)
+			await(t, "the new era", catchUpBound, func() bool {
+				return cluster.started[0].watcher.Snapshot().Era > era && cluster.started[1].watcher.Snapshot().Era > era
+			})
+			await(t, "the key serves again", catchUpBound, func() bool { return cluster.statuses(c.key, http.StatusOK) })
+		})
+	}
+}
--- a/watch/apply.go
+++ b/watch/apply.go
@@ -173,9 +173,7 @@
 		w.options.Log.Info("older configuration passed over", "revision", item.Revision, "version", config.Version)
 		return
 	}
-	s.Config = config
-	s.noteAccounts()
-	s.ConfigAt = item.Revision
+	s.setConfig(config, item.Revision)
 	w.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes), "keys", len(config.Accounts), "open", s.Config.Open)
 }
 
--- a/watch/rewind.go
+++ b/watch/rewind.go
@@ -69,7 +69,7 @@
 	s.Revision = 0
 	s.Keeper.Revision = 0
 	s.Unused = false
-	s.ConfigAt = 0
+	s.ConfigAt, s.Moved = 0, false
 	s.EraRevision = listing.Revision
 	w.rewind.copyRevision = listing.Revision
 	w.outageAt.Store(int64(now))
@@ -98,7 +98,7 @@
 // operatorsWrote reports whether operators are known to have written the configuration in
 // this era.
 func (s *Snapshot) operatorsWrote() bool {
-	return s.Rewritten() || s.WrittenSinceRecord() || s.Settled.Era == s.Era
+	return s.Rewritten() || s.WrittenSinceRecord() || s.MovedInUnusedCopy() || s.Settled.Era == s.Era
 }
 
 // ConfigVersion returns the version of the configuration, 0 if there is none.
--- a/watch/settled_test.go
+++ b/watch/settled_test.go
@@ -7,6 +7,7 @@
 
 	"clementinehead.example/chead/platform"
 	"clementinehead.example/chead/simul"
+	"clementinehead.example/chead/site"
 )
 
 // What a snapshot tells of whether its configuration is the newest: whether a daemon had
@@ -93,3 +94,31 @@
 		})
 	}
 }
+
+// A daemon that ran on knows by the revision that operators wrote the configuration again
+// before it first listed the new era. A revision that it read in any era tells nothing.
+func TestConfigurationAtAnotherRevision(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		version  int64 // held in the new eras
+		revision int64
+		moved    bool
+	}{
+		{"the copy's", 5, 2, false},
+		{"written again", 5, 3, true},
+		{"the copy's, read in the era before the last", 5, 7, false},
+		{"a newer version", 6, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &Snapshot{}
+			s.setConfig(&site.Config{Version: 5}, 7)
+			is.True(!s.Moved)
+			s.ConfigAt = 0 // the next era
+			s.setConfig(&site.Config{Version: 5}, 2)
+			s.ConfigAt, s.Moved = 0, false
+			s.setConfig(&site.Config{Version: c.version}, c.revision)
+			is.Equal(s.Moved, c.moved)
+		})
+	}
+}
--- a/watch/snapshot.go
+++ b/watch/snapshot.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"slices"
 	"time"
 
 	"clementinehead.example/chead/site"
@@ -20,11 +21,13 @@
 	Keeper       Term
 	Parts        map[string]time.Time // parts of prompts that are refused, and until when, by the time of day
 	Settled      Settled
-	Unused       bool  // no daemon had left a trace in the store when this one first listed it
-	ConfigAt     int64 // revision at which Config was written in this era, 0 if it is held from an earlier one
-	EraRevision  int64 // of the first listing of this era
-	HadAccounts  int64 // a version of the configuration that has a list of client accounts, 0 if none is known
-	Recorded     bool  // the store has a record of HadAccounts
+	Unused       bool    // no daemon had left a trace in the store when this one first listed it
+	ConfigAt     int64   // revision at which Config was written in this era, 0 if it is held from an earlier one
+	EraRevision  int64   // of the first listing of this era
+	ReadAt       []int64 // revisions at which this daemon has read the version of Config, in all eras
+	Moved        bool    // this era began with that version at a revision which is none of these
+	HadAccounts  int64   // a version of the configuration that has a list of client accounts, 0 if none is known
+	Recorded     bool    // the store has a record of HadAccounts
 }
 
 // Settled is the record of the newest configuration that a daemon had shown to be in force.
@@ -55,6 +58,27 @@
 	return s.Settled.Version > 0 && s.ConfigAt > s.Settled.Revision
 }
 
+// setConfig makes a version that was read at a revision the one that is held.
+func (s *Snapshot) setConfig(config *site.Config, revision int64) {
+	if config.Version != s.ConfigVersion() {
+		s.ReadAt = nil
+	}
+	known := slices.Contains(s.ReadAt, revision)
+	if s.ConfigAt == 0 && len(s.ReadAt) > 0 && !known {
+		s.Moved = true
+	}
+	if !known {
+		s.ReadAt = append(slices.Clip(s.ReadAt), revision)
+	}
+	s.Config, s.ConfigAt = config, revision
+	s.noteAccounts()
+}
+
+// MovedInUnusedCopy reports whether operators wrote the configuration again before the daemon
+// first listed this era, by its revision alone: the store's copy is older than the first record
+// of a version in force.
+func (s *Snapshot) MovedInUnusedCopy() bool { return s.Moved && s.Settled.Version == 0 }
+
 // Usable reports whether an endpoint may get new work: it is not draining and its
 // failure domain is in service.
 func (s *Snapshot) Usable(e site.Endpoint) bool { return !e.Draining && !s.OutOfService[e.Domain] }
