--- a/edge/edge.go
+++ b/edge/edge.go
@@ -102,21 +102,7 @@
 		Budget: d.budget, Daemons: d.daemonCount, Listed: d.listedCount, Reached: func() bool { return d.reach.State() == reach.Sound },
 		Late: d.pulse.Late, CutOff: d.cutOff, Peers: d.relayPeers, Random: rand.Float64, Log: o.Log,
 	})
-	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "chead_limited_endpoints", Help: "Endpoints that state a limit of requests per second.",
-	}, func() float64 { return float64(d.placer.Limited()) }))
-	registerLearned(o.Registry, d.placer)
-	o.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "chead_processor_seconds_total", Help: "Processor time that this process has used.",
-	}, processorSeconds))
-	o.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "chead_keys_accepted", Help: "1 if API keys are accepted by the configuration, 0 until it is shown to be the newest.",
-	}, func() float64 {
-		if d.caughtUp() {
-			return 1
-		}
-		return 0
-	}))
+	d.registerMetrics(o.Registry)
 	d.pool = conns.New(dial)
 	d.reach = reach.New(reach.Options{
 		Boot: clock.Boot, Late: d.pulse.Late, Endpoints: d.probedEndpoints, Silence: d.placer.Silence, Probe: d.probe, Others: d.otherPaths,
@@ -149,31 +135,6 @@
 	})
 }
 
-// ready reports whether this daemon accepts callers.
-func (d *Daemon) ready() bool {
-	return d.fresh() && d.catchUp.takesCallers(d.watcher.Snapshot(), d.gossip.Alive)
-}
-
-// caughtUp reports whether the configuration is shown to be at least the newest one that was
-// put in force, which the store may have lost.
-func (d *Daemon) caughtUp() bool { return d.catchUp.allows(d.watcher.Snapshot(), d.gossip.Alive) }
-
-// keyBasis returns what shows that the configuration of a snapshot is the newest, and whether
-// keys are accepted by that.
-func (d *Daemon) keyBasis(held *watch.Snapshot) (string, bool) {
-	found := d.catchUp.basis(held, d.gossip.Alive)
-	return found.String(), found.holds()
-}
-
-// maxKeyAge returns the greatest age of a snapshot by which keys are accepted, or 0 if
-// none are.
-func (d *Daemon) maxKeyAge() time.Duration {
-	if !d.caughtUp() {
-		return 0
-	}
-	return d.settings().revoke() - revokeMargin
-}
-
 // limits returns the limits on what callers may send, as currently configured.
 func (d *Daemon) limits() site.Limits {
 	if c := d.watcher.Snapshot().Config; c != nil {
