Let the keeper write the records of the configuration

Change: the keeper writes each version, since there is one and all know it; the others do only if the record lacks for 5 s, or at the first start, which doesn't wait for an election.

--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -267,12 +267,12 @@
 	}
 }
 
-// A daemon that precedes this one writes a record first, and what was written isn't written
-// again at once, though the watch doesn't show it yet.
+// Others have their time to write a record first, and what was written isn't written again at
+// once, though the watch doesn't show it yet.
 func TestTurnToRecord(t *testing.T) {
 	is := is.New(t)
-	now, rank := time.Hour, 0
-	turn := turn{now: func() time.Duration { return now }, rank: func() int { return rank }}
+	now, delay := time.Hour, time.Duration(0)
+	turn := turn{now: func() time.Duration { return now }, delay: func() time.Duration { return delay }}
 	is.True(!turn.isDue(false, 1))
 	is.True(turn.isDue(true, 1))
 	is.True(!turn.isDue(true, 1))
@@ -282,9 +282,9 @@
 	now += settleInterval
 	is.True(turn.isDue(true, 2))
 	is.True(!turn.isDue(false, 2))
-	now, rank = now+time.Minute, 2
+	now, delay = now+time.Minute, keeperYield
 	is.True(!turn.isDue(true, 3))
-	now += 2*settleYield - 1
+	now += keeperYield - 1
 	is.True(!turn.isDue(true, 3))
 	now++
 	is.True(turn.isDue(true, 3))
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -13,6 +13,7 @@
 const (
 	settleInterval = 200 * time.Millisecond // between two looks whether the store lacks a record, if its snapshot doesn't change
 	settleYield    = time.Second            // for which a daemon leaves a record to each one that precedes it
+	keeperYield    = 5 * time.Second        // for which the others leave it to the keeper, or to the next one
 )
 
 // settle writes each version that is shown to be the newest to the store, until the context
@@ -22,7 +23,7 @@
 // is older than all that was in force. It also writes, once, that the configuration has had
 // client accounts.
 func (d *Daemon) settle(ctx context.Context) error {
-	settled, accounts := turn{now: clock.Boot, rank: d.rankToRecord}, turn{now: clock.Boot, rank: d.rankToRecord}
+	settled, accounts := turn{now: clock.Boot, delay: d.recordDelay}, turn{now: clock.Boot, delay: d.recordDelay}
 	for ctx.Err() == nil {
 		changed := d.watcher.Changed()
 		held := d.watcher.Snapshot()
@@ -51,15 +52,15 @@
 // turn tells when it is this daemon's turn to write a record that all daemons may write.
 type turn struct {
 	now     func() time.Duration // boot clock
-	rank    func() int           // how many daemons precede this one
+	delay   func() time.Duration // for which this daemon leaves it to others
 	lacks   bool                 // the store lacked the record at the last look
 	since   time.Duration        // boot clock: since when
 	version int64                // that this daemon wrote last
 	wroteAt time.Duration        // boot clock: when
 }
 
-// isDue reports whether this daemon is to write a version now: the record lacks it, and each
-// daemon that precedes this one has had settleYield. What it wrote may not be seen yet.
+// isDue reports whether this daemon is to write a version now: the record lacks it, and the
+// others have had their time. What this one wrote may not be seen yet.
 func (t *turn) isDue(lacks bool, version int64) bool {
 	if !lacks {
 		t.lacks = false
@@ -73,7 +74,7 @@
 	if version == t.version {
 		pause = settleYield
 	}
-	if now-t.wroteAt < pause || now-t.since < time.Duration(t.rank())*settleYield {
+	if now-t.wroteAt < pause || now-t.since < t.delay() {
 		return false
 	}
 	t.version, t.wroteAt = version, now
@@ -105,17 +106,24 @@
 	return held.Unused && d.catchUp.unused.Load() || d.catchUp.allows(held, d.gossip.Alive)
 }
 
-// rankToRecord returns how many of the other daemons that may know the settled version
-// precede this one.
-func (d *Daemon) rankToRecord() int {
-	rank := 0
+// recordDelay returns for how long this daemon leaves records to others. The keeper writes
+// them, so that in a large fleet one daemon does; the others do if there is none for long, or
+// at the first start, which doesn't wait for an election.
+func (d *Daemon) recordDelay() time.Duration {
 	unused := d.catchUp.unused.Load()
+	if !unused && d.keeper.IsKeeper() {
+		return 0
+	}
+	delay := keeperYield
+	if unused {
+		delay = 0
+	}
 	for _, m := range d.others().current {
 		if (m.Ready || m.Fresh && unused) && m.From.Precedes(d.self) {
-			rank++
+			delay += settleYield
 		}
 	}
-	return rank
+	return delay
 }
 
 // writeSettled writes the version of a snapshot as the settled one of its era, unless another
