Count a daemon's turn to record from the last write of anybody

In a storm of configurations the record is always one behind, so that it seemed to lack for longer than the keeper is given, and all daemons wrote.

Change: the time counts from when the record was last seen to change. TestTurnToRecord has the row.

--- a/edge/catchup_test.go
+++ b/edge/catchup_test.go
@@ -273,19 +273,22 @@
 	is := is.New(t)
 	now, delay := time.Hour, time.Duration(0)
 	turn := turn{now: func() time.Duration { return now }, delay: func() time.Duration { return delay }}
-	is.True(!turn.isDue(false, 1))
-	is.True(turn.isDue(true, 1))
-	is.True(!turn.isDue(true, 1))
+	is.True(!turn.isDue(false, 1, 7))
+	is.True(turn.isDue(true, 1, 7))
+	is.True(!turn.isDue(true, 1, 7))
 	now += settleYield
-	is.True(turn.isDue(true, 1)) // the call may have failed
-	is.True(!turn.isDue(true, 2))
+	is.True(turn.isDue(true, 1, 7)) // the call may have failed
+	is.True(!turn.isDue(true, 2, 7))
 	now += settleInterval
-	is.True(turn.isDue(true, 2))
-	is.True(!turn.isDue(false, 2))
+	is.True(turn.isDue(true, 2, 7))
+	is.True(!turn.isDue(false, 2, 7))
 	now, delay = now+time.Minute, keeperYield
-	is.True(!turn.isDue(true, 3))
+	is.True(!turn.isDue(true, 3, 7))
 	now += keeperYield - 1
-	is.True(!turn.isDue(true, 3))
+	is.True(!turn.isDue(true, 3, 7))
+	is.True(!turn.isDue(true, 3, 8)) // another daemon has written an older version
+	now += keeperYield - 1
+	is.True(!turn.isDue(true, 4, 8))
 	now++
-	is.True(turn.isDue(true, 3))
+	is.True(turn.isDue(true, 4, 8))
 }
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -27,10 +27,10 @@
 	for ctx.Err() == nil {
 		changed := d.watcher.Changed()
 		held := d.watcher.Snapshot()
-		if settled.isDue(d.maySettle(held), held.ConfigVersion()) {
+		if settled.isDue(d.maySettle(held), held.ConfigVersion(), held.Settled.Revision) {
 			d.noteRecord(platform.SettledKey, held, d.writeSettled(ctx, held))
 		}
-		if accounts.isDue(d.mayRecordAccounts(held), held.HadAccounts) {
+		if accounts.isDue(d.mayRecordAccounts(held), held.HadAccounts, 0) {
 			d.noteRecord(platform.AccountsKey, held, d.writeAccounts(ctx, held))
 		}
 		awaitChange(ctx, changed, settleInterval)
@@ -54,21 +54,23 @@
 	now     func() time.Duration // boot clock
 	delay   func() time.Duration // for which this daemon leaves it to others
 	lacks   bool                 // the store lacked the record at the last look
-	since   time.Duration        // boot clock: since when
+	seen    int64                // revision of the record then
+	since   time.Duration        // boot clock: since when it lacks, and nobody wrote it
 	version int64                // that this daemon wrote last
 	wroteAt time.Duration        // boot clock: when
 }
 
 // isDue reports whether this daemon is to write a version now: the record lacks it, and the
-// others have had their time. What this one wrote may not be seen yet.
-func (t *turn) isDue(lacks bool, version int64) bool {
+// others have had their time since they last wrote. What this one wrote may not be seen yet.
+// The argument revision is that of the record, 0 if there is none.
+func (t *turn) isDue(lacks bool, version, revision int64) bool {
 	if !lacks {
 		t.lacks = false
 		return false
 	}
 	now := t.now()
-	if !t.lacks {
-		t.lacks, t.since = true, now
+	if !t.lacks || t.seen != revision {
+		t.lacks, t.seen, t.since = true, revision, now
 	}
 	pause := settleInterval
 	if version == t.version {
