--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,5 +3,5 @@
 # if it held and 2 if the case couldn't run. Needs the build of the deploy file and
 # review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/chead ] && [ -x target/review-3/drain ] || exit 2
-exec target/review-3/drain -record review/12/record.txt
+[ -x target/chead ] && [ -x target/review-3/stand ] || exit 2
+CASE=drain RECORD=review/12/record.txt exec target/review-3/stand
--- a/review/stand-4/rig/engine.go
+++ b/review/stand-4/engine_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package rig
+package stand
 
 import (
 	"net/http"
--- a/review/stand-4/path/main.go
+++ b/review/stand-4/path_test.go
@@ -1,21 +1,18 @@
 //go:build review
 
-// Command path shows by which route a request runs whose path has an encoded slash.
-package main
+package stand
 
 import (
-	"flag"
 	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
-
-	"clementinehead.example/chead/review/stand-4/rig"
 )
 
-const config = `{"version":1,"routes":[
+// The case path shows by which route a request runs whose path has an encoded slash.
+
+const pathConfig = `{"version":1,"routes":[
  {"name":"desk","host":"front.example","path_prefix":"/desk/","type":"idempotent","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"returns","max_attempts":2,"public":false},
  {"name":"open","host":"front.example","path_prefix":"/desk/open/","type":"idempotent","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"notes","max_attempts":2,"public":true}],
  "services":[{"name":"returns","health_path":"/healthz","max_connections":96,"cold_start_s":0,"cold_per_s":0},{"name":"notes","health_path":"/healthz","max_connections":96,"cold_start_s":0,"cold_per_s":0}],
@@ -23,29 +20,20 @@
  "tenants":[{"name":"guild","api_keys":["good-key"]}]}`
 
 const (
-	keyed    = "/desk/"
-	public   = "/desk/open/"
-	requests = 12
-	deadline = 4 * time.Second
+	pathKeyed    = "/desk/"
+	pathPublic   = "/desk/open/"
+	pathRequests = 12
+	pathDeadline = 4 * time.Second
 )
 
-func main() {
-	record := flag.String("record", "record.txt", "file of the record")
-	flag.Parse()
-	s := rig.New(*record, config)
-	code := play(s)
-	s.Close()
-	os.Exit(code)
-}
-
-func play(s *rig.Site) int {
+func pathPlay(s *Site) int {
 	var mu sync.Mutex
 	astray := 0
 	for i, service := range []string{"returns", "notes", "returns", "notes"} {
-		s.AddRunner(fmt.Sprintf("i-%d", i+1), &rig.Runner{Service: service, Zone: fmt.Sprintf("zone-%d", i%3+1), Slots: 6, Serve: func(r *rig.Runner, w http.ResponseWriter, q *http.Request) {
+		s.AddRunner(fmt.Sprintf("i-%d", i+1), &Runner{Service: service, Zone: fmt.Sprintf("zone-%d", i%3+1), Slots: 6, Serve: func(r *Runner, w http.ResponseWriter, q *http.Request) {
 			s.Note("runner %s of %s runs %s: %s, tenant %q", r.ID(), service, q.Header.Get("X-Request-Id"), q.RequestURI, q.Header.Get("X-Tenant"))
 			mu.Lock()
-			if service == "notes" && !strings.HasPrefix(q.RequestURI, public) {
+			if service == "notes" && !strings.HasPrefix(q.RequestURI, pathPublic) {
 				astray++
 			}
 			mu.Unlock()
@@ -55,21 +43,21 @@
 	s.StartDaemons(3)
 	s.AwaitReady(10 * time.Second)
 	time.Sleep(time.Second)
-	path := keyed + "7"
-	if rig.Trouble() {
-		path = keyed + "open%2F7"
+	path := pathKeyed + "7"
+	if Trouble() {
+		path = pathKeyed + "open%2F7"
 	}
 	sound := 0
-	for n := range requests {
+	for n := range pathRequests {
 		d := s.Daemons[n%len(s.Daemons)]
-		for _, q := range []rig.Request{
-			{ID: fmt.Sprintf("keyed-%d", n), Path: keyed + "8", Key: "good-key"},
-			{ID: fmt.Sprintf("public-%d", n), Path: public + "9"},
+		for _, q := range []Request{
+			{ID: fmt.Sprintf("keyed-%d", n), Path: pathKeyed + "8", Key: "good-key"},
+			{ID: fmt.Sprintf("public-%d", n), Path: pathPublic + "9"},
 			{ID: fmt.Sprintf("keyless-%d", n), Path: path},
 		} {
-			q.Daemon, q.Method, q.Deadline = d, http.MethodGet, deadline
+			q.Daemon, q.Method, q.Deadline = d, http.MethodGet, pathDeadline
 			s.Note("client sends %s to %s: %s, key %q", q.ID, d.Name, q.Path, q.Key)
-			a := rig.Send(q)
+			a := Send(q)
 			s.Note("client got for %s: %s, body %q", q.ID, a.Text(), a.Body)
 			if a.Status == http.StatusOK && q.Path != path {
 				sound++
@@ -78,14 +66,14 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	s.Note("%d of %d requests with a key or to the public route served; %d without a key ran at a service to which their route doesn't lead", sound, 2*requests, astray)
+	s.Note("%d of %d requests with a key or to the public route served; %d without a key ran at a service to which their route doesn't lead", sound, 2*pathRequests, astray)
 	switch {
-	case sound != 2*requests:
-		return rig.NotRun
+	case sound != 2*pathRequests:
+		return NotRun
 	case astray > 0:
 		s.Note("ROUTE is broken")
-		return rig.Broken
+		return Broken
 	}
 	s.Note("ROUTE holds")
-	return rig.Held
+	return Held
 }
--- a/review/stand-4/poison/main.go
+++ b/review/stand-4/poison_test.go
@@ -1,92 +1,79 @@
 //go:build review
 
-// Command poison shows what becomes of a request that crashes the runners that run it and
-// comes again and again, where the client gives up early (-how leave), the daemons are
-// stopped and started in turn (-how roll), or it comes for over a minute (-how stay).
-package main
+package stand
 
 import (
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
-
-	"clementinehead.example/chead/review/stand-4/rig"
 )
 
-const config = `{"version":1,"routes":[
+// The case poison shows what becomes of a request that crashes the runners that run it and
+// comes again and again, where the client gives up early (leave), the daemons are
+// stopped and started in turn (roll), or it comes for over a minute (stay).
+
+const poisonConfig = `{"version":1,"routes":[
  {"name":"file","host":"front.example","path_prefix":"/file/","type":"non_idempotent","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"returns","max_attempts":1,"public":false}],
  "services":[{"name":"returns","health_path":"/healthz","max_connections":96,"cold_start_s":0,"cold_per_s":0}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"guild","api_keys":["good-key"]}]}`
 
 const (
-	runners      = 6
-	workTime     = 60 * time.Millisecond  // of a usual request
-	crashAfter   = 400 * time.Millisecond // from the start of the poisonous request's run to the crash
-	leaveAfter   = 150 * time.Millisecond // half of the target latency
-	downTime     = 3 * time.Second        // of a runner after a crash
-	poisonPeriod = 2 * time.Second        // between two comings of the poisonous request
-	eagerPeriod  = 200 * time.Millisecond // the same of a client that doesn't wait as told
-	loadPeriod   = 50 * time.Millisecond  // between two usual requests
-	contact      = 3 * time.Second        // contact_ms
-	poisonBody   = "the return that crashes runners"
+	poisonRunners      = 6
+	poisonWorkTime     = 60 * time.Millisecond  // of a usual request
+	poisonCrashAfter   = 400 * time.Millisecond // from the start of the poisonous request's run to the crash
+	poisonLeaveAfter   = 150 * time.Millisecond // half of the target latency
+	poisonDownTime     = 3 * time.Second        // of a runner after a crash
+	poisonPoisonPeriod = 2 * time.Second        // between two comings of the poisonous request
+	poisonEagerPeriod  = 200 * time.Millisecond // the same of a client that doesn't wait as told
+	poisonLoadPeriod   = 50 * time.Millisecond  // between two usual requests
+	poisonContact      = 3 * time.Second        // contact_ms
+	poisonPoisonBody   = "the return that crashes runners"
 )
 
-// arrival is one arrival of the poisonous request at a runner.
-type arrival struct {
+// poisonArrival is one arrival of the poisonous request at a runner.
+type poisonArrival struct {
 	at      time.Duration
 	request string
 }
 
-// watch holds what runners and clients saw.
-type watch struct {
+// poisonWatch holds what runners and clients saw.
+type poisonWatch struct {
 	mu       sync.Mutex
-	arrivals []arrival
+	arrivals []poisonArrival
 	crashes  []time.Duration
-	sentBy   map[string]*rig.Daemon // by request
+	sentBy   map[string]*Daemon // by request
 	touched  map[string]time.Duration
 	lost     int // usual requests that got no answer of their runner, and may have run
 	served   int
 	usual    sync.WaitGroup // usual requests in progress
 }
 
-func main() {
-	how := flag.String("how", "leave", "leave, roll or stay")
-	record := flag.String("record", "record.txt", "file of the record")
-	flag.Parse()
-	s := rig.New(*record, config)
-	code := play(s, *how)
-	s.Close()
-	os.Exit(code)
-}
-
-func play(s *rig.Site, how string) int {
-	w := &watch{sentBy: map[string]*rig.Daemon{}, touched: map[string]time.Duration{}}
-	for i := range runners {
-		s.AddRunner(fmt.Sprintf("i-%d", i+1), &rig.Runner{Service: "returns", Zone: fmt.Sprintf("zone-%d", i%3+1), Slots: 6, Serve: serve(s, w)})
+func poisonPlay(s *Site, how string) int {
+	w := &poisonWatch{sentBy: map[string]*Daemon{}, touched: map[string]time.Duration{}}
+	for i := range poisonRunners {
+		s.AddRunner(fmt.Sprintf("i-%d", i+1), &Runner{Service: "returns", Zone: fmt.Sprintf("zone-%d", i%3+1), Slots: 6, Serve: poisonServe(s, w)})
 	}
 	s.StartDaemons(3)
 	s.AwaitReady(10 * time.Second)
-	time.Sleep(contact)
+	time.Sleep(poisonContact)
 	stop := make(chan struct{})
 	var all sync.WaitGroup
-	all.Go(func() { load(s, w, stop) })
-	if how != "stay" || rig.Trouble() {
-		all.Go(func() { poison(s, w, how, stop) })
+	all.Go(func() { poisonLoad(s, w, stop) })
+	if how != "stay" || Trouble() {
+		all.Go(func() { poisonPoison(s, w, how, stop) })
 	}
 	time.Sleep(12 * time.Second)
 	switch {
 	case how == "stay":
 		time.Sleep(60 * time.Second)
-	case how == "roll" && rig.Trouble():
+	case how == "roll" && Trouble():
 		for range 2 {
-			roll(s, w)
+			poisonRoll(s, w)
 		}
 	}
 	time.Sleep(24 * time.Second)
@@ -96,38 +83,38 @@
 	return w.judge(s)
 }
 
-// serve returns what a runner does: the poisonous request crashes it.
-func serve(s *rig.Site, w *watch) func(*rig.Runner, http.ResponseWriter, *http.Request) {
-	return func(r *rig.Runner, out http.ResponseWriter, q *http.Request) {
+// poisonServe returns what a runner does: the poisonous request crashes it.
+func poisonServe(s *Site, w *poisonWatch) func(*Runner, http.ResponseWriter, *http.Request) {
+	return func(r *Runner, out http.ResponseWriter, q *http.Request) {
 		id := q.Header.Get("X-Request-Id")
 		body, err := io.ReadAll(q.Body)
 		if err != nil {
 			return
 		}
-		if string(body) != poisonBody {
-			time.Sleep(workTime)
+		if string(body) != poisonPoisonBody {
+			time.Sleep(poisonWorkTime)
 			r.Sign(out, "filed "+id)
 			return
 		}
 		s.Note("runner %s runs the poisonous request %s", r.ID(), id)
 		w.mu.Lock()
-		w.arrivals = append(w.arrivals, arrival{s.Now(), id})
+		w.arrivals = append(w.arrivals, poisonArrival{s.Now(), id})
 		w.mu.Unlock()
-		time.Sleep(crashAfter)
+		time.Sleep(poisonCrashAfter)
 		w.mu.Lock()
 		w.crashes = append(w.crashes, s.Now())
 		w.mu.Unlock()
-		r.Crash(downTime)
+		r.Crash(poisonDownTime)
 	}
 }
 
-// load sends usual requests, to the daemons in turn, whose clients wait for their answers.
-func load(s *rig.Site, w *watch, stop chan struct{}) {
+// poisonLoad sends usual requests, to the daemons in turn, whose clients wait for their answers.
+func poisonLoad(s *Site, w *poisonWatch, stop chan struct{}) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(loadPeriod):
+		case <-time.After(poisonLoadPeriod):
 		}
 		d := w.pick(s, n)
 		if d == nil {
@@ -135,7 +122,7 @@
 		}
 		w.usual.Go(func() {
 			id := fmt.Sprintf("usual-%d", n)
-			a := rig.Send(rig.Request{Daemon: d, Method: http.MethodPost, Path: "/file/a", ID: id, Key: "good-key", Body: "return " + id, Deadline: 4 * time.Second})
+			a := Send(Request{Daemon: d, Method: http.MethodPost, Path: "/file/a", ID: id, Key: "good-key", Body: "return " + id, Deadline: 4 * time.Second})
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			switch {
@@ -152,7 +139,7 @@
 }
 
 // pick returns a daemon that clients may use: one that is ready and isn't being stopped.
-func (w *watch) pick(s *rig.Site, n int) *rig.Daemon {
+func (w *poisonWatch) pick(s *Site, n int) *Daemon {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i := range s.Daemons {
@@ -164,12 +151,12 @@
 	return nil
 }
 
-// poison sends the poisonous request again and again, each time as a new attempt with the
+// poisonPoison sends the poisonous request again and again, each time as a new attempt with the
 // same path, caller and body, to the daemons in turn.
-func poison(s *rig.Site, w *watch, how string, stop chan struct{}) {
-	period := poisonPeriod
+func poisonPoison(s *Site, w *poisonWatch, how string, stop chan struct{}) {
+	period := poisonPoisonPeriod
 	if how == "stay" {
-		period = eagerPeriod
+		period = poisonEagerPeriod
 	}
 	var sent sync.WaitGroup
 	defer sent.Wait()
@@ -183,20 +170,20 @@
 		if d == nil {
 			continue
 		}
-		q := rig.Request{Daemon: d, Method: http.MethodPost, Path: "/file/a", ID: fmt.Sprintf("poison-%d", n), Key: "good-key", Body: poisonBody, Deadline: 4 * time.Second}
-		if how == "leave" && rig.Trouble() {
-			q.Leave = leaveAfter
+		q := Request{Daemon: d, Method: http.MethodPost, Path: "/file/a", ID: fmt.Sprintf("poison-%d", n), Key: "good-key", Body: poisonPoisonBody, Deadline: 4 * time.Second}
+		if how == "leave" && Trouble() {
+			q.Leave = poisonLeaveAfter
 		}
 		w.mu.Lock()
 		w.sentBy[q.ID] = d
 		w.mu.Unlock()
 		s.Note("client sends %s to %s", q.ID, d.Name)
-		sent.Go(func() { s.Note("client got for %s: %s", q.ID, rig.Send(q).Text()) })
+		sent.Go(func() { s.Note("client got for %s: %s", q.ID, Send(q).Text()) })
 	}
 }
 
-// roll stops and starts the daemons in turn. Clients use each again once it is in touch.
-func roll(s *rig.Site, w *watch) {
+// poisonRoll stops and starts the daemons in turn. Clients use each again once it is in touch.
+func poisonRoll(s *Site, w *poisonWatch) {
 	for _, d := range s.Daemons {
 		w.touch(d, -1)
 		d.Signal(syscall.SIGTERM)
@@ -205,13 +192,13 @@
 		for !d.IsReady() {
 			time.Sleep(50 * time.Millisecond)
 		}
-		time.Sleep(contact + 500*time.Millisecond)
+		time.Sleep(poisonContact + 500*time.Millisecond)
 		w.touch(d, s.Now())
 	}
 }
 
 // touch records from when on a daemon is in touch, -1 if it isn't.
-func (w *watch) touch(d *rig.Daemon, at time.Duration) {
+func (w *poisonWatch) touch(d *Daemon, at time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.touched[d.Name] = at
@@ -219,28 +206,28 @@
 
 // judge applies the rule: once the request has crashed the third runner, and contact_ms
 // later, it may reach runners in three retries at the most.
-func (w *watch) judge(s *rig.Site) int {
+func (w *poisonWatch) judge(s *Site) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	late := map[string]bool{}
 	var names []string
 	if len(w.crashes) >= 3 {
 		for _, a := range w.arrivals {
-			if a.at > w.crashes[2]+contact && !late[a.request] {
+			if a.at > w.crashes[2]+poisonContact && !late[a.request] {
 				late[a.request] = true
 				names = append(names, a.request)
 			}
 		}
 	}
 	s.Note("%d arrivals of the poisonous request, %d crashes, usual requests: %d served, %d without their answer", len(w.arrivals), len(w.crashes), w.served, w.lost)
-	s.Note("retries that reached a runner over %v after the third crash: %d (%s), allowed: 3", contact, len(late), strings.Join(names, " "))
+	s.Note("retries that reached a runner over %v after the third crash: %d (%s), allowed: 3", poisonContact, len(late), strings.Join(names, " "))
 	if len(w.crashes) < 3 && len(w.sentBy) > 0 || w.served == 0 {
-		return rig.NotRun
+		return NotRun
 	}
 	if len(late) > 3 {
 		s.Note("BUDGET is broken")
-		return rig.Broken
+		return Broken
 	}
 	s.Note("BUDGET holds")
-	return rig.Held
+	return Held
 }
--- a/review/stand-4/rig/rig.go
+++ b/review/stand-4/rig_test.go
@@ -1,8 +1,6 @@
 //go:build review
 
-// Package rig runs a small deployment on loopback for the cases of the review: the daemons
-// as separate processes, with stand-ins for the platform's store and for plain runners.
-package rig
+package stand
 
 import (
 	"bytes"
